build: skeleton with core, wire, HTTP and daemon libraries

Cause: the project starts empty; the parts need one build, one style and the messages between them before they can grow side by side.

--- /dev/null
+++ b/include/galenaturn/daemon.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** The daemon library: what galenaturn-entry and galenaturn-control have in common. */
+
+#include "libdaemon/daemon.h"
--- /dev/null
+++ b/include/galenaturn/membership.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** The membership library: gossip between our processes and the announcements it carries. */
+
+#include "libmembership/membershiperrors.h"
--- /dev/null
+++ b/include/galenaturn/messages.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** Messages between our processes and their codec, without any transport. */
+
+#include "libwire/announcements.h"
+#include "libwire/codec.h"
+#include "libwire/commands.h"
+#include "libwire/frame.h"
+#include "libwire/wireerrors.h"
--- /dev/null
+++ b/include/galenaturn/wire.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** The wire library: messages, their codec, and the channels between our processes. */
+
+#include "galenaturn/messages.h"
+#include "libwire/channel.h"
+#include "libwire/ledgerclient.h"
--- /dev/null
+++ b/src/entryd/main.cpp
@@ -0,0 +1,10 @@
+#include <galenaturn/daemon.h>
+
+int main(int argc, char** argv)
+{
+    using namespace galenaturn;
+    return daemon::run(argc, argv, process_role::entry, [](daemon::context& /*shared*/) {
+        std::vector<std::unique_ptr<daemon::service>> services;
+        return services;
+    });
+}
--- /dev/null
+++ b/src/libcore/log.cpp
@@ -0,0 +1,84 @@
+#include "log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace galenaturn {
+
+namespace {
+
+log4cplus::LogLevel to_library_level(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    case log_level::fatal:
+        return log4cplus::FATAL_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::Logger& logger()
+{
+    static log4cplus::Logger instance = log4cplus::Logger::getRoot();
+    return instance;
+}
+
+} // namespace
+
+void init_log(log_level threshold)
+{
+    static const log4cplus::tstring pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n";
+    log4cplus::initialize();
+    log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{true, true}};
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    logger().removeAllAppenders();
+    logger().addAppender(appender);
+    logger().setLogLevel(to_library_level(threshold));
+}
+
+std::string log_quoted(std::string_view value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos)
+        return std::string{value};
+    std::string quoted{"\""};
+    for (const char character : value) {
+        if (character == '"' || character == '\\')
+            quoted += '\\';
+        if (character == '\n' || character == '\r') {
+            quoted += "\\n";
+            continue;
+        }
+        quoted += character;
+    }
+    quoted += '"';
+    return quoted;
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto library_level = to_library_level(level);
+    if (!logger().isEnabledFor(library_level))
+        return;
+    std::string line{"event="};
+    line += event;
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        line += log_quoted(field.value);
+    }
+    logger().log(library_level, line);
+}
+
+} // namespace galenaturn
--- /dev/null
+++ b/src/libcore/log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <initializer_list>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace galenaturn {
+
+enum class log_level { debug, info, warning, error, fatal };
+
+/** One key and its value, formatted when the field is made. */
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    template <class T>
+    log_field(std::string_view field_key, const T& field_value) : key{field_key}
+    {
+        std::ostringstream out;
+        out << field_value;
+        value = out.str();
+    }
+};
+
+/** Sends the log to standard error from `threshold` up. Called once by each program. */
+void init_log(log_level threshold);
+
+/** Writes one line: event=NAME key=value ... Values with spaces or quotes are quoted. */
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+/** Returns `value` as it stands in a log line. */
+std::string log_quoted(std::string_view value);
+
+} // namespace galenaturn
--- /dev/null
+++ b/src/libdaemon/daemon.cpp
@@ -0,0 +1,136 @@
+#include "daemon.h"
+
+#include "lifecycle.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+DEFINE_string(settings, "", "Settings file in YAML");
+DEFINE_string(name, "", "Name of this process among the members; default: the settings' own");
+DEFINE_string(data_folder, "", "Folder of the ledger; default: the settings' own");
+DEFINE_bool(check_settings, false, "Check the settings, report every finding and exit");
+DEFINE_bool(verbose, false, "Log at debug level");
+
+namespace galenaturn::daemon {
+
+namespace {
+
+constexpr int exit_failure = 1;
+constexpr int exit_bad_settings = 2;
+
+boost::asio::awaitable<http::response> answer_text(std::string text)
+{
+    co_return http::make_response(http::status::ok, std::move(text), "text/plain; charset=utf-8");
+}
+
+void add_process_routes(context& shared)
+{
+    shared.routes.add(http::verb::get, "/healthz", [](http::call&) { return answer_text("ok\n"); });
+    shared.routes.add(http::verb::get, "/metrics",
+                      [&shared](http::call&) { return answer_text(shared.metrics.text()); });
+    shared.routes.add(
+        http::verb::get, "/readyz",
+        [&shared](http::call&) -> boost::asio::awaitable<http::response> {
+            if (shared.ready)
+                co_return http::make_response(http::status::ok, "ready\n", "text/plain");
+            co_return http::make_problem({http::status::service_unavailable, "leaving",
+                                          "this process is stopping", 0, true});
+        });
+}
+
+/** Opens the listeners and starts the services. Returns false after logging why not. */
+bool open(context& shared, http::server& server, wire::frame_server& peers,
+          std::vector<std::unique_ptr<service>>& services)
+{
+    const auto& self = shared.settings.self;
+    auto opened = server.listen(self.http);
+    if (opened)
+        opened = peers.listen(self.peer);
+    if (!opened) {
+        log_event(log_level::error, "listen_failed",
+                  {{"http", self.http}, {"peer", self.peer}, {"error", opened.error().message()}});
+        return false;
+    }
+    shared.peers.start();
+    for (auto& part : services) {
+        const auto started = part->start();
+        if (!started) {
+            log_event(log_level::error, "service_failed", {{"error", started.error().message()}});
+            return false;
+        }
+    }
+    return true;
+}
+
+int serve(process_settings settings, const service_factory& make_services)
+{
+    context shared{std::move(settings)};
+    http::server_limits limits;
+    limits.body = shared.settings.body_limit;
+    http::server server{shared.io, shared.routes, limits, shared.metrics};
+    wire::frame_server peers{shared.channels, shared.frames};
+    lifecycle life{shared, server, peers};
+    findings found;
+    life.load(found);
+    if (!found.empty()) {
+        std::cerr << found.text();
+        return exit_bad_settings;
+    }
+    add_process_routes(shared);
+    auto services = make_services(shared);
+    if (!open(shared, server, peers, services))
+        return exit_failure;
+
+    boost::asio::signal_set signals{shared.io, SIGTERM, SIGINT};
+    signals.async_wait([&life](const boost::system::error_code& error, int /*signal*/) {
+        if (!error)
+            life.request_stop();
+    });
+    life.started();
+    shared.io.run();
+    log_event(log_level::info, "daemon_stopped", {{"cut_off", life.cut_off()}});
+    services.clear();
+    return life.cut_off() ? exit_failure : 0;
+}
+
+} // namespace
+
+context::context(process_settings process)
+    : settings{std::move(process)}, io{1}, channels{io,
+                                                    {settings.self.id, settings.self.domain},
+                                                    settings.refused_domains,
+                                                    wire::channel_counters{metrics}},
+      peers{channels, settings}, ledger{channels, peers}
+{
+}
+
+int run(int argc, char** argv, process_role role, const service_factory& make_services)
+{
+    gflags::SetVersionString(GALENATURN_VERSION);
+    gflags::SetUsageMessage(std::string{"--settings FILE [--name MEMBER]; runs as "} +
+                            to_string(role));
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    init_log(FLAGS_verbose ? log_level::debug : log_level::info);
+    settings_builder builder;
+    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(FLAGS_settings);
+    auto settings = builder.build(role);
+    if (!settings) {
+        std::cerr << builder.problems().text();
+        return exit_bad_settings;
+    }
+    if (FLAGS_check_settings)
+        return 0;
+    log_event(log_level::info, "daemon_starting",
+              {{"name", settings.value().self.id},
+               {"role", to_string(role)},
+               {"failure_domain", settings.value().self.domain},
+               {"http", settings.value().self.http},
+               {"peer", settings.value().self.peer}});
+    return serve(std::move(settings).value(), make_services);
+}
+
+} // namespace galenaturn::daemon
--- /dev/null
+++ b/src/libhttp/httpclient.cpp
@@ -0,0 +1,50 @@
+#include "httpclient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace galenaturn::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+request make_request(verb method, const std::string& target, std::string body,
+                     const std::string& content_type)
+{
+    request message{method, target, 11};
+    message.set(field::host, "galenaturn");
+    message.set(field::user_agent, "galenaturn/" GALENATURN_VERSION);
+    if (!body.empty())
+        message.set(field::content_type, content_type);
+    message.body() = std::move(body);
+    message.prepare_payload();
+    return message;
+}
+
+asio::awaitable<result<response>> fetch(asio::io_context& io, ip_endpoint address, request message,
+                                        time_point deadline)
+{
+    constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(address.address), address.port};
+    beast::tcp_stream stream{io};
+    stream.expires_at(deadline);
+    auto [connect_error] = co_await stream.async_connect(endpoint, use_result);
+    if (connect_error)
+        co_return connect_error;
+    auto [write_error, written] = co_await beast_http::async_write(stream, message, use_result);
+    if (write_error)
+        co_return write_error;
+    beast::flat_buffer buffer;
+    response answer;
+    auto [read_error, size] = co_await beast_http::async_read(stream, buffer, answer, use_result);
+    if (read_error)
+        co_return read_error;
+    co_return answer;
+}
+
+} // namespace galenaturn::http
--- /dev/null
+++ b/src/libledger/ledgerstate.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <galenaturn/messages.h>
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace galenaturn::ledger {
+
+/** Which process places the tasks of a domain. A higher number ends the one before. */
+struct stewardship {
+    process_id steward;
+    epoch number;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(steward, number);
+    }
+};
+
+/** The key of a non-idempotent request and, once known, its answer. */
+struct key_record {
+    std::string digest;
+    request_id reservation;
+    process_id entry;
+    wall_time expires;
+    std::optional<wire::recorded_answer> answer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(digest, reservation, entry, expires, answer);
+    }
+};
+
+using key_name = std::tuple<owner_id, service_id, idempotency_key>;
+
+/** The replicated state: what every voter has after the same commands. */
+struct ledger_state {
+    /** Catalogue versions in order; the last one is in force. */
+    std::vector<wire::catalogue_document> catalogue_history;
+    /** The last version, parsed. Not replicated: derived from its document. */
+    catalogue entries;
+    std::map<task_id, wire::task_record> tasks;
+    std::map<failure_domain_id, stewardship> stewardships;
+    std::map<key_name, key_record> keys;
+};
+
+/** What one applied command changed, so that subscribers need not scan the state. */
+struct applied_change {
+    log_index index;
+    std::vector<task_id> tasks;
+    bool catalogue{false};
+    bool stewardships{false};
+};
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/src/libwire/announcements.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "commands.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenaturn::wire {
+
+/** What an upstream says of itself. Each announcement replaces the last one. */
+struct upstream_announcement {
+    upstream_id id;
+    service_id service;
+    failure_domain_id domain;
+    rack_id rack;
+    ip_endpoint address;
+    incarnation life;
+    /** Counts announcements of one life; a lower one is late and changes nothing. */
+    std::uint64_t sequence{0};
+    std::uint32_t slots{0};
+    std::uint32_t connections{0};
+    std::uint32_t busy_slots{0};
+    bool leaving{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, service, domain, rack, address, life, sequence, slots, connections, busy_slots,
+                leaving);
+    }
+};
+
+/** How a task does on its worker. */
+enum class worker_task_state : std::uint8_t {
+    starting,
+    running,
+    checkpointing,
+    stopped,
+    succeeded,
+    failed,
+    out_of_memory,
+    evicted,
+};
+
+/** One task in a worker's report. */
+struct worker_task {
+    task_id id;
+    epoch assignment;
+    worker_task_state state{worker_task_state::starting};
+    std::optional<checkpoint_id> checkpoint;
+    resources used;
+    std::string reason;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, assignment, state, checkpoint, used, reason);
+    }
+};
+
+/** What a worker says of itself; also the heartbeat that renews its leases. */
+struct worker_announcement {
+    worker_id id;
+    failure_domain_id domain;
+    rack_id rack;
+    incarnation life;
+    heartbeat_number heartbeat;
+    resources capacity;
+    std::vector<worker_task> tasks;
+    /** Usage is this old when the announcement is sent. */
+    duration usage_age{};
+    /** 99th percentile of the latency of each service task that runs there. */
+    duration service_latency{};
+    bool leaving{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, domain, rack, life, heartbeat, capacity, tasks, usage_age, service_latency,
+                leaving);
+    }
+};
+
+enum class worker_command_kind : std::uint8_t { start, renew, throttle, checkpoint, stop };
+
+/** An order to a worker. A worker that has seen a higher epoch of the task refuses it. */
+struct worker_command {
+    worker_command_kind kind{worker_command_kind::renew};
+    task_id id;
+    epoch assignment;
+    job_id job;
+    resources demand;
+    /** Start only: where the task resumes. */
+    std::optional<checkpoint_id> checkpoint;
+    /** Throttle only: the processors it may use from now on. */
+    millicores processors;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, id, assignment, job, demand, checkpoint, processors);
+    }
+};
+
+/**
+ * Answer to a worker's heartbeat. Every task it names under `renew` or `start` may run until
+ * `lease` after the moment the worker sent heartbeat number `heartbeat`.
+ */
+struct worker_answer {
+    heartbeat_number heartbeat;
+    epoch stewardship;
+    duration lease{};
+    std::vector<worker_command> commands;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(heartbeat, stewardship, lease, commands);
+    }
+};
+
+/** First message on a connection between our processes. */
+struct hello {
+    process_id process;
+    failure_domain_id domain;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(process, domain);
+    }
+};
+
+const char* to_string(worker_task_state state);
+const char* to_string(worker_command_kind kind);
+
+} // namespace galenaturn::wire
--- /dev/null
+++ b/src/libwire/commands.h
@@ -0,0 +1,394 @@
+#pragma once
+
+#include "codec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace galenaturn::wire {
+
+/** What is left of a task's life as the ledger sees it. */
+enum class task_phase : std::uint8_t { pending, assigned, finished };
+
+/** The one end of a task. */
+enum class task_outcome : std::uint8_t { none, succeeded, failed, cancelled, stopped, parked };
+
+/** A task as the ledger keeps it. */
+struct task_record {
+    task_id id;
+    job_id job;
+    owner_id owner;
+    work_class task_class{work_class::batch};
+    bool urgent{false};
+    resources demand;
+    duration hold{};
+    wall_time submitted;
+    /** The epoch start of the wall clock means that the task has no deadline. */
+    wall_time deadline;
+    task_phase phase{task_phase::pending};
+    /** Where the task is assigned, and the fencing number of that assignment. */
+    failure_domain_id domain;
+    epoch assignment;
+    std::uint32_t attempts{0};
+    /** Set once a stop or cancel was accepted; the outcome follows when the worker has stopped. */
+    bool cancel_requested{false};
+    bool stop_requested{false};
+    std::optional<checkpoint_id> checkpoint;
+    task_outcome outcome{task_outcome::none};
+    /** Why the task waits, or what ended it. */
+    std::string reason;
+    /** The worker that last ran it, as its steward reported. */
+    worker_id worker;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, job, owner, task_class, urgent, demand, hold, submitted, deadline, phase,
+                domain, assignment, attempts, cancel_requested, stop_requested, checkpoint, outcome,
+                reason, worker);
+    }
+};
+
+/** Compare-and-set of the catalogue; `expected` is the version that the operator had read. */
+struct write_catalogue {
+    catalogue_version expected;
+    std::string document;
+    std::string digest;
+    std::string author;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(expected, document, digest, author);
+    }
+};
+
+/** Starts a task of a job in the catalogue. The leader fills sizes and owner from the catalogue. */
+struct start_task {
+    task_id id;
+    job_id job;
+    wall_time submitted;
+    wall_time deadline;
+    /** Sizes other than the job's own. */
+    std::optional<resources> demand;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, job, submitted, deadline, demand);
+    }
+};
+
+struct cancel_task {
+    task_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id);
+    }
+};
+
+/** Ends a watcher or service task as planned. */
+struct stop_task {
+    task_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id);
+    }
+};
+
+/** Gives pending tasks to a failure domain, each under its next epoch. */
+struct assign_tasks {
+    struct item {
+        task_id id;
+        failure_domain_id domain;
+        /** The assignment that this one follows; a stale leader's proposal changes nothing. */
+        epoch expected;
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(id, domain, expected);
+        }
+    };
+    std::vector<item> items;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(items);
+    }
+};
+
+/** What a steward tells of its tasks, in groups. Items of an old epoch change nothing. */
+struct report_tasks {
+    struct item {
+        task_id id;
+        epoch assignment;
+        task_outcome outcome{task_outcome::none};
+        /** Gives the task back to the ledger, for another domain. */
+        bool released{false};
+        std::optional<checkpoint_id> checkpoint;
+        std::string reason;
+        worker_id worker;
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(id, assignment, outcome, released, checkpoint, reason, worker);
+        }
+    };
+    std::vector<item> items;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(items);
+    }
+};
+
+/** Makes a process the steward of a domain under the next stewardship epoch. */
+struct grant_stewardship {
+    failure_domain_id domain;
+    process_id steward;
+    /** The stewardship that this one follows. */
+    epoch expected;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(domain, steward, expected);
+    }
+};
+
+/** Reserves the key of a non-idempotent request before the request is sent. */
+struct reserve_key {
+    owner_id owner;
+    service_id service;
+    idempotency_key key;
+    /** Digest of the request, so that one key is never used for two requests. */
+    std::string digest;
+    process_id entry;
+    wall_time expires;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(owner, service, key, digest, entry, expires);
+    }
+};
+
+/** The answer that a resend of a keyed request gets. */
+struct recorded_answer {
+    std::uint32_t status{0};
+    std::string content_type;
+    std::string body;
+
+    bool operator==(const recorded_answer&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(status, content_type, body);
+    }
+};
+
+/** Records what became of a keyed request. */
+struct complete_key {
+    owner_id owner;
+    service_id service;
+    idempotency_key key;
+    /** The request that made the reservation. */
+    request_id reservation;
+    /** Nothing where the request certainly did not run: the key is free again. */
+    std::optional<recorded_answer> answer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(owner, service, key, reservation, answer);
+    }
+};
+
+/** Drops keys and sessions whose deadline has passed at the leader's wall clock. */
+struct expire_records {
+    wall_time now;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(now);
+    }
+};
+
+using command =
+    std::variant<write_catalogue, start_task, cancel_task, stop_task, assign_tasks, report_tasks,
+                 grant_stewardship, reserve_key, complete_key, expire_records>;
+
+/** A command with the id under which a resend has one effect. */
+struct command_request {
+    request_id id;
+    command body;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, body);
+    }
+};
+
+/** What became of a command. */
+enum class command_status : std::uint8_t {
+    accepted,
+    /** Compare-and-set lost: the response names the version in force. */
+    conflict,
+    /** Already so: the first outcome is returned. */
+    duplicate,
+    /** The command's own content is not allowed; the reason says why. Nothing changed. */
+    rejected,
+    /** This voter is not the leader; the response names the leader where it is known. Not run. */
+    not_leader,
+    /** No quorum, or too much waits. Certainly not run. */
+    unavailable,
+    /** The connection or leadership was lost: it may have run. Resend with the same id. */
+    unknown,
+};
+
+struct command_response {
+    command_status status{command_status::unknown};
+    std::string reason;
+    process_id leader;
+    log_index index;
+    catalogue_version version;
+    std::string digest;
+    /** For reserve_key as duplicate: the recorded answer, or nothing while it is unknown. */
+    std::optional<recorded_answer> answer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(status, reason, leader, index, version, digest, answer);
+    }
+};
+
+/** Reads, answered by the leader under its lease, or by any voter where `stale_allowed`. */
+struct get_catalogue {
+    /** 0 asks for the version in force. */
+    catalogue_version version;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version);
+    }
+};
+
+struct list_catalogue_history {
+    std::uint32_t limit{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(limit);
+    }
+};
+
+struct get_task {
+    task_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id);
+    }
+};
+
+struct list_tasks {
+    owner_id owner;
+    std::uint32_t limit{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(owner, limit);
+    }
+};
+
+struct get_ledger_status {
+    template <class Archive>
+    void serialize(Archive& /*archive*/)
+    {
+    }
+};
+
+using query =
+    std::variant<get_catalogue, list_catalogue_history, get_task, list_tasks, get_ledger_status>;
+
+struct query_request {
+    query body;
+    bool stale_allowed{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(body, stale_allowed);
+    }
+};
+
+struct catalogue_document {
+    catalogue_version version;
+    std::string digest;
+    std::string author;
+    std::string document;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, digest, author, document);
+    }
+};
+
+struct ledger_status {
+    voter_id voter;
+    std::string role;
+    process_id leader;
+    term current_term;
+    log_index committed;
+    log_index applied;
+    std::vector<voter_id> voters;
+    std::vector<voter_id> learners;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(voter, role, leader, current_term, committed, applied, voters, learners);
+    }
+};
+
+enum class query_status : std::uint8_t { found, not_found, not_leader, unavailable };
+
+struct query_response {
+    query_status status{query_status::unavailable};
+    process_id leader;
+    std::vector<catalogue_document> documents;
+    std::vector<task_record> tasks;
+    std::optional<ledger_status> ledger;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(status, leader, documents, tasks, ledger);
+    }
+};
+
+const char* to_string(task_phase phase);
+const char* to_string(task_outcome outcome);
+const char* to_string(command_status status);
+
+} // namespace galenaturn::wire
--- /dev/null
+++ b/src/libwire/ledgerclient.cpp
@@ -0,0 +1,122 @@
+#include "ledgerclient.h"
+
+#include "codec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace galenaturn::wire {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration attempt_limit = std::chrono::milliseconds{1500};
+constexpr duration retry_pause = std::chrono::milliseconds{40};
+
+asio::awaitable<void> pause(asio::io_context& io, time_point deadline)
+{
+    asio::steady_timer timer{io};
+    timer.expires_at(std::min(monotonic_now() + retry_pause, deadline));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace
+
+ledger_client::ledger_client(channel_context& context, peer_directory& peers)
+    : context_{context}, peers_{peers}, id_prefix_{
+                                            context.self.process.value() + "-" +
+                                            std::to_string(wall_now().time_since_epoch().count()) +
+                                            "-"}
+{
+    for (const auto& member : peers.members()) {
+        if (member.role == process_role::control && member.id != context.self.process)
+            controls_.push_back(member.id);
+    }
+    // The control process of the own domain first: it is the nearest and knows the leader.
+    std::stable_partition(controls_.begin(), controls_.end(), [&](const process_id& id) {
+        return std::any_of(peers.members().begin(), peers.members().end(), [&](const auto& member) {
+            return member.id == id && member.domain == context.self.domain;
+        });
+    });
+}
+
+request_id ledger_client::next_request_id()
+{
+    return request_id{id_prefix_ + std::to_string(++last_request_)};
+}
+
+process_id ledger_client::next_candidate(const process_id& hint)
+{
+    if (!hint.empty() && peers_.find(hint) != nullptr)
+        return hint;
+    last_tried_ = (last_tried_ + 1) % controls_.size();
+    return controls_[last_tried_];
+}
+
+asio::awaitable<command_response> ledger_client::submit(command_request request,
+                                                        time_point deadline)
+{
+    const auto payload = encode(request);
+    bool may_have_run = false;
+    process_id candidate = leader_.empty() ? controls_.at(last_tried_) : leader_;
+    while (monotonic_now() < deadline) {
+        auto* link = peers_.find(candidate);
+        const auto limit = std::min(deadline, monotonic_now() + attempt_limit);
+        const auto reply = co_await link->call(frame_kind::ledger_command, payload, limit);
+        process_id hint;
+        if (reply) {
+            auto response = decode<command_response>(reply.value());
+            if (response && response.value().status != command_status::not_leader &&
+                response.value().status != command_status::unavailable &&
+                response.value().status != command_status::unknown) {
+                leader_ = candidate;
+                co_return response.value();
+            }
+            if (response)
+                hint = response.value().leader;
+            may_have_run |= !response || response.value().status == command_status::unknown;
+        }
+        else {
+            may_have_run |= reply.error() != make_error_code(wire_error::not_connected);
+        }
+        leader_ = process_id{};
+        candidate = next_candidate(hint == candidate ? process_id{} : hint);
+        co_await pause(context_.io, deadline);
+    }
+    command_response failed;
+    failed.status = may_have_run ? command_status::unknown : command_status::unavailable;
+    failed.reason = may_have_run ? "no answer from the ledger in time" : "no quorum reachable";
+    co_return failed;
+}
+
+asio::awaitable<query_response> ledger_client::ask(query_request request, time_point deadline)
+{
+    const auto payload = encode(request);
+    process_id candidate = leader_.empty() ? controls_.at(last_tried_) : leader_;
+    while (monotonic_now() < deadline) {
+        auto* link = peers_.find(candidate);
+        const auto limit = std::min(deadline, monotonic_now() + attempt_limit);
+        const auto reply = co_await link->call(frame_kind::ledger_query, payload, limit);
+        process_id hint;
+        if (reply) {
+            auto response = decode<query_response>(reply.value());
+            if (response && response.value().status != query_status::not_leader &&
+                response.value().status != query_status::unavailable) {
+                leader_ = request.stale_allowed ? leader_ : candidate;
+                co_return response.value();
+            }
+            if (response)
+                hint = response.value().leader;
+        }
+        leader_ = process_id{};
+        candidate = next_candidate(hint == candidate ? process_id{} : hint);
+        co_await pause(context_.io, deadline);
+    }
+    co_return query_response{};
+}
+
+} // namespace galenaturn::wire
