core, wire, daemon: wall time as text, content digest, process status

Operators name deadlines in RFC 3339 or as a span from now. The digest names a catalogue's content. /v1/status shows each process's readiness and version in force; parts of a daemon add theirs through context::status_parts.

--- a/include/galenaturn/core.h
+++ b/include/galenaturn/core.h
@@ -12,4 +12,5 @@
 #include "libcore/settings.h"
 #include "libcore/statechart.h"
 #include "libcore/units.h"
+#include "libcore/walltime.h"
 #include "libcore/yamlreader.h"
--- a/include/galenaturn/messages.h
+++ b/include/galenaturn/messages.h
@@ -5,5 +5,6 @@
 #include "libwire/announcements.h"
 #include "libwire/codec.h"
 #include "libwire/commands.h"
+#include "libwire/digest.h"
 #include "libwire/frame.h"
 #include "libwire/wireerrors.h"
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -27,11 +27,30 @@
     co_return http::make_response(http::status::ok, std::move(text), "text/plain; charset=utf-8");
 }
 
+/** Returns what every part of this process says of itself. */
+process_status current_status(const context& shared)
+{
+    process_status status;
+    status.self = shared.settings.self;
+    status.ready = shared.ready;
+    status.accepting = shared.accepting;
+    for (const auto& fill : shared.status_parts)
+        fill(status);
+    return status;
+}
+
 void add_process_routes(context& shared)
 {
     shared.routes.add(http::verb::get, "/healthz", [](http::call&) { return answer_text("ok\n"); });
     shared.routes.add(http::verb::get, "/metrics",
                       [&shared](http::call&) { return answer_text(shared.metrics.text()); });
+    shared.routes.add(http::verb::get, "/v1/status",
+                      [&shared](http::call&) -> boost::asio::awaitable<http::response> {
+                          co_return http::make_response(
+                              http::status::ok,
+                              status_json(current_status(shared), shared.settings),
+                              "application/json");
+                      });
     shared.routes.add(
         http::verb::get, "/readyz",
         [&shared](http::call&) -> boost::asio::awaitable<http::response> {
--- a/src/libdaemon/daemon.h
+++ b/src/libdaemon/daemon.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "processstatus.h"
+
 #include <galenaturn/http.h>
 #include <galenaturn/wire.h>
 
@@ -33,6 +35,8 @@
     std::vector<std::function<std::size_t()>> work_in_progress;
     /** Carried out, in order, when new work starts to be refused. */
     std::vector<std::function<void()>> on_drain;
+    /** Each fills in its part of this process's status for operators. */
+    std::vector<std::function<void(process_status&)>> status_parts;
 };
 
 /** A part of a daemon. Its constructor adds routes, frame handlers and metrics to the context. */
