--- /dev/null
+++ b/src/entryd/operatorservice.cpp
@@ -0,0 +1,341 @@
+#include "operatorservice.h"
+
+#include "operatorjson.h"
+
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include <array>
+#include <utility>
+
+namespace galenaturn::entryd {
+
+namespace {
+
+/** How long an operator's request may wait for the ledger before the caller is told. */
+constexpr duration ledger_limit = std::chrono::seconds{4};
+constexpr std::int64_t retry_after_seconds = 1;
+constexpr std::uint32_t default_limit = 100;
+constexpr std::uint32_t largest_limit = 10'000;
+constexpr std::size_t longest_name = 128;
+
+constexpr std::array<const char*, 12> refusal_reasons{
+    "leaving",        "bad_version",     "version_required", "invalid_catalogue",
+    "invalid_task",   "invalid_task_id", "version_conflict", "task_conflict",
+    "ledger_refused", "not_found",       "no_quorum",        "outcome_unknown"};
+
+std::string header(const http::call& incoming, const std::string& name)
+{
+    const auto value = incoming.message[name];
+    return {value.data(), value.size()};
+}
+
+std::string query_value(const http::call& incoming, const std::string& name)
+{
+    const auto found = incoming.query.find(name);
+    return found == incoming.query.end() ? std::string{} : found->second;
+}
+
+/** Parses a version, bare or as an entity tag in quotes. */
+std::optional<catalogue_version> parse_version(std::string text)
+{
+    if (text.size() > 2 && text.front() == '"' && text.back() == '"')
+        text = text.substr(1, text.size() - 2);
+    std::uint64_t number{};
+    if (text.starts_with('-') || !boost::conversion::try_lexical_convert(text, number))
+        return {};
+    return catalogue_version{number};
+}
+
+std::uint32_t limit_of(const http::call& incoming)
+{
+    std::uint32_t limit{};
+    if (!boost::conversion::try_lexical_convert(query_value(incoming, "limit"), limit))
+        return default_limit;
+    return std::min(limit, largest_limit);
+}
+
+http::response make_json(http::status code, std::string body)
+{
+    return http::make_response(code, std::move(body), "application/json");
+}
+
+wire::query_request task_query(const task_id& id)
+{
+    return {wire::get_task{id}, false};
+}
+
+/** Returns whether `id` can stand in a path, a log line and a file name. */
+bool valid_task_id(const std::string& id)
+{
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
+    return !id.empty() && id.size() <= longest_name &&
+           id.find_first_not_of(allowed) == std::string::npos;
+}
+
+} // namespace
+
+operator_ledger ledger_of(daemon::context& shared)
+{
+    auto* client = &shared.ledger;
+    return {[client] { return client->next_request_id(); },
+            [client](wire::command_request request, time_point deadline) {
+                return client->submit(std::move(request), deadline);
+            },
+            [client](wire::query_request request, time_point deadline) {
+                return client->ask(std::move(request), deadline);
+            }};
+}
+
+operator_service::operator_service(daemon::context& shared, entry_hub& hub, operator_ledger ledger)
+    : shared_{shared}, ledger_{std::move(ledger)}, requests_{shared.metrics.make_counter(
+                                                       "galenaturn_operator_requests_total")}
+{
+    for (const auto* reason : refusal_reasons)
+        refusals_[reason] = &shared.metrics.make_counter("galenaturn_operator_refusals_total",
+                                                         {{"reason", reason}});
+    hub.catalogue_changed.emplace_back([this](const catalogue_in_force& in_force) {
+        version_ = in_force.version;
+        digest_ = in_force.digest;
+    });
+    shared.status_parts.emplace_back([this](daemon::process_status& status) {
+        status.version = version_;
+        status.digest = digest_;
+    });
+    add_catalogue_routes();
+    add_task_routes();
+}
+
+void operator_service::add_catalogue_routes()
+{
+    auto& routes = shared_.routes;
+    routes.add(http::verb::get, "/v1/catalogue",
+               [this](http::call& incoming) { return get_catalogue(incoming); });
+    routes.add(http::verb::put, "/v1/catalogue",
+               [this](http::call& incoming) { return put_catalogue(incoming); });
+    routes.add(http::verb::get, "/v1/catalogue/history",
+               [this](http::call& incoming) { return get_history(incoming); });
+    routes.add(http::verb::get, "/v1/ledger",
+               [this](http::call& incoming) { return get_ledger(incoming); });
+}
+
+void operator_service::add_task_routes()
+{
+    auto& routes = shared_.routes;
+    routes.add(http::verb::get, "/v1/tasks",
+               [this](http::call& incoming) { return list_tasks(incoming); });
+    routes.add(http::verb::put, "/v1/tasks/{id}",
+               [this](http::call& incoming) { return put_task(incoming); });
+    routes.add(http::verb::get, "/v1/tasks/{id}",
+               [this](http::call& incoming) { return get_task(incoming); });
+    routes.add(http::verb::post, "/v1/tasks/{id}/cancel",
+               [this](http::call& incoming) { return end_task(incoming, false); });
+    routes.add(http::verb::post, "/v1/tasks/{id}/stop",
+               [this](http::call& incoming) { return end_task(incoming, true); });
+}
+
+result<void> operator_service::start()
+{
+    return success();
+}
+
+request_id operator_service::id_of(const http::call& incoming) const
+{
+    const auto id = header(incoming, "Galenaturn-Request-Id");
+    if (id.empty() || id.size() > longest_name)
+        return ledger_.next_request_id();
+    return request_id{id};
+}
+
+http::response operator_service::refuse(const http::problem& details)
+{
+    const auto found = refusals_.find(details.reason);
+    if (found != refusals_.end())
+        found->second->add();
+    return http::make_problem(details);
+}
+
+http::response operator_service::refuse_undecided(const wire::command_response& response)
+{
+    if (response.status == wire::command_status::unknown)
+        return refuse({http::status::gateway_timeout, "outcome_unknown",
+                       "it may have been done; resend it with the same Galenaturn-Request-Id",
+                       retry_after_seconds, false});
+    return refuse({http::status::service_unavailable, "no_quorum", response.reason,
+                   retry_after_seconds, true});
+}
+
+http::response operator_service::refuse_query(wire::query_status found, const std::string& what)
+{
+    if (found == wire::query_status::not_found)
+        return refuse({http::status::not_found, "not_found", what + " is not known", 0, true});
+    return refuse({http::status::service_unavailable, "no_quorum",
+                   "no answer from the ledger in time", retry_after_seconds, true});
+}
+
+operator_service::answer operator_service::get_catalogue(http::call& incoming)
+{
+    requests_.add();
+    const auto asked = query_value(incoming, "version");
+    const auto version = asked.empty() ? catalogue_version{} : parse_version(asked);
+    if (!version)
+        co_return refuse(
+            {http::status::bad_request, "bad_version", "'version' is not a whole number", 0, true});
+    const auto response = co_await ledger_.ask({wire::get_catalogue{*version}, false},
+                                               monotonic_now() + ledger_limit);
+    if (response.status != wire::query_status::found || response.documents.empty())
+        co_return refuse_query(response.status == wire::query_status::found
+                                   ? wire::query_status::not_found
+                                   : response.status,
+                               "this version of the catalogue");
+    const auto& found = response.documents.front();
+    auto reply = http::make_response(http::status::ok, found.document, "application/yaml");
+    reply.set(http::field::etag, "\"" + std::to_string(found.version.value()) + "\"");
+    reply.set("Galenaturn-Digest", found.digest);
+    reply.set("Galenaturn-Author", found.author);
+    co_return reply;
+}
+
+operator_service::answer operator_service::put_catalogue(http::call& incoming)
+{
+    requests_.add();
+    if (!shared_.accepting)
+        co_return refuse({http::status::service_unavailable, "leaving",
+                          "this entry is stopping; use another", retry_after_seconds, true});
+    const auto expected = parse_version(header(incoming, "If-Match"));
+    if (!expected)
+        co_return refuse({http::status::precondition_required, "version_required",
+                          "name the version that you read in If-Match; \"0\" for the first", 0,
+                          true});
+    wire::write_catalogue write{
+        *expected, incoming.message.body(), {}, header(incoming, "Galenaturn-Author")};
+    findings found;
+    parse_catalogue(write.document, "catalogue", found);
+    if (!found.empty()) {
+        refusals_["invalid_catalogue"]->add();
+        co_return make_findings_problem("invalid_catalogue", found);
+    }
+    write.digest = wire::content_digest(write.document);
+    const auto response = co_await ledger_.submit({id_of(incoming), std::move(write)},
+                                                  monotonic_now() + ledger_limit);
+    switch (response.status) {
+    case wire::command_status::accepted:
+    case wire::command_status::duplicate:
+        co_return make_json(http::status::ok, outcome_json(response));
+    case wire::command_status::conflict:
+        refusals_["version_conflict"]->add();
+        co_return make_conflict_problem(response);
+    case wire::command_status::rejected:
+        co_return refuse(
+            {http::status::unprocessable_entity, "ledger_refused", response.reason, 0, true});
+    default:
+        co_return refuse_undecided(response);
+    }
+}
+
+operator_service::answer operator_service::get_history(http::call& incoming)
+{
+    requests_.add();
+    const auto response = co_await ledger_.ask(
+        {wire::list_catalogue_history{limit_of(incoming)}, false}, monotonic_now() + ledger_limit);
+    if (response.status == wire::query_status::unavailable ||
+        response.status == wire::query_status::not_leader)
+        co_return refuse_query(response.status, "the history");
+    co_return make_json(http::status::ok, history_json(response.documents));
+}
+
+operator_service::answer operator_service::get_ledger(http::call& /*incoming*/)
+{
+    requests_.add();
+    const auto response =
+        co_await ledger_.ask({wire::get_ledger_status{}, false}, monotonic_now() + ledger_limit);
+    if (response.status != wire::query_status::found || !response.ledger)
+        co_return refuse_query(wire::query_status::unavailable, "the ledger");
+    co_return make_json(http::status::ok, ledger_json(*response.ledger));
+}
+
+operator_service::answer operator_service::put_task(http::call& incoming)
+{
+    requests_.add();
+    if (!shared_.accepting)
+        co_return refuse({http::status::service_unavailable, "leaving",
+                          "this entry is stopping; use another", retry_after_seconds, true});
+    const task_id id{incoming.parameters["id"]};
+    if (!valid_task_id(id.value()))
+        co_return refuse({http::status::bad_request, "invalid_task_id",
+                          "use 1 to 128 letters, digits, '-', '_', '.' or ':'", 0, true});
+    findings found;
+    auto start = parse_start(id, incoming.message.body(), wall_now(), found);
+    if (!found.empty()) {
+        refusals_["invalid_task"]->add();
+        co_return make_findings_problem("invalid_task", found);
+    }
+    const auto response = co_await ledger_.submit({id_of(incoming), std::move(start)},
+                                                  monotonic_now() + ledger_limit);
+    if (response.status == wire::command_status::accepted ||
+        response.status == wire::command_status::duplicate) {
+        const bool created = response.status == wire::command_status::accepted;
+        const auto found_task =
+            co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
+        co_return answer_task(found_task, id, created ? http::status::created : http::status::ok);
+    }
+    if (response.status == wire::command_status::conflict)
+        co_return refuse({http::status::conflict, "task_conflict",
+                          "this id belongs to a task with other content: " + response.reason, 0,
+                          true});
+    if (response.status == wire::command_status::rejected)
+        co_return refuse(
+            {http::status::unprocessable_entity, "ledger_refused", response.reason, 0, true});
+    co_return refuse_undecided(response);
+}
+
+http::response operator_service::answer_task(const wire::query_response& response,
+                                             const task_id& id, http::status code)
+{
+    if (response.status != wire::query_status::found)
+        return refuse_query(response.status, "task '" + id.value() + "'");
+    if (response.tasks.empty())
+        return refuse_query(wire::query_status::not_found, "task '" + id.value() + "'");
+    return make_json(code, task_json(response.tasks.front()));
+}
+
+operator_service::answer operator_service::get_task(http::call& incoming)
+{
+    requests_.add();
+    const task_id id{incoming.parameters["id"]};
+    const auto response = co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
+    co_return answer_task(response, id, http::status::ok);
+}
+
+operator_service::answer operator_service::list_tasks(http::call& incoming)
+{
+    requests_.add();
+    const wire::list_tasks wanted{owner_id{query_value(incoming, "owner")}, limit_of(incoming)};
+    const auto response = co_await ledger_.ask({wanted, false}, monotonic_now() + ledger_limit);
+    if (response.status == wire::query_status::unavailable ||
+        response.status == wire::query_status::not_leader)
+        co_return refuse_query(response.status, "the list");
+    co_return make_json(http::status::ok, tasks_json(response.tasks));
+}
+
+operator_service::answer operator_service::end_task(http::call& incoming, bool stop)
+{
+    requests_.add();
+    const task_id id{incoming.parameters["id"]};
+    wire::command_request request{id_of(incoming), wire::cancel_task{id}};
+    if (stop)
+        request.body = wire::stop_task{id};
+    const auto response =
+        co_await ledger_.submit(std::move(request), monotonic_now() + ledger_limit);
+    if (response.status == wire::command_status::unavailable ||
+        response.status == wire::command_status::unknown)
+        co_return refuse_undecided(response);
+    const auto known = co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
+    const bool done = response.status == wire::command_status::accepted ||
+                      response.status == wire::command_status::duplicate;
+    if (done || known.status == wire::query_status::not_found)
+        co_return answer_task(known, id, http::status::ok);
+    co_return refuse({http::status::conflict, "ledger_refused", response.reason, 0, true});
+}
+
+} // namespace galenaturn::entryd
--- /dev/null
+++ b/src/entryd/operatorservice.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "entryhub.h"
+
+#include <galenaturn/daemon.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace galenaturn::entryd {
+
+/** How the operators' edge reaches the ledger. */
+struct operator_ledger {
+    std::function<request_id()> next_request_id;
+    std::function<boost::asio::awaitable<wire::command_response>(wire::command_request, time_point)>
+        submit;
+    std::function<boost::asio::awaitable<wire::query_response>(wire::query_request, time_point)>
+        ask;
+};
+
+/** Returns the ledger of `shared`, which outlives the result. */
+operator_ledger ledger_of(daemon::context& shared);
+
+/** The operators' HTTP edge of an entry: catalogue and tasks, over the ledger. */
+class operator_service : public daemon::service {
+public:
+    /** Adds its routes and counters to `shared`, which outlives the service. */
+    operator_service(daemon::context& shared, entry_hub& hub, operator_ledger ledger);
+
+    result<void> start() override;
+
+private:
+    using answer = boost::asio::awaitable<http::response>;
+
+    void add_catalogue_routes();
+    void add_task_routes();
+    answer get_catalogue(http::call& incoming);
+    answer put_catalogue(http::call& incoming);
+    answer get_history(http::call& incoming);
+    answer put_task(http::call& incoming);
+    answer get_task(http::call& incoming);
+    answer list_tasks(http::call& incoming);
+    answer end_task(http::call& incoming, bool stop);
+    answer get_ledger(http::call& incoming);
+
+    http::response answer_task(const wire::query_response& response, const task_id& id,
+                               http::status code);
+    http::response refuse(const http::problem& details);
+    http::response refuse_undecided(const wire::command_response& response);
+    http::response refuse_query(wire::query_status found, const std::string& what);
+    [[nodiscard]] request_id id_of(const http::call& incoming) const;
+
+    daemon::context& shared_;
+    operator_ledger ledger_;
+    catalogue_version version_;
+    std::string digest_;
+    counter& requests_;
+    std::map<std::string, counter*, std::less<>> refusals_;
+};
+
+} // namespace galenaturn::entryd
