--- a/include/galenaturn/daemon.h
+++ b/include/galenaturn/daemon.h
@@ -3,3 +3,4 @@
 /** The daemon library: what galenaturn-entry and galenaturn-control have in common. */
 
 #include "libdaemon/daemon.h"
+#include "libdaemon/lifecycle.h"
--- a/src/libdaemon/lifecycle.cpp
+++ b/src/libdaemon/lifecycle.cpp
@@ -59,6 +59,7 @@
 void lifecycle::start_notice()
 {
     shared_.ready = false;
+    server_.close_after_answers();
     timer_.expires_after(shared_.settings.drain_notice);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -151,6 +151,7 @@
     counter& bad_requests;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t in_progress{0};
+    bool closing{false};
     bool stopped{false};
 
     static asio::awaitable<void> accept(std::shared_ptr<state> self)
@@ -199,7 +200,7 @@
         const auto message = parser.release();
         auto answer = co_await handle(self, peer, message);
         answer.version(message.version());
-        answer.keep_alive(message.keep_alive() && !self.stopped && answer.keep_alive());
+        answer.keep_alive(message.keep_alive() && !self.closing && answer.keep_alive());
         answer.prepare_payload();
         peer.stream.expires_after(self.limits.idle);
         auto [write_error, written] =
@@ -293,8 +294,14 @@
     return state_->in_progress;
 }
 
+void server::close_after_answers()
+{
+    state_->closing = true;
+}
+
 void server::stop()
 {
+    state_->closing = true;
     state_->stopped = true;
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -79,6 +79,8 @@
     /** Returns the port that was bound; useful after listening on port 0. */
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t requests_in_progress() const;
+    /** From now on each answer closes its connection, so that callers move elsewhere. */
+    void close_after_answers();
     /** Accepts nothing more, closes idle connections; requests in progress end and then close. */
     void stop();
 
--- /dev/null
+++ b/tests/wire/channeltest.cpp
@@ -0,0 +1,178 @@
+#include <galenaturn/wire.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace galenaturn::wire {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::seconds generous_limit{20};
+
+/** One process with a frame server that echoes payloads of one kind. */
+struct echo_process {
+    explicit echo_process(asio::io_context& io, std::vector<failure_domain_id> refused = {})
+        : context{io,
+                  {process_id{"echo"}, failure_domain_id{"hall-a"}},
+                  std::move(refused),
+                  channel_counters{metrics}},
+          server{context, router}
+    {
+        router.on(frame_kind::ledger_query,
+                  [this](const hello& from, frame received, const reply_function& reply) {
+                      last_sender = from.process;
+                      reply(received.payload);
+                  });
+    }
+
+    metrics_registry metrics;
+    channel_context context;
+    frame_router router;
+    frame_server server;
+    process_id last_sender;
+};
+
+/** Returns a loopback port that was free a moment ago. */
+std::uint16_t free_port(asio::io_context& io)
+{
+    asio::ip::tcp::acceptor probe{io, {asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+/** Runs `io` until `done` returns true or the limit has passed. */
+void run_until(asio::io_context& io, const std::function<bool()>& done)
+{
+    const auto limit = std::chrono::steady_clock::now() + generous_limit;
+    while (!done() && std::chrono::steady_clock::now() < limit)
+        io.run_one_for(std::chrono::milliseconds{20});
+}
+
+} // namespace
+
+class channel_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(channel_test);
+    CPPUNIT_TEST(a_call_is_answered_by_the_peer);
+    CPPUNIT_TEST(a_call_on_a_closed_link_is_certainly_not_sent);
+    CPPUNIT_TEST(a_refused_domain_gets_no_answer);
+    CPPUNIT_TEST(a_link_returns_when_its_peer_does);
+    CPPUNIT_TEST(bytes_that_are_no_frame_close_only_their_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+    static asio::awaitable<void> ask(peer_link& link, duration limit,
+                                     std::optional<result<std::string>>& answer)
+    {
+        answer = co_await link.call(frame_kind::ledger_query, "question", monotonic_now() + limit);
+    }
+
+    static std::optional<result<std::string>> call_once(asio::io_context& io, peer_link& link,
+                                                        duration limit)
+    {
+        std::optional<result<std::string>> answer;
+        asio::co_spawn(io, ask(link, limit, answer), asio::detached);
+        run_until(io, [&answer] { return answer.has_value(); });
+        return answer;
+    }
+
+    void a_call_is_answered_by_the_peer()
+    {
+        asio::io_context io;
+        echo_process echo{io};
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&link] { return link.connected(); });
+        const auto answer = call_once(io, link, generous_limit);
+        CPPUNIT_ASSERT(answer && *answer);
+        CPPUNIT_ASSERT_EQUAL(std::string{"question"}, answer->value());
+        CPPUNIT_ASSERT_EQUAL(process_id{"client"}, echo.last_sender);
+    }
+
+    void a_call_on_a_closed_link_is_certainly_not_sent()
+    {
+        asio::io_context io;
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, {"127.0.0.1", free_port(io)}, failure_domain_id{"hall-a"}};
+        const auto answer = call_once(io, link, generous_limit);
+        CPPUNIT_ASSERT(answer && !*answer);
+        CPPUNIT_ASSERT(answer->error() == make_error_code(wire_error::not_connected));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, client.counters.frames_sent.value());
+    }
+
+    void a_refused_domain_gets_no_answer()
+    {
+        asio::io_context io;
+        echo_process echo{io, {failure_domain_id{"hall-b"}}};
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&echo] { return echo.context.counters.connections_refused.value() > 0; });
+        CPPUNIT_ASSERT(echo.context.counters.connections_refused.value() > 0);
+        CPPUNIT_ASSERT_EQUAL(process_id{}, echo.last_sender);
+    }
+
+    void a_link_returns_when_its_peer_does()
+    {
+        asio::io_context io;
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        for (int life = 0; life < 3; ++life) {
+            echo_process echo{io};
+            CPPUNIT_ASSERT(echo.server.listen(address));
+            run_until(io, [&link] { return link.connected(); });
+            const auto answer = call_once(io, link, generous_limit);
+            CPPUNIT_ASSERT(answer && *answer);
+            echo.server.close();
+            run_until(io, [&link] { return !link.connected(); });
+            CPPUNIT_ASSERT(!link.connected());
+        }
+    }
+
+    void bytes_that_are_no_frame_close_only_their_connection()
+    {
+        asio::io_context io;
+        echo_process echo{io};
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        asio::ip::tcp::socket stranger{io};
+        stranger.connect({asio::ip::make_address(address.address), address.port});
+        asio::write(stranger, asio::buffer(std::string(64, 'x')));
+        run_until(io, [&echo] { return echo.context.counters.frames_malformed.value() > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, echo.context.counters.frames_malformed.value());
+
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&link] { return link.connected(); });
+        const auto answer = call_once(io, link, generous_limit);
+        CPPUNIT_ASSERT(answer && *answer);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(channel_test);
+
+} // namespace galenaturn::wire
