wire: a domain can be cut off and joined again while the process runs

Cause: failure tests need partitions that begin and heal without a restart. Change: frames to and from a refused domain are lost without a sign and counted; SIGHUP reads refused_domains anew. Conclusion: real processes can be isolated by silent loss.

--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -42,6 +42,32 @@
         });
 }
 
+/** Reads `refused_domains` anew from the settings file. Other settings need a restart. */
+void reload_refused_domains(context& shared)
+{
+    settings_builder builder;
+    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(FLAGS_settings);
+    const auto settings = builder.build(shared.settings.self.role);
+    if (!settings) {
+        log_event(log_level::error, "reload_refused", {{"findings", builder.problems().text()}});
+        return;
+    }
+    shared.channels.refused_domains = settings.value().refused_domains;
+    log_event(log_level::warning, "refused_domains_changed",
+              {{"count", shared.channels.refused_domains.size()}});
+}
+
+/** Calls reload_refused_domains at each SIGHUP. */
+void watch_reload(context& shared, boost::asio::signal_set& signals)
+{
+    signals.async_wait([&shared, &signals](const boost::system::error_code& error, int) {
+        if (error)
+            return;
+        reload_refused_domains(shared);
+        watch_reload(shared, signals);
+    });
+}
+
 /** Opens the listeners and starts the services. Returns false after logging why not. */
 bool open(context& shared, http::server& server, wire::frame_server& peers,
           std::vector<std::unique_ptr<service>>& services)
@@ -90,6 +116,8 @@
         if (!error)
             life.request_stop();
     });
+    boost::asio::signal_set reloads{shared.io, SIGHUP};
+    watch_reload(shared, reloads);
     life.started();
     shared.io.run();
     log_event(log_level::info, "daemon_stopped", {{"cut_off", life.cut_off()}});
--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -152,6 +152,7 @@
       bytes_received{metrics.make_counter("galenaturn_frame_bytes_received_total")},
       frames_dropped{metrics.make_counter("galenaturn_frames_dropped_total")},
       frames_malformed{metrics.make_counter("galenaturn_frames_malformed_total")},
+      frames_refused{metrics.make_counter("galenaturn_frames_refused_total")},
       connections_refused{metrics.make_counter("galenaturn_peer_connections_refused_total")},
       reconnects{metrics.make_counter("galenaturn_peer_reconnects_total")}
 {
@@ -202,19 +203,30 @@
             auto received = co_await peer->receive();
             if (!received)
                 break;
-            const auto correlation = received.value().correlation;
-            std::weak_ptr<connection> weak_peer = peer;
-            auto reply = [weak_peer, correlation](std::string payload) {
-                if (auto target = weak_peer.lock())
-                    target->send({frame_kind::reply, correlation, std::move(payload)});
-            };
-            if (!self->router.dispatch(greeting.value(), std::move(received).value(), reply))
-                self->context.counters.frames_malformed.add();
+            if (self->context.refuses(greeting.value().domain))
+                self->context.counters.frames_refused.add();
+            else
+                dispatch(*self, peer, greeting.value(), std::move(received).value());
         }
         peer->close();
         self->connections.erase(peer);
     }
 
+    static void dispatch(state& self, const std::shared_ptr<connection>& peer,
+                         const hello& greeting, frame received)
+    {
+        const auto correlation = received.correlation;
+        std::weak_ptr<connection> weak_peer = peer;
+        auto reply = [weak_peer, correlation, context = &self.context,
+                      domain = greeting.domain](std::string payload) {
+            const auto target = weak_peer.lock();
+            if (target && !context->refuses(domain))
+                target->send({frame_kind::reply, correlation, std::move(payload)});
+        };
+        if (!self.router.dispatch(greeting, std::move(received), std::move(reply)))
+            self.context.counters.frames_malformed.add();
+    }
+
     static asio::awaitable<result<hello>> read_hello(state& self, connection& peer)
     {
         auto first = co_await peer.receive();
@@ -334,6 +346,10 @@
             auto received = co_await active->receive();
             if (!received)
                 co_return;
+            if (self.context.refuses(self.domain)) {
+                self.context.counters.frames_refused.add();
+                continue;
+            }
             const auto call = self.pending.find(received.value().correlation);
             if (call == self.pending.end())
                 continue;
@@ -343,6 +359,15 @@
         }
     }
 
+    /** Sends unless the domain is refused; a refused frame is lost without a sign. */
+    bool send(frame outgoing)
+    {
+        if (!context.refuses(domain))
+            return current->send(outgoing);
+        context.counters.frames_refused.add();
+        return true;
+    }
+
     void disconnect()
     {
         if (current)
@@ -388,7 +413,7 @@
         state_->context.counters.frames_dropped.add();
         return false;
     }
-    return state_->current->send({kind, 0, std::move(payload)});
+    return state_->send({kind, 0, std::move(payload)});
 }
 
 asio::awaitable<result<std::string>> peer_link::call(frame_kind kind, std::string payload,
@@ -398,7 +423,7 @@
     if (!self->current)
         co_return make_error_code(wire_error::not_connected);
     const auto correlation = ++self->last_correlation;
-    if (!self->current->send({kind, correlation, std::move(payload)}))
+    if (!self->send({kind, correlation, std::move(payload)}))
         co_return make_error_code(wire_error::not_connected);
     const auto call = std::make_shared<state::pending_call>(self->context.io);
     self->pending.emplace(correlation, call);
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -40,6 +40,7 @@
     counter& bytes_received;
     counter& frames_dropped;
     counter& frames_malformed;
+    counter& frames_refused;
     counter& connections_refused;
     counter& reconnects;
 };
@@ -48,7 +49,10 @@
 struct channel_context {
     boost::asio::io_context& io;
     hello self;
-    /** Domains whose processes are treated as unreachable; for failure tests. */
+    /**
+     * Domains whose frames and datagrams are lost without a sign, for failure tests. May change
+     * while the process runs: open connections stay open and carry nothing.
+     */
     std::vector<failure_domain_id> refused_domains;
     channel_counters counters;
 
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(a_call_is_answered_by_the_peer);
     CPPUNIT_TEST(a_call_on_a_closed_link_is_certainly_not_sent);
     CPPUNIT_TEST(a_refused_domain_gets_no_answer);
+    CPPUNIT_TEST(a_domain_refused_later_loses_frames_without_a_sign);
     CPPUNIT_TEST(a_link_returns_when_its_peer_does);
     CPPUNIT_TEST(bytes_that_are_no_frame_close_only_their_connection);
     CPPUNIT_TEST_SUITE_END();
@@ -129,6 +130,29 @@
         CPPUNIT_ASSERT_EQUAL(process_id{}, echo.last_sender);
     }
 
+    void a_domain_refused_later_loses_frames_without_a_sign()
+    {
+        asio::io_context io;
+        echo_process echo{io};
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&link] { return link.connected(); });
+        client.refused_domains = {failure_domain_id{"hall-a"}};
+        const auto lost = call_once(io, link, std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT(lost && !*lost);
+        CPPUNIT_ASSERT(lost->error() == make_error_code(wire_error::timed_out));
+        CPPUNIT_ASSERT(link.connected());
+        CPPUNIT_ASSERT_EQUAL(process_id{}, echo.last_sender);
+        client.refused_domains.clear();
+        const auto answer = call_once(io, link, generous_limit);
+        CPPUNIT_ASSERT(answer && *answer);
+    }
+
     void a_link_returns_when_its_peer_does()
     {
         asio::io_context io;
