--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,3 +1,4 @@
+#include "entryhub.h"
 #include "operatorservice.h"
 
 #include <galenaturn/daemon.h>
