product: tests of the command line, the operators' edge and the examples

The edge runs over a ledger in memory and is driven through the command line's own client. One fault found: g++ 12 copies an aggregate that stands in braces inside a co_await expression without its constructor and frees it twice; the requests are now named before they are awaited.

--- a/src/entryd/operatorservice.cpp
+++ b/src/entryd/operatorservice.cpp
@@ -181,8 +181,8 @@
     if (!version)
         co_return refuse(
             {http::status::bad_request, "bad_version", "'version' is not a whole number", 0, true});
-    const auto response = co_await ledger_.ask({wire::get_catalogue{*version}, false},
-                                               monotonic_now() + ledger_limit);
+    wire::query_request request{wire::get_catalogue{*version}, false};
+    const auto response = co_await ledger_.ask(std::move(request), monotonic_now() + ledger_limit);
     if (response.status != wire::query_status::found || response.documents.empty())
         co_return refuse_query(response.status == wire::query_status::found
                                    ? wire::query_status::not_found
@@ -216,8 +216,9 @@
         co_return make_findings_problem("invalid_catalogue", found);
     }
     write.digest = wire::content_digest(write.document);
-    const auto response = co_await ledger_.submit({id_of(incoming), std::move(write)},
-                                                  monotonic_now() + ledger_limit);
+    wire::command_request request{id_of(incoming), std::move(write)};
+    const auto response =
+        co_await ledger_.submit(std::move(request), monotonic_now() + ledger_limit);
     switch (response.status) {
     case wire::command_status::accepted:
     case wire::command_status::duplicate:
@@ -236,8 +237,8 @@
 operator_service::answer operator_service::get_history(http::call& incoming)
 {
     requests_.add();
-    const auto response = co_await ledger_.ask(
-        {wire::list_catalogue_history{limit_of(incoming)}, false}, monotonic_now() + ledger_limit);
+    wire::query_request request{wire::list_catalogue_history{limit_of(incoming)}, false};
+    const auto response = co_await ledger_.ask(std::move(request), monotonic_now() + ledger_limit);
     if (response.status == wire::query_status::unavailable ||
         response.status == wire::query_status::not_leader)
         co_return refuse_query(response.status, "the history");
@@ -247,8 +248,8 @@
 operator_service::answer operator_service::get_ledger(http::call& /*incoming*/)
 {
     requests_.add();
-    const auto response =
-        co_await ledger_.ask({wire::get_ledger_status{}, false}, monotonic_now() + ledger_limit);
+    wire::query_request request{wire::get_ledger_status{}, false};
+    const auto response = co_await ledger_.ask(std::move(request), monotonic_now() + ledger_limit);
     if (response.status != wire::query_status::found || !response.ledger)
         co_return refuse_query(wire::query_status::unavailable, "the ledger");
     co_return make_json(http::status::ok, ledger_json(*response.ledger));
@@ -270,8 +271,9 @@
         refusals_["invalid_task"]->add();
         co_return make_findings_problem("invalid_task", found);
     }
-    const auto response = co_await ledger_.submit({id_of(incoming), std::move(start)},
-                                                  monotonic_now() + ledger_limit);
+    wire::command_request request{id_of(incoming), std::move(start)};
+    const auto response =
+        co_await ledger_.submit(std::move(request), monotonic_now() + ledger_limit);
     if (response.status == wire::command_status::accepted ||
         response.status == wire::command_status::duplicate) {
         const bool created = response.status == wire::command_status::accepted;
@@ -311,7 +313,8 @@
 {
     requests_.add();
     const wire::list_tasks wanted{owner_id{query_value(incoming, "owner")}, limit_of(incoming)};
-    const auto response = co_await ledger_.ask({wanted, false}, monotonic_now() + ledger_limit);
+    wire::query_request request{wanted, false};
+    const auto response = co_await ledger_.ask(std::move(request), monotonic_now() + ledger_limit);
     if (response.status == wire::query_status::unavailable ||
         response.status == wire::query_status::not_leader)
         co_return refuse_query(response.status, "the list");
--- /dev/null
+++ b/tests/product/fakeledger.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "entryd/operatorservice.h"
+
+#include <map>
+#include <vector>
+
+namespace galenaturn {
+
+/** A ledger in memory: catalogue by compare-and-set, tasks by id, one effect a request id. */
+class fake_ledger {
+public:
+    /** Returns the functions of this ledger, which outlives them. */
+    entryd::operator_ledger functions();
+
+    /** Each answer waits here before it is given, first to last; then the ledger answers. */
+    std::vector<wire::command_status> forced;
+    std::vector<wire::catalogue_document> versions;
+    std::map<task_id, wire::task_record> tasks;
+    std::vector<request_id> requests;
+    bool reachable{true};
+
+private:
+    wire::command_response apply(const wire::command_request& request);
+    wire::command_response apply_body(const wire::write_catalogue& write);
+    wire::command_response apply_body(const wire::start_task& start);
+    wire::command_response apply_body(const wire::cancel_task& cancel);
+    wire::command_response apply_body(const wire::stop_task& stop);
+    template <class Other>
+    wire::command_response apply_body(const Other& /*other*/)
+    {
+        return {};
+    }
+    wire::query_response answer(const wire::query_request& request) const;
+    wire::command_response end(const task_id& id, wire::task_outcome outcome);
+
+    std::map<request_id, wire::command_response> done_;
+    std::uint64_t last_request_{0};
+};
+
+} // namespace galenaturn
--- /dev/null
+++ b/tests/product/operatoredgetest.cpp
@@ -0,0 +1,255 @@
+#include "fakeledger.h"
+
+#include "galenaturn/commands.h"
+#include "galenaturn/entryclient.h"
+
+#include <boost/json.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <sstream>
+#include <thread>
+
+namespace galenaturn {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* small_catalogue = "owners:\n"
+                                        "  - {name: a, quota: {processors: 4, memory: 8GiB}, "
+                                        "rate: 5, concurrency: 2}\n"
+                                        "jobs:\n"
+                                        "  - {name: run, owner: a, class: batch, processors: 1, "
+                                        "memory: 1GiB, hold: 10s}\n";
+
+process_settings settings_of_one_entry()
+{
+    settings_builder builder;
+    builder.name("entry-1").read_text("charts_folder: charts\n"
+                                      "members:\n"
+                                      "  - {name: entry-1, role: entry, failure_domain: d, "
+                                      "region: r, peer: '127.0.0.1:0', http: '127.0.0.1:0'}\n"
+                                      "  - {name: control-1, role: control, failure_domain: d, "
+                                      "region: r, peer: '127.0.0.1:0', http: '127.0.0.1:0'}\n",
+                                      "test.yaml");
+    return builder.build(process_role::entry).value();
+}
+
+/** The operators' edge of one entry over a fake ledger, served on a loopback port. */
+class served_edge {
+public:
+    served_edge()
+        : shared_{settings_of_one_entry()}, service_{shared_, hub_, ledger.functions()},
+          server_{shared_.io, shared_.routes, {}, shared_.metrics}
+    {
+        CPPUNIT_ASSERT(server_.listen({"127.0.0.1", 0}));
+        address.port = server_.port();
+        thread_ = std::thread{[this] { shared_.io.run(); }};
+    }
+
+    ~served_edge()
+    {
+        shared_.io.stop();
+        thread_.join();
+    }
+    served_edge(const served_edge&) = delete;
+    served_edge& operator=(const served_edge&) = delete;
+
+    command_line::reply send(http::verb method, const std::string& target,
+                             const std::string& body = {},
+                             const std::vector<std::pair<std::string, std::string>>& headers = {},
+                             const std::string& request = {})
+    {
+        command_line::entry_client client{{address}, std::chrono::seconds{10}, request};
+        return client.send(method, target, body, headers);
+    }
+
+    /** Runs the command line against this edge; fills `printed`. */
+    command_line::exit_code run(std::vector<std::string> words)
+    {
+        std::ostringstream entries;
+        entries << address;
+        words.insert(words.end(), {"--entries", entries.str()});
+        findings found;
+        const auto given = command_line::parse_arguments(words, "", wall_now(), found);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, found.text());
+        std::ostringstream results;
+        std::ostringstream problems;
+        const auto code = command_line::run_command(given, {results, problems});
+        printed = results.str();
+        complained = problems.str();
+        return code;
+    }
+
+    std::string metrics() { return shared_.metrics.text(); }
+
+    fake_ledger ledger;
+    ip_endpoint address{"127.0.0.1", 0};
+    std::string printed;
+    std::string complained;
+
+private:
+    daemon::context shared_;
+    entryd::entry_hub hub_;
+    entryd::operator_service service_;
+    http::server server_;
+    std::thread thread_;
+};
+
+std::string member_text(const std::string& body, const std::string& key)
+{
+    const auto document = json::parse(body);
+    const auto& value = document.as_object().at(key);
+    return value.is_string() ? std::string{value.get_string()} : json::serialize(value);
+}
+
+} // namespace
+
+class operator_edge_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(operator_edge_test);
+    CPPUNIT_TEST(one_of_two_writes_with_equal_versions_wins_and_the_other_learns_who);
+    CPPUNIT_TEST(a_resent_write_has_one_effect);
+    CPPUNIT_TEST(a_bad_catalogue_is_refused_with_all_its_findings);
+    CPPUNIT_TEST(a_write_without_a_version_is_refused);
+    CPPUNIT_TEST(a_second_start_of_a_task_starts_nothing);
+    CPPUNIT_TEST(bad_tasks_are_refused_with_findings_and_counted);
+    CPPUNIT_TEST(unknown_tasks_are_not_found);
+    CPPUNIT_TEST(an_unreachable_ledger_is_told_apart_from_an_unknown_outcome);
+    CPPUNIT_TEST(the_command_line_ends_with_its_documented_exit_codes);
+    CPPUNIT_TEST_SUITE_END();
+
+    void one_of_two_writes_with_equal_versions_wins_and_the_other_learns_who()
+    {
+        served_edge edge;
+        const auto first = edge.send(http::verb::put, "/v1/catalogue", small_catalogue,
+                                     {{"If-Match", "\"0\""}, {"Galenaturn-Author", "ana"}});
+        CPPUNIT_ASSERT_EQUAL(200U, first.status);
+        const auto second =
+            edge.send(http::verb::put, "/v1/catalogue",
+                      std::string{small_catalogue} + "services: []\n", {{"If-Match", "\"0\""}});
+        CPPUNIT_ASSERT_EQUAL(409U, second.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, member_text(second.body, "version"));
+        CPPUNIT_ASSERT_EQUAL(wire::content_digest(small_catalogue),
+                             member_text(second.body, "digest"));
+        const auto current = edge.send(http::verb::get, "/v1/catalogue");
+        CPPUNIT_ASSERT_EQUAL(std::string{small_catalogue}, current.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, current.version_tag);
+    }
+
+    void a_resent_write_has_one_effect()
+    {
+        served_edge edge;
+        for (int round = 0; round < 2; ++round) {
+            const auto answer = edge.send(http::verb::put, "/v1/catalogue", small_catalogue,
+                                          {{"If-Match", "\"0\""}}, "request-7");
+            CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+            CPPUNIT_ASSERT_EQUAL(std::string{"1"}, member_text(answer.body, "version"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, edge.ledger.versions.size());
+    }
+
+    void a_bad_catalogue_is_refused_with_all_its_findings()
+    {
+        served_edge edge;
+        const auto answer =
+            edge.send(http::verb::put, "/v1/catalogue",
+                      "owners:\n  - {name: a, rate: fast}\nthings: 1\n", {{"If-Match", "\"0\""}});
+        CPPUNIT_ASSERT_EQUAL(422U, answer.status);
+        const auto document = json::parse(answer.body);
+        CPPUNIT_ASSERT(document.as_object().at("findings").as_array().size() >= 4);
+        CPPUNIT_ASSERT(edge.ledger.requests.empty());
+    }
+
+    void a_write_without_a_version_is_refused()
+    {
+        served_edge edge;
+        CPPUNIT_ASSERT_EQUAL(428U,
+                             edge.send(http::verb::put, "/v1/catalogue", small_catalogue).status);
+        CPPUNIT_ASSERT_EQUAL(428U, edge.send(http::verb::put, "/v1/catalogue", small_catalogue,
+                                             {{"If-Match", "\"-1\""}})
+                                       .status);
+        CPPUNIT_ASSERT(edge.ledger.requests.empty());
+    }
+
+    void a_second_start_of_a_task_starts_nothing()
+    {
+        served_edge edge;
+        const std::string body = R"({"job": "run", "deadline": "2h"})";
+        CPPUNIT_ASSERT_EQUAL(201U, edge.send(http::verb::put, "/v1/tasks/night-1", body).status);
+        CPPUNIT_ASSERT_EQUAL(200U, edge.send(http::verb::put, "/v1/tasks/night-1", body).status);
+        CPPUNIT_ASSERT_EQUAL(
+            409U, edge.send(http::verb::put, "/v1/tasks/night-1", R"({"job": "other"})").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, edge.ledger.tasks.size());
+    }
+
+    void bad_tasks_are_refused_with_findings_and_counted()
+    {
+        served_edge edge;
+        CPPUNIT_ASSERT(edge.metrics().find("galenaturn_operator_refusals_total{reason=\"invalid_"
+                                           "task\"} 0") != std::string::npos);
+        for (const auto* body :
+             {"{", "[]", "{}", R"({"job": 5})", R"({"job": "run", "deadline": "soon"})",
+              R"({"job": "run", "deadline": "2001-01-01T00:00:00Z"})",
+              R"({"job": "run", "size": 1})", R"({"job": "run", "demand": {"processors": "1"}})"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                body, 422U, edge.send(http::verb::put, "/v1/tasks/night-1", body).status);
+        CPPUNIT_ASSERT_EQUAL(
+            400U, edge.send(http::verb::put, "/v1/tasks/a%20b", R"({"job": "run"})").status);
+        CPPUNIT_ASSERT_EQUAL(
+            422U, edge.send(http::verb::put, "/v1/tasks/night-1", R"({"job": "unknown"})").status);
+        CPPUNIT_ASSERT(edge.ledger.tasks.empty());
+        CPPUNIT_ASSERT(edge.metrics().find("galenaturn_operator_refusals_total{reason=\"invalid_"
+                                           "task\"} 8") != std::string::npos);
+    }
+
+    void unknown_tasks_are_not_found()
+    {
+        served_edge edge;
+        CPPUNIT_ASSERT_EQUAL(404U, edge.send(http::verb::get, "/v1/tasks/none").status);
+        CPPUNIT_ASSERT_EQUAL(404U, edge.send(http::verb::post, "/v1/tasks/none/cancel").status);
+        CPPUNIT_ASSERT_EQUAL(404U, edge.send(http::verb::post, "/v1/tasks/none/stop").status);
+        CPPUNIT_ASSERT_EQUAL(404U, edge.send(http::verb::get, "/v1/catalogue").status);
+    }
+
+    void an_unreachable_ledger_is_told_apart_from_an_unknown_outcome()
+    {
+        served_edge edge;
+        command_line::entry_client once{{edge.address}, std::chrono::milliseconds{150}, {}};
+        edge.ledger.forced = {wire::command_status::unknown};
+        edge.ledger.forced.resize(100, wire::command_status::unavailable);
+        const auto lost = once.send(http::verb::post, "/v1/tasks/x/stop");
+        CPPUNIT_ASSERT(lost.outcome_unknown);
+        command_line::entry_client again{{edge.address}, std::chrono::milliseconds{150}, {}};
+        const auto refused = again.send(http::verb::post, "/v1/tasks/x/stop");
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        CPPUNIT_ASSERT(!refused.outcome_unknown);
+        CPPUNIT_ASSERT(command_line::exit_code_of(refused) == command_line::exit_code::unavailable);
+    }
+
+    void the_command_line_ends_with_its_documented_exit_codes()
+    {
+        using command_line::exit_code;
+        served_edge edge;
+        const std::string file =
+            std::string{GALENATURN_SOURCE_DIR} + "/examples/bluebonnet/catalogue.yaml";
+        CPPUNIT_ASSERT(edge.run({"catalogue", "get"}) == exit_code::not_found);
+        CPPUNIT_ASSERT(edge.run({"catalogue", "apply", file}) == exit_code::ok);
+        CPPUNIT_ASSERT(edge.run({"catalogue", "apply", file, "--expect=0"}) == exit_code::conflict);
+        CPPUNIT_ASSERT(edge.complained.find("version in force: 1") != std::string::npos);
+        CPPUNIT_ASSERT(edge.run({"catalogue", "list"}) == exit_code::ok);
+        CPPUNIT_ASSERT(edge.printed.find("renewdesk") != std::string::npos);
+        CPPUNIT_ASSERT(edge.run({"catalogue", "apply", __FILE__}) == exit_code::bad_usage);
+        CPPUNIT_ASSERT(edge.run({"task", "start", "t"}) == exit_code::bad_usage);
+        CPPUNIT_ASSERT(edge.run({"task", "start", "t", "--job", "run"}) == exit_code::ok);
+        CPPUNIT_ASSERT(edge.run({"task", "cancel", "t", "--json"}) == exit_code::ok);
+        CPPUNIT_ASSERT_EQUAL(std::string{"cancelled"}, member_text(edge.printed, "outcome"));
+        CPPUNIT_ASSERT(edge.run({"task", "show", "none"}) == exit_code::not_found);
+        edge.ledger.reachable = false;
+        CPPUNIT_ASSERT(edge.run({"task", "list", "--timeout=200ms"}) == exit_code::unavailable);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(operator_edge_test);
+
+} // namespace galenaturn
