galenaturn: nothing is sent after the time-out

The pause before a retry could end after the deadline; the try that followed failed at once and made a certain refusal look like an unknown outcome. The test that found it allowed 150 ms for a request and now allows a second.

--- a/src/galenaturn/entryclient.cpp
+++ b/src/galenaturn/entryclient.cpp
@@ -117,9 +117,11 @@
     reply last;
     last.problem = entries_.empty() ? "no entries: use --entries or GALENATURN_ENTRIES" : "";
     bool unknown = false;
-    for (std::size_t tries = 0; !entries_.empty() && monotonic_now() < deadline_; ++tries) {
+    for (std::size_t tries = 0; !entries_.empty(); ++tries) {
         if (tries >= entries_.size())
             std::this_thread::sleep_for(retry_pause);
+        if (monotonic_now() >= deadline_)
+            break;
         const auto& address = entries_[tries % entries_.size()];
         const auto answer =
             exchange(address, message, std::min(deadline_, monotonic_now() + attempt_limit));
