--- a/src/galenaturn/statuscommands.cpp
+++ b/src/galenaturn/statuscommands.cpp
@@ -74,6 +74,7 @@
     table rows{columns};
     for (const auto& item : list_at(parse_answer(answer.body), key)) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const auto& column : columns)
             row.push_back(text_at(item, column));
         rows.add(std::move(row));
