bench: memory and processor time of HTTP connections

Cause: workers and upstreams hold connections to entries; the page of capacity needs the slope. Change: bench_http measures heap per idle connection at three sizes and processor time per request at three body sizes.

--- /dev/null
+++ b/bench/http/httpbench.cpp
@@ -0,0 +1,131 @@
+#include "figures.h"
+
+#include <galenaturn/http.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <malloc.h>
+
+#include <ctime>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace galenaturn::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+/** 2,900 workers and as many upstreams, each on one of 9 entries. */
+constexpr double connections_per_entry = 2.0 * 2900 / 9;
+constexpr double memory_limit_bytes = 32.0 * 1024 * 1024;
+
+/** A server and its clients on one thread, over loopback. */
+struct loopback {
+    loopback() : server{io, routes, {}, metrics}
+    {
+        routes.add(verb::post, "/echo", [](call& incoming) -> asio::awaitable<response> {
+            co_return make_response(status::ok, incoming.message.body(), "text/plain");
+        });
+        if (!server.listen({"127.0.0.1", 0}))
+            std::abort();
+    }
+
+    asio::io_context io;
+    metrics_registry metrics;
+    router routes;
+    http::server server;
+};
+
+/** Sends `count` requests one after another on one connection. */
+asio::awaitable<void> exchange(loopback& fixture, int count, std::size_t body_size, int& answered)
+{
+    const asio::ip::tcp::endpoint address{asio::ip::make_address("127.0.0.1"),
+                                          fixture.server.port()};
+    boost::beast::tcp_stream stream{fixture.io};
+    co_await stream.async_connect(address, use_result);
+    const auto message = make_request(verb::post, "/echo", std::string(body_size, 'x'));
+    boost::beast::flat_buffer buffer;
+    for (int number = 0; number < count; ++number) {
+        co_await beast_http::async_write(stream, message, use_result);
+        response answer;
+        auto [error, size] = co_await beast_http::async_read(stream, buffer, answer, use_result);
+        if (error || answer.body().size() != body_size)
+            co_return;
+        ++answered;
+    }
+}
+
+double processor_seconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+/** Returns the processor time, in microseconds, of client and server for one request. */
+double request_microseconds(std::size_t body_size)
+{
+    constexpr int requests = 10'000;
+    loopback fixture;
+    int answered = 0;
+    const double begin = processor_seconds();
+    asio::co_spawn(fixture.io, exchange(fixture, requests, body_size, answered), asio::detached);
+    while (answered < requests && fixture.io.run_one() > 0) {
+    }
+    return (processor_seconds() - begin) * 1e6 / requests;
+}
+
+/** Returns the heap bytes that each of `count` idle connections holds at the server. */
+double idle_connection_bytes(int count)
+{
+    loopback fixture;
+    const asio::ip::tcp::endpoint address{asio::ip::make_address("127.0.0.1"),
+                                          fixture.server.port()};
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> clients;
+    clients.reserve(static_cast<std::size_t>(count));
+    const auto before = mallinfo2().uordblks;
+    for (int number = 0; number < count; ++number) {
+        clients.push_back(std::make_unique<asio::ip::tcp::socket>(fixture.io));
+        clients.back()->connect(address);
+        fixture.io.poll();
+    }
+    fixture.io.poll();
+    const auto after = mallinfo2().uordblks;
+    return static_cast<double>(after - before) / count;
+}
+
+} // namespace
+
+} // namespace galenaturn::http
+
+int main(int argc, char** argv)
+{
+    using namespace galenaturn;
+    const bool quick = argc > 1 && std::string_view{argv[1]} == "--quick";
+    bench::figure_report report;
+    double largest = 0;
+    for (const int count : {100, 200, 400}) {
+        const double each = http::idle_connection_bytes(count);
+        largest = std::max(largest, each);
+        report.add("idle_connection_of_" + std::to_string(count), each, "bytes");
+    }
+    report.add("connections_of_an_entry_at_target", largest * http::connections_per_entry, "bytes",
+               bench::at_most(http::memory_limit_bytes));
+    if (!quick) {
+        for (const std::size_t size : {std::size_t{100}, std::size_t{1'600}, std::size_t{25'600}})
+            report.add("request_of_" + std::to_string(size) + "_bytes",
+                       http::request_microseconds(size), "us");
+    }
+    return report.exit_code();
+}
