--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,4 +1,5 @@
 #include "entryhub.h"
+#include "operatorservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -6,8 +7,10 @@
 {
     using namespace galenaturn;
     entryd::entry_hub hub;
-    return daemon::run(argc, argv, process_role::entry, [&hub](daemon::context& /*shared*/) {
+    return daemon::run(argc, argv, process_role::entry, [&hub](daemon::context& shared) {
         std::vector<std::unique_ptr<daemon::service>> services;
+        services.push_back(
+            std::make_unique<entryd::operator_service>(shared, hub, entryd::ledger_of(shared)));
         return services;
     });
 }
