ledger: replicated log, storage, state machine and services

Adds the core of the ledger as steps over a plain value (trial votes, elections, append, commit, quorum check, leader lease, voter changes, images), its data folder, the state machine of all commands, the control service and the catalogue in force of an entry.

--- a/include/galenaturn/messages.h
+++ b/include/galenaturn/messages.h
@@ -6,4 +6,5 @@
 #include "libwire/codec.h"
 #include "libwire/commands.h"
 #include "libwire/frame.h"
+#include "libwire/voterchange.h"
 #include "libwire/wireerrors.h"
--- /dev/null
+++ b/src/controld/ledgerservice.cpp
@@ -0,0 +1,318 @@
+#include "ledgerservice.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
+namespace galenaturn::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using wire::command_status;
+
+constexpr duration expiry_interval = std::chrono::seconds{5};
+/** Bounds the commands that wait for the disk; beyond it they are refused as not run. */
+constexpr std::size_t longest_queue = 8192;
+
+constexpr std::array all_statuses{command_status::accepted,   command_status::conflict,
+                                  command_status::duplicate,  command_status::rejected,
+                                  command_status::not_leader, command_status::unavailable,
+                                  command_status::unknown};
+
+runner_events events_of(std::function<void(const ledger::log_entry&)> committed,
+                        std::function<bool(const std::string&)> installed,
+                        std::function<std::string()> image, std::function<void(bool)> leadership,
+                        std::function<void()> failed, std::function<void()> idle)
+{
+    return {std::move(committed),  std::move(installed), std::move(image),
+            std::move(leadership), std::move(failed),    std::move(idle)};
+}
+
+} // namespace
+
+ledger_service::ledger_service(daemon::context& shared, control_hub& hub)
+    : shared_{shared}, hub_{hub},
+      runner_{shared, events_of([this](const auto& entry) { apply(entry); },
+                                [this](const auto& image) { return install(image); },
+                                [this] { return ledger::write_image(state_); },
+                                [this](bool leads) { change_leadership(leads); },
+                                [this] { stop_after_failure(); }, [this] { propose_queued(); })},
+      push_{shared}, expiry_timer_{shared.io}
+{
+    for (const auto status : all_statuses)
+        answers_[status] = &shared.metrics.make_counter("galenaturn_ledger_commands_total",
+                                                        {{"status", wire::to_string(status)}});
+    hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
+    hub_.leads = [this] { return runner_.may_read(); };
+    hub_.leader = [this] { return leader(); };
+    hub_.submit = [this](wire::command body, time_point deadline) {
+        return submit(std::move(body), deadline);
+    };
+    add_frames();
+}
+
+result<void> ledger_service::start()
+{
+    if (auto started = runner_.start(); !started)
+        return started;
+    expire_later();
+    return success();
+}
+
+void ledger_service::add_frames()
+{
+    shared_.frames.on(wire::frame_kind::ledger_command, [this](const wire::hello& /*from*/,
+                                                               const wire::frame& received,
+                                                               const wire::reply_function& reply) {
+        auto request = wire::decode<wire::command_request>(received.payload);
+        if (!request)
+            return reply(wire::encode(refuse(command_status::rejected, "malformed command")));
+        take_command(std::move(request).value(), [reply](const wire::command_response& answer) {
+            reply(wire::encode(answer));
+        });
+    });
+    shared_.frames.on(wire::frame_kind::ledger_query, [this](const wire::hello& /*from*/,
+                                                             const wire::frame& received,
+                                                             const wire::reply_function& reply) {
+        const auto request = wire::decode<wire::query_request>(received.payload);
+        reply(wire::encode(request ? ask(request.value()) : wire::query_response{}));
+    });
+    shared_.frames.on(wire::frame_kind::voter_change, [this](const wire::hello& /*from*/,
+                                                             const wire::frame& received,
+                                                             const wire::reply_function& reply) {
+        const auto request = wire::decode<wire::voter_change_request>(received.payload);
+        reply(wire::encode(request ? change_voters(request.value())
+                                   : refuse(command_status::rejected, "malformed request")));
+    });
+}
+
+process_id ledger_service::leader() const
+{
+    if (!runner_.running() || runner_.state().leader.empty())
+        return process_id{};
+    return runner_.process_of(runner_.state().leader);
+}
+
+wire::command_response ledger_service::refuse(command_status status, std::string reason) const
+{
+    wire::command_response response;
+    response.status = status;
+    response.reason = std::move(reason);
+    response.leader = leader();
+    return response;
+}
+
+void ledger_service::take_command(wire::command_request request, answer_function answer)
+{
+    const auto counted = [this, answer = std::move(answer)](const wire::command_response& given) {
+        answers_[given.status]->add();
+        answer(given);
+    };
+    if (!runner_.running() || !runner_.state().leads)
+        return counted(refuse(command_status::not_leader, "this voter does not lead"));
+    if (const auto refused = ledger::check_command(request))
+        return counted(*refused);
+    if (queued_.size() >= longest_queue || !ledger::may_propose(runner_.state()))
+        return counted(refuse(command_status::unavailable, "too many commands wait"));
+    queued_.push_back({std::move(request), counted});
+    // While a write is under way commands gather, so that one sync serves them all.
+    if (!runner_.disk_busy())
+        asio::post(shared_.io, [this] { propose_queued(); });
+}
+
+void ledger_service::propose_queued()
+{
+    if (queued_.empty() || runner_.disk_busy() || !runner_.running())
+        return;
+    auto proposals = std::exchange(queued_, {});
+    std::vector<std::string> commands;
+    commands.reserve(proposals.size());
+    for (const auto& proposal : proposals)
+        commands.push_back(wire::encode(proposal.request));
+    const auto indexes = runner_.propose(std::move(commands));
+    if (indexes.empty()) {
+        for (const auto& proposal : proposals)
+            proposal.answer(refuse(command_status::unavailable, "the leader cannot take it now"));
+        return;
+    }
+    for (std::size_t at = 0; at < proposals.size(); ++at)
+        proposed_.emplace(indexes[at], std::move(proposals[at]));
+}
+
+void ledger_service::apply(const ledger::log_entry& entry)
+{
+    if (entry.kind != ledger::entry_kind::command)
+        return;
+    const auto request = wire::decode<wire::command_request>(entry.payload);
+    GN_INVARIANT(request.has_value(), {"index", entry.index});
+    ledger::applied_change change;
+    const auto response = ledger::apply_command(state_, request.value(), entry.index, change);
+    const auto waiting = proposed_.find(entry.index);
+    if (waiting != proposed_.end()) {
+        GN_INVARIANT(waiting->second.request.id == request.value().id, {"index", entry.index});
+        waiting->second.answer(response);
+        proposed_.erase(waiting);
+    }
+    if (change.catalogue) {
+        const auto& document = ledger::catalogue_in_force(state_);
+        log_event(log_level::info, "catalogue_accepted",
+                  {{"version", document.version},
+                   {"digest", document.digest},
+                   {"author", document.author}});
+        push_.push(document, runner_.state().leads);
+    }
+    for (const auto& subscriber : hub_.applied)
+        subscriber(change);
+}
+
+bool ledger_service::install(const std::string& image)
+{
+    auto read = ledger::read_image(image);
+    if (!read)
+        return false;
+    state_ = std::move(read).value();
+    ledger::applied_change change;
+    change.catalogue = true;
+    change.stewardships = true;
+    for (const auto& [id, task] : state_.tasks)
+        change.tasks.push_back(id);
+    for (const auto& subscriber : hub_.applied)
+        subscriber(change);
+    return true;
+}
+
+void ledger_service::change_leadership(bool leads)
+{
+    if (!leads) {
+        for (auto& [index, proposal] : std::exchange(proposed_, {}))
+            proposal.answer(refuse(command_status::unknown, "leadership was lost"));
+        for (auto& proposal : std::exchange(queued_, {}))
+            proposal.answer(refuse(command_status::not_leader, "leadership was lost"));
+    }
+    for (const auto& subscriber : hub_.leadership)
+        subscriber(leads);
+}
+
+void ledger_service::stop_after_failure()
+{
+    change_leadership(false);
+    std::raise(SIGTERM);
+}
+
+void ledger_service::expire_later()
+{
+    expiry_timer_.expires_after(expiry_interval);
+    expiry_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (runner_.may_read()) {
+            wire::command_request request;
+            request.id = request_id{shared_.settings.self.id.value() + "-expiry-" +
+                                    std::to_string(++last_expiry_)};
+            request.body = wire::expire_records{wall_now()};
+            take_command(std::move(request), [](const wire::command_response&) {});
+        }
+        expire_later();
+    });
+}
+
+wire::query_response ledger_service::ask(const wire::query_request& request) const
+{
+    wire::query_response response;
+    response.leader = leader();
+    if (!runner_.running())
+        return response;
+    const bool wants_status = std::holds_alternative<wire::get_ledger_status>(request.body);
+    // After a restart the state may be older than what was served before, until it has caught up.
+    const bool usable = request.stale_allowed ? runner_.state().caught_up || runner_.may_read()
+                                              : runner_.may_read();
+    if (!usable && !(wants_status && request.stale_allowed)) {
+        response.status = runner_.state().leads ? wire::query_status::unavailable
+                                                : wire::query_status::not_leader;
+        return response;
+    }
+    response = ledger::answer_query(state_, request.body);
+    response.leader = leader();
+    if (wants_status)
+        response.ledger = status();
+    return response;
+}
+
+wire::ledger_status ledger_service::status() const
+{
+    const auto& replica = runner_.state();
+    wire::ledger_status status;
+    status.voter = replica.self;
+    status.role = replica.role;
+    status.leader = leader();
+    status.current_term = replica.hard.current;
+    status.committed = replica.committed;
+    status.applied = replica.applied;
+    for (const auto& [voter, process] : replica.log.voters().voters)
+        status.voters.push_back(voter);
+    for (const auto& [voter, process] : replica.log.voters().learners)
+        status.learners.push_back(voter);
+    return status;
+}
+
+wire::command_response ledger_service::change_voters(const wire::voter_change_request& request)
+{
+    if (!runner_.running() || !runner_.state().leads)
+        return refuse(command_status::not_leader, "this voter does not lead");
+    ledger::voter_change change;
+    change.kind = static_cast<ledger::voter_change_kind>(request.kind);
+    change.voter = request.voter;
+    change.process = request.process;
+    if (change.kind == ledger::voter_change_kind::add_learner && change.voter.empty())
+        change.voter = runner_.newcomer_of(request.process);
+    if (change.voter.empty())
+        return refuse(command_status::rejected,
+                      "process '" + request.process.value() + "' does not wait to be added");
+    auto reason = runner_.change_voters(change);
+    log_event(
+        log_level::info, "ledger_voter_change",
+        {{"kind", static_cast<int>(request.kind)}, {"voter", change.voter}, {"refused", reason}});
+    if (!reason.empty())
+        return refuse(command_status::rejected, std::move(reason));
+    return refuse(command_status::accepted, "the change is under way");
+}
+
+asio::awaitable<wire::command_response> ledger_service::submit(wire::command body,
+                                                               time_point deadline)
+{
+    wire::command_request request{shared_.ledger.next_request_id(), std::move(body)};
+    if (runner_.running() && runner_.state().leads)
+        co_return co_await submit_here(std::move(request), deadline);
+    if (runner_.running() && runner_.state().log.voters().voters.size() == 1)
+        co_return refuse(command_status::unavailable, "the ledger has no leader yet");
+    co_return co_await shared_.ledger.submit(std::move(request), deadline);
+}
+
+asio::awaitable<wire::command_response> ledger_service::submit_here(wire::command_request request,
+                                                                    time_point deadline)
+{
+    struct pending {
+        explicit pending(asio::io_context& io) : timer{io} {}
+        asio::steady_timer timer;
+        wire::command_response response;
+        bool answered{false};
+    };
+    const auto call = std::make_shared<pending>(shared_.io);
+    call->response = refuse(command_status::unknown, "no answer from the ledger in time");
+    call->timer.expires_at(deadline);
+    take_command(std::move(request), [call](const wire::command_response& response) {
+        call->response = response;
+        call->timer.cancel();
+        call->answered = true;
+    });
+    if (!call->answered)
+        co_await call->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return call->response;
+}
+
+} // namespace galenaturn::controld
--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -1,10 +1,14 @@
+#include "ledgerservice.h"
+
 #include <galenaturn/daemon.h>
 
 int main(int argc, char** argv)
 {
     using namespace galenaturn;
-    return daemon::run(argc, argv, process_role::control, [](daemon::context& /*shared*/) {
+    controld::control_hub hub;
+    return daemon::run(argc, argv, process_role::control, [&hub](daemon::context& shared) {
         std::vector<std::unique_ptr<daemon::service>> services;
+        services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
         return services;
     });
 }
--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,10 +1,14 @@
+#include "catalogueservice.h"
+
 #include <galenaturn/daemon.h>
 
 int main(int argc, char** argv)
 {
     using namespace galenaturn;
-    return daemon::run(argc, argv, process_role::entry, [](daemon::context& /*shared*/) {
+    entryd::entry_hub hub;
+    return daemon::run(argc, argv, process_role::entry, [&hub](daemon::context& shared) {
         std::vector<std::unique_ptr<daemon::service>> services;
+        services.push_back(std::make_unique<entryd::catalogue_service>(shared, hub));
         return services;
     });
 }
--- /dev/null
+++ b/src/libledger/applykeys.cpp
@@ -0,0 +1,79 @@
+#include "applysteps.h"
+
+namespace galenaturn::ledger {
+
+namespace {
+
+using wire::command_status;
+
+wire::command_response answer_known(const key_record& held, const request_id& id,
+                                    const wire::reserve_key& body)
+{
+    if (held.digest != body.digest)
+        return make_response(command_status::rejected, "the key was used for another request");
+    if (held.reservation == id && !held.answer)
+        return make_response(command_status::accepted);
+    auto response = make_response(command_status::duplicate);
+    response.answer = held.answer;
+    return response;
+}
+
+using key_iterator = std::map<key_name, key_record>::iterator;
+
+key_iterator erase_key(ledger_state& state, key_iterator key)
+{
+    const auto held = state.keys_held.find(std::get<owner_id>(key->first));
+    if (--held->second == 0)
+        state.keys_held.erase(held);
+    return state.keys.erase(key);
+}
+
+} // namespace
+
+wire::command_response apply(apply_context& at, const wire::reserve_key& body)
+{
+    auto& state = at.state;
+    const key_name name{body.owner, body.service, body.key};
+    const auto known = state.keys.find(name);
+    if (known != state.keys.end() && known->second.expires > state.clock)
+        return answer_known(known->second, at.id, body);
+    if (known != state.keys.end())
+        erase_key(state, known);
+    const auto held = state.keys_held.find(body.owner);
+    if (held != state.keys_held.end() && held->second >= bounds.most_keys_of_owner)
+        return make_response(command_status::rejected, "the owner holds too many keys");
+    if (state.keys.size() >= bounds.most_keys)
+        return make_response(command_status::rejected, "too many keys are held");
+    state.keys.emplace(name, key_record{body.digest, at.id, body.entry, body.expires, {}});
+    ++state.keys_held[body.owner];
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::complete_key& body)
+{
+    const auto known = at.state.keys.find({body.owner, body.service, body.key});
+    if (known == at.state.keys.end())
+        return make_response(command_status::duplicate, "the key is free");
+    auto& held = known->second;
+    if (held.reservation != body.reservation)
+        return make_response(command_status::rejected, "the key is reserved for another request");
+    if (held.answer)
+        return make_response(command_status::duplicate);
+    if (body.answer)
+        held.answer = body.answer;
+    else
+        erase_key(at.state, known);
+    return make_response(command_status::accepted);
+}
+
+void expire_keys(ledger_state& state)
+{
+    for (auto key = state.keys.begin(); key != state.keys.end();) {
+        if (key->second.expires <= state.clock)
+            key = erase_key(state, key);
+        else
+            ++key;
+    }
+}
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/src/libledger/applysteps.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "statemachine.h"
+
+namespace galenaturn::ledger {
+
+/** The command under way. Private to the library. */
+struct apply_context {
+    ledger_state& state;
+    const request_id& id;
+    applied_change& change;
+};
+
+constexpr state_bounds bounds;
+
+wire::command_response make_response(wire::command_status status, std::string reason = {});
+
+wire::command_response apply(apply_context& at, const wire::write_catalogue& body);
+wire::command_response apply(apply_context& at, const wire::start_task& body);
+wire::command_response apply(apply_context& at, const wire::cancel_task& body);
+wire::command_response apply(apply_context& at, const wire::stop_task& body);
+wire::command_response apply(apply_context& at, const wire::assign_tasks& body);
+wire::command_response apply(apply_context& at, const wire::report_tasks& body);
+wire::command_response apply(apply_context& at, const wire::grant_stewardship& body);
+wire::command_response apply(apply_context& at, const wire::reserve_key& body);
+wire::command_response apply(apply_context& at, const wire::complete_key& body);
+wire::command_response apply(apply_context& at, const wire::expire_records& body);
+
+/** Forgets finished tasks that are too old or too many. */
+void forget_finished(ledger_state& state);
+/** Forgets keys whose deadline has passed. */
+void expire_keys(ledger_state& state);
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/src/libledger/applytasks.cpp
@@ -0,0 +1,203 @@
+#include "applysteps.h"
+
+#include <algorithm>
+
+namespace galenaturn::ledger {
+
+namespace {
+
+using wire::command_status;
+using wire::task_outcome;
+using wire::task_phase;
+using wire::task_record;
+
+void finish(apply_context& at, task_record& task, task_outcome outcome, const std::string& reason)
+{
+    GN_INVARIANT(task.phase != task_phase::finished, {"task", task.id});
+    task.phase = task_phase::finished;
+    task.outcome = outcome;
+    task.reason = reason;
+    at.state.finished.push_back({task.id, at.state.clock});
+    at.change.tasks.push_back(task.id);
+    forget_finished(at.state);
+}
+
+bool same_start(const task_record& task, const wire::start_task& body)
+{
+    return task.job == body.job && task.deadline == body.deadline &&
+           (!body.demand || *body.demand == task.demand);
+}
+
+task_record make_task(const wire::start_task& body, const job_entry& job)
+{
+    task_record task;
+    task.id = body.id;
+    task.job = body.job;
+    task.owner = job.owner;
+    task.task_class = job.task_class;
+    task.urgent = job.urgent;
+    task.demand = body.demand.value_or(job.demand);
+    task.hold = job.hold;
+    task.submitted = body.submitted;
+    task.deadline = body.deadline;
+    return task;
+}
+
+/** Why a start is refused; empty where it is not. */
+std::string refuse_start(const ledger_state& state, const wire::start_task& body)
+{
+    const auto job = state.entries.jobs.find(body.job);
+    if (job == state.entries.jobs.end())
+        return "job '" + body.job.value() + "' is not in the catalogue";
+    if (body.submitted <= state.forgotten_until)
+        return "submitted so long ago that a task of this id may have finished and been forgotten";
+    const auto owner = state.entries.owners.find(job->second.owner);
+    const auto demand = body.demand.value_or(job->second.demand);
+    if (owner != state.entries.owners.end() && !fits(demand, owner->second.quota))
+        return "demand is larger than the quota of owner '" + job->second.owner.value() + "'";
+    return {};
+}
+
+/** Ends a task that nothing runs any more and whose end was asked for. Returns whether it did. */
+bool finish_if_asked(apply_context& at, task_record& task)
+{
+    if (task.cancel_requested)
+        finish(at, task, task_outcome::cancelled, "cancelled");
+    else if (task.stop_requested)
+        finish(at, task, task_outcome::stopped, "stopped");
+    return task.phase == task_phase::finished;
+}
+
+wire::command_response ask_end(apply_context& at, const task_id& id, bool task_record::*flag)
+{
+    const auto found = at.state.tasks.find(id);
+    if (found == at.state.tasks.end())
+        return make_response(command_status::rejected, "unknown task");
+    auto& task = found->second;
+    if (task.phase == task_phase::finished || task.*flag)
+        return make_response(command_status::duplicate);
+    task.*flag = true;
+    if (task.phase == task_phase::pending)
+        finish_if_asked(at, task);
+    else
+        at.change.tasks.push_back(id);
+    return make_response(command_status::accepted);
+}
+
+bool assign(apply_context& at, const wire::assign_tasks::item& item)
+{
+    const auto found = at.state.tasks.find(item.id);
+    if (found == at.state.tasks.end())
+        return false;
+    auto& task = found->second;
+    const bool movable = task.phase == task_phase::pending ||
+                         (task.phase == task_phase::assigned && task.domain != item.domain);
+    if (!movable || task.assignment != item.expected)
+        return false;
+    if (finish_if_asked(at, task))
+        return true;
+    task.phase = task_phase::assigned;
+    task.domain = item.domain;
+    task.assignment = item.expected.next();
+    task.reason.clear();
+    ++task.attempts;
+    at.change.tasks.push_back(item.id);
+    return true;
+}
+
+bool report(apply_context& at, const wire::report_tasks::item& item)
+{
+    const auto found = at.state.tasks.find(item.id);
+    if (found == at.state.tasks.end())
+        return false;
+    auto& task = found->second;
+    if (task.phase != task_phase::assigned || task.assignment != item.assignment)
+        return false;
+    if (item.checkpoint)
+        task.checkpoint = item.checkpoint;
+    if (!item.worker.empty())
+        task.worker = item.worker;
+    task.reason = item.reason;
+    if (item.outcome != task_outcome::none) {
+        finish(at, task, item.outcome, item.reason);
+        return true;
+    }
+    if (item.released) {
+        task.phase = task_phase::pending;
+        task.domain = failure_domain_id{};
+        if (finish_if_asked(at, task))
+            return true;
+    }
+    at.change.tasks.push_back(item.id);
+    return true;
+}
+
+template <class Items, class Apply>
+wire::command_response apply_items(apply_context& at, const Items& items, Apply apply_item)
+{
+    std::size_t changed = 0;
+    for (const auto& item : items)
+        changed += apply_item(at, item) ? 1 : 0;
+    if (changed == 0)
+        return make_response(command_status::duplicate, "nothing changed");
+    return make_response(command_status::accepted);
+}
+
+} // namespace
+
+wire::command_response apply(apply_context& at, const wire::start_task& body)
+{
+    const auto known = at.state.tasks.find(body.id);
+    if (known != at.state.tasks.end()) {
+        if (same_start(known->second, body))
+            return make_response(command_status::duplicate);
+        return make_response(command_status::rejected, "another task was started under this id");
+    }
+    auto reason = refuse_start(at.state, body);
+    if (!reason.empty())
+        return make_response(command_status::rejected, std::move(reason));
+    at.state.tasks.emplace(body.id, make_task(body, at.state.entries.jobs.find(body.job)->second));
+    at.change.tasks.push_back(body.id);
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::cancel_task& body)
+{
+    return ask_end(at, body.id, &task_record::cancel_requested);
+}
+
+wire::command_response apply(apply_context& at, const wire::stop_task& body)
+{
+    const auto found = at.state.tasks.find(body.id);
+    if (found != at.state.tasks.end() && found->second.task_class == work_class::batch)
+        return make_response(command_status::rejected,
+                             "batch tasks end by themselves; cancel it instead");
+    return ask_end(at, body.id, &task_record::stop_requested);
+}
+
+wire::command_response apply(apply_context& at, const wire::assign_tasks& body)
+{
+    return apply_items(at, body.items, assign);
+}
+
+wire::command_response apply(apply_context& at, const wire::report_tasks& body)
+{
+    return apply_items(at, body.items, report);
+}
+
+void forget_finished(ledger_state& state)
+{
+    auto& finished = state.finished;
+    while (!finished.empty()) {
+        const bool old = finished.front().finished + bounds.finished_kept < state.clock;
+        if (!old && finished.size() <= bounds.most_finished)
+            return;
+        const auto task = state.tasks.find(finished.front().id);
+        if (!old)
+            state.forgotten_until = std::max(state.forgotten_until, task->second.submitted);
+        state.tasks.erase(task);
+        finished.pop_front();
+    }
+}
+
+} // namespace galenaturn::ledger
--- a/src/libledger/ledgererrors.h
+++ b/src/libledger/ledgererrors.h
@@ -7,6 +7,12 @@
 enum class ledger_error {
     ok,
     invalid_argument,
+    folder_locked,
+    folder_unusable,
+    corrupted,
+    unknown_image_version,
+    write_failed,
+    sync_failed,
 };
 
 error_code make_error_code(ledger_error error);
--- a/src/libledger/ledgerstate.h
+++ b/src/libledger/ledgerstate.h
@@ -2,6 +2,7 @@
 
 #include <galenaturn/messages.h>
 
+#include <deque>
 #include <map>
 #include <string>
 #include <tuple>
@@ -38,15 +39,48 @@
 
 using key_name = std::tuple<owner_id, service_id, idempotency_key>;
 
+/** The outcome of a catalogue write, for a resend of the same request. */
+struct recorded_write {
+    request_id id;
+    wire::command_response outcome;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, outcome);
+    }
+};
+
+/** A finished task and since when, in the order of finishing. */
+struct finished_task {
+    task_id id;
+    wall_time finished;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, finished);
+    }
+};
+
 /** The replicated state: what every voter has after the same commands. */
 struct ledger_state {
-    /** Catalogue versions in order; the last one is in force. */
+    /** Catalogue versions in order; the last one is in force. Bounded; see catalogue_bounds. */
     std::vector<wire::catalogue_document> catalogue_history;
     /** The last version, parsed. Not replicated: derived from its document. */
     catalogue entries;
+    /** All open tasks, and finished ones for as long as task_bounds says. */
     std::map<task_id, wire::task_record> tasks;
     std::map<failure_domain_id, stewardship> stewardships;
     std::map<key_name, key_record> keys;
+    /** How many keys each owner holds. Not replicated: derived from `keys`. */
+    std::map<owner_id, std::size_t> keys_held;
+    std::deque<recorded_write> writes;
+    std::deque<finished_task> finished;
+    /** Wall time of the last expire_records; the only clock of the state machine. */
+    wall_time clock;
+    /** A start submitted no later than this is refused unless its task is still known. */
+    wall_time forgotten_until;
 };
 
 /** What one applied command changed, so that subscribers need not scan the state. */
--- /dev/null
+++ b/src/libledger/replicamessages.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "logentry.h"
+#include "voterset.h"
+
+#include <variant>
+#include <vector>
+
+namespace galenaturn::ledger {
+
+/** Asks for a vote, or with `trial` whether one would be given; a trial changes nothing. */
+struct vote_request {
+    bool trial{false};
+    term candidate_term;
+    log_index last_index;
+    term last_term;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(trial, candidate_term, last_index, last_term);
+    }
+};
+
+struct vote_response {
+    bool trial{false};
+    term candidate_term;
+    bool granted{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(trial, candidate_term, granted);
+    }
+};
+
+/** Entries after `previous`; without entries a heartbeat. */
+struct append_request {
+    log_index previous;
+    term previous_term;
+    log_index committed;
+    /** Number of the heartbeat round, for the leader's lease. */
+    std::uint64_t round{0};
+    std::vector<log_entry> entries;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(previous, previous_term, committed, round, entries);
+    }
+};
+
+struct append_response {
+    bool accepted{false};
+    /** Accepted: synced up to here. Otherwise: the leader should try from here. */
+    log_index matched;
+    std::uint64_t round{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(accepted, matched, round);
+    }
+};
+
+/** Part of an image of the state, for a follower that is behind the leader's log. */
+struct image_chunk {
+    log_index index;
+    term index_term;
+    voter_set voters;
+    std::uint64_t offset{0};
+    std::uint64_t size{0};
+    std::uint64_t round{0};
+    std::string data;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(index, index_term, voters, offset, size, round, data);
+    }
+};
+
+struct image_response {
+    log_index index;
+    /** How much of the image the follower holds. */
+    std::uint64_t received{0};
+    std::uint64_t round{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(index, received, round);
+    }
+};
+
+using message_body = std::variant<vote_request, vote_response, append_request, append_response,
+                                  image_chunk, image_response>;
+
+/** What one replica sends to another, or to itself once its own disk has synced. */
+struct peer_message {
+    voter_id from;
+    voter_id to;
+    term sender_term;
+    message_body body;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(from, to, sender_term, body);
+    }
+};
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/src/libledger/stateimage.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "ledgererrors.h"
+#include "ledgerstate.h"
+
+namespace galenaturn::ledger {
+
+/** The format that write_image writes. Each version that was ever written has a reader. */
+constexpr std::uint32_t image_version = 1;
+
+/** Returns the replicated state as bytes of the present format. */
+std::string write_image(const ledger_state& state);
+/**
+ * Returns the state in an image of any known format. unknown_image_version: a newer program wrote
+ * it. corrupted: the bytes are not an image.
+ */
+result<ledger_state> read_image(std::string_view image);
+/** Returns the format version of an image, or 0 where the bytes are too short. */
+std::uint32_t version_of_image(std::string_view image);
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/src/libledger/statemachine.cpp
@@ -0,0 +1,149 @@
+#include "statemachine.h"
+
+#include "applysteps.h"
+
+#include <algorithm>
+
+namespace galenaturn::ledger {
+
+namespace {
+
+using wire::command_status;
+
+wire::query_response answer(const ledger_state& state, const wire::get_catalogue& body)
+{
+    wire::query_response response;
+    const auto& current = catalogue_in_force(state);
+    const auto wanted = body.version.value() == 0 ? current.version : body.version;
+    for (const auto& document : state.catalogue_history) {
+        if (document.version == wanted)
+            response.documents.push_back(document);
+    }
+    response.status =
+        response.documents.empty() ? wire::query_status::not_found : wire::query_status::found;
+    return response;
+}
+
+wire::query_response answer(const ledger_state& state, const wire::list_catalogue_history& body)
+{
+    wire::query_response response;
+    response.status = wire::query_status::found;
+    for (auto version = state.catalogue_history.rbegin(); version != state.catalogue_history.rend();
+         ++version) {
+        if (body.limit != 0 && response.documents.size() >= body.limit)
+            break;
+        auto entry = *version;
+        entry.document.clear();
+        response.documents.push_back(std::move(entry));
+    }
+    return response;
+}
+
+wire::query_response answer(const ledger_state& state, const wire::get_task& body)
+{
+    wire::query_response response;
+    const auto task = state.tasks.find(body.id);
+    if (task == state.tasks.end()) {
+        response.status = wire::query_status::not_found;
+        return response;
+    }
+    response.status = wire::query_status::found;
+    response.tasks.push_back(task->second);
+    return response;
+}
+
+/** Bounds one answer; a longer list is asked for by owner. */
+constexpr std::size_t longest_list = 2000;
+
+wire::query_response answer(const ledger_state& state, const wire::list_tasks& body)
+{
+    wire::query_response response;
+    response.status = wire::query_status::found;
+    const auto limit =
+        body.limit == 0 ? longest_list : std::min<std::size_t>(body.limit, longest_list);
+    for (const auto& [id, task] : state.tasks) {
+        if (response.tasks.size() >= limit)
+            break;
+        if (body.owner.empty() || task.owner == body.owner)
+            response.tasks.push_back(task);
+    }
+    return response;
+}
+
+wire::query_response answer(const ledger_state& /*state*/, const wire::get_ledger_status& /*body*/)
+{
+    wire::query_response response;
+    response.status = wire::query_status::found;
+    return response;
+}
+
+} // namespace
+
+wire::command_response make_response(command_status status, std::string reason)
+{
+    wire::command_response response;
+    response.status = status;
+    response.reason = std::move(reason);
+    return response;
+}
+
+std::optional<wire::command_response> check_command(const wire::command_request& request)
+{
+    if (request.id.empty())
+        return make_response(command_status::rejected, "the request id is empty");
+    if (const auto* write = std::get_if<wire::write_catalogue>(&request.body)) {
+        if (write->document.size() > largest_document)
+            return make_response(command_status::rejected, "the document is larger than 2 MiB");
+        findings found;
+        parse_catalogue(write->document, "catalogue", found);
+        if (!found.empty())
+            return make_response(command_status::rejected, found.text());
+    }
+    if (const auto* start = std::get_if<wire::start_task>(&request.body)) {
+        if (start->id.empty())
+            return make_response(command_status::rejected, "the task id is empty");
+    }
+    if (const auto* complete = std::get_if<wire::complete_key>(&request.body)) {
+        if (complete->answer && complete->answer->body.size() > bounds.largest_answer)
+            return make_response(command_status::rejected, "the answer is larger than 16 KiB");
+    }
+    return std::nullopt;
+}
+
+wire::command_response apply_command(ledger_state& state, const wire::command_request& request,
+                                     log_index index, applied_change& change)
+{
+    change = {};
+    change.index = index;
+    apply_context at{state, request.id, change};
+    auto response = std::visit([&](const auto& body) { return apply(at, body); }, request.body);
+    response.index = index;
+    return response;
+}
+
+wire::query_response answer_query(const ledger_state& state, const wire::query& body)
+{
+    return std::visit([&](const auto& wanted) { return answer(state, wanted); }, body);
+}
+
+wire::command_response apply(apply_context& at, const wire::grant_stewardship& body)
+{
+    auto& held = at.state.stewardships[body.domain];
+    if (held.steward == body.steward && held.number == body.expected.next())
+        return make_response(command_status::duplicate);
+    if (held.number != body.expected)
+        return make_response(command_status::conflict, "another stewardship was granted");
+    held = {body.steward, body.expected.next()};
+    at.change.stewardships = true;
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::expire_records& body)
+{
+    at.state.clock = std::max(at.state.clock, body.now);
+    expire_keys(at.state);
+    forget_finished(at.state);
+    return make_response(command_status::accepted);
+}
+
+} // namespace galenaturn::ledger
