--- a/include/galenaturn/messages.h
+++ b/include/galenaturn/messages.h
@@ -7,4 +7,5 @@
 #include "libwire/commands.h"
 #include "libwire/digest.h"
 #include "libwire/frame.h"
+#include "libwire/voterchange.h"
 #include "libwire/wireerrors.h"
--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,3 +1,4 @@
+#include "catalogueservice.h"
 #include "entryhub.h"
 #include "operatorservice.h"
 
@@ -11,6 +12,7 @@
         std::vector<std::unique_ptr<daemon::service>> services;
         services.push_back(
             std::make_unique<entryd::operator_service>(shared, hub, entryd::ledger_of(shared)));
+        services.push_back(std::make_unique<entryd::catalogue_service>(shared, hub));
         return services;
     });
 }
