schedule: assigner and steward with leases, placement and reports

Cause: tasks in the ledger had no way onto a worker. Change: libschedule holds the steward (placement by hard fit, leases counted from workers' heartbeats, reports for the ledger) and the leader's assigner (quotas, weighted dominant shares, moves after holds), both as functions over plain structs. charts/task.yaml is the life of a task and is interpreted. controld runs them.

--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -2,4 +2,10 @@
 
 /** The schedule library: quotas, placement, leases, eviction; decisions without I/O. */
 
+#include "libschedule/assigner.h"
+#include "libschedule/leaseterms.h"
+#include "libschedule/placement.h"
 #include "libschedule/scheduleerrors.h"
+#include "libschedule/steward.h"
+#include "libschedule/stewardmessages.h"
+#include "libschedule/taskchart.h"
--- /dev/null
+++ b/src/controld/assignerservice.cpp
@@ -0,0 +1,184 @@
+#include "assignerservice.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenaturn::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds pass_interval{50};
+/** Assignments in one command of the ledger. */
+constexpr std::size_t batch_limit = 1000;
+constexpr std::chrono::seconds proposal_limit{2};
+
+void register_counters(counter_mirror& mirror, const schedule::assigner_counters& counters)
+{
+    mirror.add_reasons<schedule::pending_reason>("galenaturn_assigner_refusals_total",
+                                                 counters.refused);
+    mirror.add("galenaturn_assigner_assigned_total", {}, counters.assigned);
+    mirror.add("galenaturn_assigner_moved_total", {}, counters.moved);
+    mirror.add("galenaturn_assigner_overtake_limit_total", {}, counters.overtake_limit_reached);
+    mirror.add("galenaturn_assigner_stewardship_grants_total", {}, counters.grants);
+    mirror.add("galenaturn_assigner_heartbeats_refused_total", {}, counters.heartbeats_refused);
+}
+
+bool has_several_controls(const process_settings& settings, const failure_domain_id& domain)
+{
+    return std::count_if(settings.members.begin(), settings.members.end(), [&](const auto& member) {
+               return member.role == process_role::control && member.domain == domain;
+           }) > 1;
+}
+
+} // namespace
+
+assigner_service::assigner_service(daemon::context& shared, control_hub& hub)
+    : shared_{shared}, hub_{hub}, counters_{shared.metrics},
+      pending_{shared.metrics.make_gauge("galenaturn_tasks_pending")}, timer_{shared.io}
+{
+    register_counters(counters_, assigner_.counters);
+    for (const auto& member : shared.settings.members)
+        assigner_.domains[member.domain].succession_possible =
+            has_several_controls(shared.settings, member.domain);
+    hub.applied.emplace_back([this](const ledger::applied_change& change) { take_change(change); });
+    hub.leadership.emplace_back([this](bool leads) { take_leadership(leads); });
+    shared.frames.on(
+        wire::frame_kind::steward_heartbeat,
+        [this](const wire::hello& /*from*/, wire::frame received, wire::reply_function reply) {
+            take_heartbeat(std::move(received), reply);
+        });
+}
+
+result<void> assigner_service::start()
+{
+    take_whole_state();
+    if (hub_.leads() && !assigner_.leading)
+        take_leadership(true);
+    asio::co_spawn(shared_.io, run(), asio::detached);
+    return success();
+}
+
+void assigner_service::take_whole_state()
+{
+    const auto& state = hub_.state();
+    const auto now = monotonic_now();
+    schedule::on_catalogue(assigner_, state.entries);
+    take_stewardships();
+    std::vector<task_id> gone;
+    for (const auto& [id, task] : assigner_.tasks) {
+        if (!state.tasks.contains(id))
+            gone.push_back(id);
+    }
+    for (const auto& id : gone)
+        schedule::on_record(assigner_, id, nullptr, applied_, now);
+    for (const auto& [id, record] : state.tasks)
+        schedule::on_record(assigner_, id, &record, applied_, now);
+    pass_due_ = true;
+}
+
+void assigner_service::take_stewardships()
+{
+    for (const auto& [domain, held] : hub_.state().stewardships)
+        schedule::on_stewardship(assigner_, domain, held.steward, held.number);
+}
+
+void assigner_service::take_change(const ledger::applied_change& change)
+{
+    const auto& state = hub_.state();
+    const auto now = monotonic_now();
+    applied_ = change.index;
+    if (change.catalogue)
+        schedule::on_catalogue(assigner_, state.entries);
+    if (change.stewardships)
+        take_stewardships();
+    for (const auto& id : change.tasks) {
+        const auto found = state.tasks.find(id);
+        const auto* record = found == state.tasks.end() ? nullptr : &found->second;
+        schedule::on_record(assigner_, id, record, change.index, now);
+    }
+    pass_due_ = true;
+}
+
+void assigner_service::take_leadership(bool leads)
+{
+    log_event(log_level::info, "assigner_leadership", {{"leads", leads}});
+    if (!leads) {
+        schedule::end_leading(assigner_);
+        return;
+    }
+    schedule::begin_leading(assigner_, monotonic_now());
+    take_whole_state();
+}
+
+void assigner_service::take_heartbeat(wire::frame received, const wire::reply_function& reply)
+{
+    const auto beat = wire::decode<schedule::steward_heartbeat>(received.payload);
+    if (!beat || !hub_.leads())
+        return;
+    const auto decision = schedule::on_steward_heartbeat(assigner_, beat.value(), monotonic_now());
+    if (decision.grant)
+        asio::co_spawn(shared_.io, grant(*decision.grant), asio::detached);
+    if (decision.answer)
+        reply(wire::encode(*decision.answer));
+    pass_due_ = true;
+}
+
+asio::awaitable<void> assigner_service::run()
+{
+    for (;;) {
+        timer_.expires_after(pass_interval);
+        co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+        counters_.update();
+        std::size_t waiting = 0;
+        for (const auto& [id, owner] : assigner_.owners)
+            waiting += owner.waiting.size();
+        pending_.set(static_cast<double>(waiting));
+        if (!hub_.leads() || proposing_)
+            continue;
+        const auto now = monotonic_now();
+        auto proposal = schedule::reclaim_silent(assigner_, batch_limit, now);
+        if (proposal.items.empty() && std::exchange(pass_due_, false))
+            proposal = schedule::assign_pending(assigner_, batch_limit, now);
+        if (proposal.items.size() == batch_limit)
+            pass_due_ = true;
+        if (!proposal.items.empty())
+            asio::co_spawn(shared_.io, propose(std::move(proposal)), asio::detached);
+    }
+}
+
+asio::awaitable<void> assigner_service::propose(wire::assign_tasks proposal)
+{
+    proposing_ = true;
+    const auto response =
+        co_await hub_.submit(wire::command{proposal}, monotonic_now() + proposal_limit);
+    proposing_ = false;
+    if (response.status != wire::command_status::accepted) {
+        log_event(log_level::warning, "assignment_failed",
+                  {{"tasks", proposal.items.size()},
+                   {"status", wire::to_string(response.status)},
+                   {"reason", response.reason}});
+    }
+    // Items that the ledger took are no longer marked as proposed.
+    schedule::on_proposal_failed(assigner_, proposal);
+    pass_due_ = true;
+}
+
+asio::awaitable<void> assigner_service::grant(wire::grant_stewardship proposal)
+{
+    const auto response =
+        co_await hub_.submit(wire::command{proposal}, monotonic_now() + proposal_limit);
+    log_event(log_level::info, "stewardship_granted",
+              {{"failure_domain", proposal.domain},
+               {"steward", proposal.steward},
+               {"epoch", proposal.expected.next()},
+               {"status", wire::to_string(response.status)}});
+}
+
+} // namespace galenaturn::controld
--- /dev/null
+++ b/src/controld/assignerservice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "controlhub.h"
+#include "countermirror.h"
+
+#include <galenaturn/daemon.h>
+#include <galenaturn/schedule.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace galenaturn::controld {
+
+/**
+ * Gives pending tasks to failure domains while this process leads the ledger, answers the
+ * stewards' heartbeats, and moves tasks away from domains that are silent beyond their holds.
+ */
+class assigner_service : public daemon::service {
+public:
+    /** `hub` outlives the service. */
+    assigner_service(daemon::context& shared, control_hub& hub);
+    result<void> start() override;
+
+private:
+    void take_change(const ledger::applied_change& change);
+    void take_whole_state();
+    void take_stewardships();
+    void take_leadership(bool leads);
+    void take_heartbeat(wire::frame received, const wire::reply_function& reply);
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> propose(wire::assign_tasks proposal);
+    boost::asio::awaitable<void> grant(wire::grant_stewardship proposal);
+
+    daemon::context& shared_;
+    control_hub& hub_;
+    schedule::assigner_state assigner_;
+    counter_mirror counters_;
+    gauge& pending_;
+    boost::asio::steady_timer timer_;
+    bool pass_due_{false};
+    bool proposing_{false};
+    log_index applied_;
+};
+
+} // namespace galenaturn::controld
--- /dev/null
+++ b/src/controld/stewardservice.cpp
@@ -0,0 +1,331 @@
+#include "stewardservice.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace galenaturn::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::chrono::milliseconds heartbeat_interval{500};
+constexpr std::chrono::seconds heartbeat_limit{2};
+/** How long a worker's heartbeat is held open while there are no commands. */
+constexpr std::chrono::seconds answer_hold{1};
+constexpr std::size_t report_batch = 1000;
+constexpr std::chrono::seconds report_limit{2};
+constexpr std::chrono::milliseconds report_retry{200};
+/** A snapshot may change the ledger's state without naming each task. */
+constexpr std::chrono::seconds resync_interval{10};
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+void register_counters(counter_mirror& mirror, const schedule::steward_counters& counters)
+{
+    using namespace schedule;
+    mirror.add_reasons<eviction_reason>("galenaturn_evictions_total", counters.evictions);
+    mirror.add_reasons<park_reason>("galenaturn_tasks_parked_total", counters.parked);
+    mirror.add("galenaturn_placements_total", {}, counters.placements);
+    mirror.add("galenaturn_placements_refused_total", {}, counters.placements_refused);
+    mirror.add("galenaturn_worker_leases_lapsed_total", {}, counters.leases_lapsed);
+    mirror.add("galenaturn_worker_reports_stale_total", {}, counters.stale_reports);
+    mirror.add("galenaturn_throttles_total", {}, counters.throttles);
+    mirror.add("galenaturn_worker_quarantines_total", {}, counters.quarantines);
+    mirror.add("galenaturn_worker_quarantines_capped_total", {}, counters.quarantines_capped);
+    mirror.add("galenaturn_tasks_released_total", {}, counters.released);
+    mirror.add("galenaturn_tasks_out_of_memory_total", {}, counters.out_of_memory);
+    mirror.add("galenaturn_task_failures_total", {}, counters.task_failures);
+}
+
+} // namespace
+
+steward_service::steward_service(daemon::context& shared, control_hub& hub)
+    : shared_{shared}, hub_{hub}, counters_{shared.metrics}, waiting_{shared.metrics.make_gauge(
+                                                                 "galenaturn_tasks_waiting")},
+      workers_{shared.metrics.make_gauge("galenaturn_workers")}, tick_timer_{shared.io},
+      heartbeat_timer_{shared.io}, life_{static_cast<std::uint64_t>(
+                                       wall_now().time_since_epoch().count())}
+{
+    register_counters(counters_, steward_.counters);
+    const auto& self = shared.settings.self;
+    steward_.domain = self.domain;
+    steward_.succession_possible = std::any_of(
+        shared.settings.members.begin(), shared.settings.members.end(), [&](const auto& member) {
+            return member.role == process_role::control && member.domain == self.domain &&
+                   member.id != self.id;
+        });
+    hub.applied.emplace_back([this](const ledger::applied_change& change) { take_change(change); });
+    shared.frames.on(
+        wire::frame_kind::worker_announcement,
+        [this](const wire::hello& /*from*/, wire::frame received, wire::reply_function reply) {
+            take_announcement(std::move(received), std::move(reply));
+        });
+}
+
+result<void> steward_service::start()
+{
+    findings found;
+    chart_ = schedule::load_task_chart(shared_.settings.charts_folder, found);
+    if (!found.empty()) {
+        std::cerr << found.text();
+        return make_error_code(core_error::invalid_chart);
+    }
+    steward_.chart = &chart_;
+    asio::co_spawn(shared_.io, run_ticks(), asio::detached);
+    asio::co_spawn(shared_.io, run_heartbeats(), asio::detached);
+    return success();
+}
+
+void steward_service::take_change(const ledger::applied_change& change)
+{
+    applied_ = change.index;
+    if (change.catalogue)
+        schedule::on_catalogue(steward_, hub_.state().entries);
+    if (change.stewardships)
+        take_stewardship();
+    if (steward_.stewardship == epoch{})
+        return;
+    for (const auto& id : change.tasks)
+        take_record(id, false);
+}
+
+/** Follows the ledger: begins, goes on under a later number, or ends. */
+void steward_service::take_stewardship()
+{
+    const auto& stewardships = hub_.state().stewardships;
+    const auto found = stewardships.find(steward_.domain);
+    if (found == stewardships.end())
+        return;
+    const auto& held = found->second;
+    const bool active = steward_.stewardship != epoch{};
+    if (held.steward != shared_.settings.self.id) {
+        if (active)
+            log_event(log_level::warning, "stewardship_lost", {{"epoch", held.number}});
+        schedule::end_stewardship(steward_);
+        return;
+    }
+    if (active && held.number > steward_.stewardship) {
+        schedule::renumber_stewardship(steward_, held.number);
+        return;
+    }
+    // An earlier life of this process may have held it: only the leader knows.
+    if (active || held.number != granted_)
+        return;
+    schedule::begin_stewardship(steward_, held.number, monotonic_now());
+    schedule::on_catalogue(steward_, hub_.state().entries);
+    take_whole_state(true);
+    log_event(log_level::info, "stewardship_begun",
+              {{"failure_domain", steward_.domain},
+               {"epoch", held.number},
+               {"tasks", steward_.tasks.size()}});
+}
+
+void steward_service::take_whole_state(bool inherited)
+{
+    std::vector<task_id> known;
+    for (const auto& [id, task] : steward_.tasks)
+        known.push_back(id);
+    for (const auto& id : known)
+        take_record(id, inherited);
+    for (const auto& [id, record] : hub_.state().tasks) {
+        if (record.phase == wire::task_phase::assigned && record.domain == steward_.domain)
+            take_record(id, inherited);
+    }
+    next_resync_ = monotonic_now() + resync_interval;
+}
+
+void steward_service::take_record(const task_id& id, bool inherited)
+{
+    const auto& tasks = hub_.state().tasks;
+    const auto found = tasks.find(id);
+    const auto* record = found == tasks.end() ? nullptr : &found->second;
+    schedule::on_record(steward_, id, record, inherited, monotonic_now());
+}
+
+void steward_service::take_announcement(wire::frame received, wire::reply_function reply)
+{
+    if (steward_.stewardship == epoch{}) {
+        forward(std::move(received), std::move(reply));
+        return;
+    }
+    const auto announced = wire::decode<wire::worker_announcement>(received.payload);
+    if (!announced || announced.value().domain != steward_.domain)
+        return;
+    const auto now = monotonic_now();
+    const auto& worker = announced.value().id;
+    const auto taken = schedule::on_announcement(steward_, announced.value(), now);
+    if (taken == schedule::announcement_result::late)
+        return;
+    const auto earlier = held_.find(worker);
+    if (earlier != held_.end())
+        answer(worker, earlier->second, now);
+    held_[worker] = {announced.value().heartbeat, std::move(reply), now + answer_hold};
+    schedule::on_tick(steward_, now);
+    answer_due(now);
+}
+
+/** Passes an announcement on to the steward of the domain, if that is another process. */
+void steward_service::forward(wire::frame received, wire::reply_function reply)
+{
+    const auto& stewardships = hub_.state().stewardships;
+    const auto found = stewardships.find(steward_.domain);
+    const bool other =
+        found != stewardships.end() && found->second.steward != shared_.settings.self.id;
+    auto* link = other ? shared_.peers.find(found->second.steward) : nullptr;
+    if (link == nullptr)
+        asio::co_spawn(shared_.io, answer_without_lease(std::move(reply)), asio::detached);
+    else
+        asio::co_spawn(shared_.io, forward_to(link, std::move(received), std::move(reply)),
+                       asio::detached);
+}
+
+asio::awaitable<void> steward_service::forward_to(wire::peer_link* steward, wire::frame received,
+                                                  wire::reply_function reply)
+{
+    const auto limit = monotonic_now() + 2 * answer_hold;
+    auto answered = co_await steward->call(received.kind, std::move(received.payload), limit);
+    if (answered)
+        reply(std::move(answered).value());
+}
+
+/** Without a steward nothing is granted; the worker is kept from asking at once again. */
+asio::awaitable<void> steward_service::answer_without_lease(wire::reply_function reply)
+{
+    asio::steady_timer timer{shared_.io, answer_hold};
+    co_await timer.async_wait(use_result);
+    reply(wire::encode(wire::worker_answer{}));
+}
+
+void steward_service::answer(const worker_id& worker, const held_answer& held, time_point now)
+{
+    auto answer = schedule::answer_worker(steward_, worker, now);
+    // A lease counts from the heartbeat that the worker is answered for.
+    if (answer.heartbeat != held.heartbeat) {
+        answer.heartbeat = held.heartbeat;
+        answer.commands.clear();
+    }
+    held.reply(wire::encode(answer));
+}
+
+/** Answers the workers for which there are commands, and those that have waited long enough. */
+void steward_service::answer_due(time_point now)
+{
+    for (auto next = held_.begin(); next != held_.end();) {
+        const auto found = steward_.workers.find(next->first);
+        const bool due = found != steward_.workers.end() && found->second.due &&
+                         !schedule::awaits_ledger(steward_, next->first);
+        if (!due && now < next->second.deadline) {
+            ++next;
+            continue;
+        }
+        answer(next->first, next->second, now);
+        next = held_.erase(next);
+    }
+}
+
+asio::awaitable<void> steward_service::run_ticks()
+{
+    for (;;) {
+        tick_timer_.expires_after(tick_interval);
+        co_await tick_timer_.async_wait(use_result);
+        const auto now = monotonic_now();
+        if (steward_.stewardship != epoch{} && now >= next_resync_)
+            take_whole_state(false);
+        schedule::on_tick(steward_, now);
+        answer_due(now);
+        counters_.update();
+        waiting_.set(static_cast<double>(steward_.queue.size()));
+        workers_.set(static_cast<double>(steward_.workers.size()));
+        if (!reporting_ && !steward_.reports.empty() && now >= next_report_)
+            asio::co_spawn(shared_.io, send_reports(), asio::detached);
+    }
+}
+
+asio::awaitable<void> steward_service::send_reports()
+{
+    reporting_ = true;
+    wire::report_tasks reports;
+    reports.items = schedule::due_reports(steward_, report_batch);
+    const auto response =
+        co_await hub_.submit(wire::command{reports}, monotonic_now() + report_limit);
+    reporting_ = false;
+    const bool taken = response.status == wire::command_status::accepted ||
+                       response.status == wire::command_status::duplicate;
+    if (taken)
+        schedule::on_reports_accepted(steward_, reports.items);
+    else
+        next_report_ = monotonic_now() + report_retry;
+}
+
+schedule::steward_heartbeat steward_service::make_heartbeat()
+{
+    last_heartbeat_ = last_heartbeat_.next();
+    schedule::steward_heartbeat beat;
+    beat.process = shared_.settings.self.id;
+    beat.domain = steward_.domain;
+    beat.life = life_;
+    beat.number = last_heartbeat_;
+    beat.stewardship = steward_.stewardship;
+    beat.applied = applied_;
+    beat.load = schedule::current_load(steward_);
+    return beat;
+}
+
+asio::awaitable<void> steward_service::run_heartbeats()
+{
+    for (;;) {
+        heartbeat_timer_.expires_after(heartbeat_interval);
+        co_await heartbeat_timer_.async_wait(use_result);
+        // Not awaited: a leader that does not answer delays no later heartbeat.
+        asio::co_spawn(shared_.io, send_heartbeat(), asio::detached);
+    }
+}
+
+asio::awaitable<void> steward_service::send_heartbeat()
+{
+    const auto leader = hub_.leader();
+    const auto sent = monotonic_now();
+    const auto payload = wire::encode(make_heartbeat());
+    if (leader == shared_.settings.self.id) {
+        wire::frame local{wire::frame_kind::steward_heartbeat, 0, payload};
+        shared_.frames.dispatch(
+            shared_.channels.self, std::move(local), [this, sent](std::string reply) {
+                const auto answer = wire::decode<schedule::steward_heartbeat_answer>(reply);
+                if (answer)
+                    take_heartbeat_answer(answer.value(), sent);
+            });
+        co_return;
+    }
+    auto* link = shared_.peers.find(leader);
+    if (link == nullptr)
+        co_return;
+    const auto reply =
+        co_await link->call(wire::frame_kind::steward_heartbeat, payload, sent + heartbeat_limit);
+    if (!reply)
+        co_return;
+    const auto answer = wire::decode<schedule::steward_heartbeat_answer>(reply.value());
+    if (answer)
+        take_heartbeat_answer(answer.value(), sent);
+}
+
+void steward_service::take_heartbeat_answer(const schedule::steward_heartbeat_answer& answer,
+                                            time_point sent)
+{
+    if (answer.stewardship == epoch{})
+        return;
+    granted_ = answer.stewardship;
+    take_stewardship();
+    // Under another number the leader may have moved tasks that this process has not yet heard of.
+    if (steward_.stewardship == answer.stewardship)
+        schedule::on_heartbeat_acknowledged(steward_, sent);
+}
+
+} // namespace galenaturn::controld
--- /dev/null
+++ b/src/libschedule/assignment.cpp
@@ -0,0 +1,303 @@
+#include "assigner.h"
+#include "faileddemands.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** A steward that is silent for longer gets no new tasks. */
+constexpr std::chrono::seconds silent_steward{3};
+/** Tasks that a domain may hold waiting, so that freed room is used before the next load report. */
+constexpr double backlog_share = 0.05;
+/** Tasks of one owner that are looked at behind one that cannot be assigned now. */
+constexpr std::size_t lookahead = 64;
+/** An owner whose first task fits is passed over at most this often for each owner there is. */
+constexpr std::uint64_t overtake_limit = 16;
+/** A large task waits this long for room before a domain is asked to make it. */
+constexpr std::chrono::seconds large_task_patience{5};
+constexpr double same_job_cost = 0.1;
+constexpr double returned_cost = 1.0;
+
+resources scaled(const resources& amount, double factor)
+{
+    const auto scale = [factor](std::int64_t value) {
+        return static_cast<std::int64_t>(static_cast<double>(value) * factor);
+    };
+    return {millicores{scale(amount.processors.value())}, bytes{scale(amount.memory.value())},
+            accelerator_count{scale(amount.accelerators.value())}};
+}
+
+bool is_silent(const domain_view& domain, time_point now)
+{
+    return !domain.granted_life || now > domain.last_heard + silent_steward;
+}
+
+/** What the domain could still take, counting what it does not know of yet. */
+resources available(const domain_view& domain)
+{
+    return domain.load.free + scaled(domain.load.capacity, backlog_share) -
+           domain.load.waiting_demand - domain.uncounted_sum - domain.proposed;
+}
+
+struct domain_choice {
+    domain_view* domain{nullptr};
+    failure_domain_id id;
+    pending_reason refused{pending_reason::no_domain};
+};
+
+/** Whether the domain may take the task now; otherwise why not. */
+pending_reason refuse_domain(const assigner_task& task, const domain_view& domain, time_point now)
+{
+    if (is_silent(domain, now))
+        return pending_reason::no_domain;
+    const auto& demand = task.record.demand;
+    if (!fits(demand, domain.load.largest_worker))
+        return pending_reason::fits_no_worker;
+    const bool may_displace = task.record.urgent && domain.load.waiting < domain.load.workers;
+    if (may_displace)
+        return pending_reason::none;
+    if (!fits(demand, available(domain)))
+        return pending_reason::no_capacity;
+    const bool room = fits(demand, domain.load.largest_free);
+    const bool patient = now < task.pending_since + large_task_patience;
+    return room || !patient ? pending_reason::none : pending_reason::no_capacity;
+}
+
+double domain_cost(const assigner_task& task, const failure_domain_id& id,
+                   const domain_view& domain)
+{
+    const auto left = available(domain) - task.record.demand;
+    double cost = dominant_share(domain.load.capacity - left, domain.load.capacity);
+    if (task.record.task_class != work_class::batch) {
+        const auto same = domain.jobs.find(task.record.job);
+        if (same != domain.jobs.end())
+            cost += same_job_cost * static_cast<double>(same->second);
+    }
+    // A domain that gave the task back is asked last.
+    if (id == task.last_domain)
+        cost += returned_cost;
+    return cost;
+}
+
+domain_choice choose_domain(assigner_state& assigner, const assigner_task& task, time_point now)
+{
+    domain_choice choice;
+    double least = std::numeric_limits<double>::max();
+    for (auto& [id, domain] : assigner.domains) {
+        const auto refused = refuse_domain(task, domain, now);
+        if (refused != pending_reason::none) {
+            if (choice.domain == nullptr && refused != pending_reason::no_domain &&
+                choice.refused != pending_reason::no_capacity)
+                choice.refused = refused;
+            continue;
+        }
+        const auto cost = domain_cost(task, id, domain);
+        if (cost >= least)
+            continue;
+        least = cost;
+        choice = {&domain, id, pending_reason::none};
+    }
+    return choice;
+}
+
+/** One pass over the owners' queues. */
+class assignment_pass {
+public:
+    assignment_pass(assigner_state& assigner, time_point now) : assigner_{assigner}, now_{now}
+    {
+        for (const auto& [id, domain] : assigner.domains) {
+            if (!is_silent(domain, now))
+                whole_ += domain.load.capacity;
+        }
+    }
+
+    /** Assigns in the owners' order of shares; `urgent_only` looks at urgent tasks alone. */
+    void run(std::size_t limit, bool urgent_only, wire::assign_tasks& chosen)
+    {
+        std::set<std::pair<double, owner_id>> order;
+        for (const auto& [id, owner] : assigner_.owners) {
+            if (!owner.waiting.empty())
+                order.insert({weighted_share(owner), id});
+        }
+        while (!order.empty() && chosen.items.size() < limit) {
+            const auto next = pick(order);
+            const auto id = next->second;
+            order.erase(next);
+            auto& owner = assigner_.owners[id];
+            if (!assign_next(owner, urgent_only, chosen))
+                continue;
+            count_pass_over(id, order);
+            if (!owner.waiting.empty())
+                order.insert({weighted_share(owner), id});
+        }
+    }
+
+private:
+    using share_order = std::set<std::pair<double, owner_id>>;
+
+    [[nodiscard]] double weighted_share(const owner_view& owner) const
+    {
+        return dominant_share(owner.used, whole_) / std::max(owner.weight, 1e-9);
+    }
+
+    [[nodiscard]] std::uint64_t most_passed_over() const
+    {
+        return overtake_limit * std::max<std::size_t>(assigner_.owners.size(), 1);
+    }
+
+    /** The owner with the least share, or one that was passed over too often. */
+    share_order::iterator pick(share_order& order)
+    {
+        const auto starved = std::find_if(order.begin(), order.end(), [this](const auto& entry) {
+            return assigner_.owners[entry.second].passed_over >= most_passed_over();
+        });
+        if (starved == order.end())
+            return order.begin();
+        ++assigner_.counters.overtake_limit_reached;
+        return starved;
+    }
+
+    void count_pass_over(const owner_id& assigned, const share_order& order)
+    {
+        assigner_.owners[assigned].passed_over = 0;
+        for (const auto& [share, id] : order) {
+            auto& owner = assigner_.owners[id];
+            ++owner.passed_over;
+            GN_INVARIANT(owner.passed_over <= most_passed_over() + assigner_.owners.size(),
+                         {"owner", id}, {"passed_over", owner.passed_over});
+        }
+    }
+
+    bool assign_next(owner_view& owner, bool urgent_only, wire::assign_tasks& chosen)
+    {
+        std::size_t looked_at = 0;
+        for (const auto& place : owner.waiting) {
+            if (++looked_at > lookahead || (urgent_only && place.rank != 0))
+                break;
+            auto& task = assigner_.tasks.at(place.id);
+            const auto refused = try_assign(owner, task, chosen);
+            task.waits_for = refused;
+            if (refused == pending_reason::none)
+                return true;
+            ++assigner_.counters.refused[static_cast<std::size_t>(refused)];
+        }
+        // Nothing of this owner could be assigned: it was not passed over.
+        owner.passed_over = 0;
+        return false;
+    }
+
+    pending_reason try_assign(owner_view& owner, assigner_task& task, wire::assign_tasks& chosen)
+    {
+        const auto& demand = task.record.demand;
+        if (owner.quota && !fits(owner.used + demand, *owner.quota))
+            return pending_reason::quota;
+        const bool patient = !task.record.urgent && now_ < task.pending_since + large_task_patience;
+        if (patient && failed_.covers(demand))
+            return pending_reason::no_capacity;
+        const auto choice = choose_domain(assigner_, task, now_);
+        if (choice.domain == nullptr) {
+            if (patient && choice.refused == pending_reason::no_capacity)
+                failed_.add(demand);
+            return choice.refused;
+        }
+        chosen.items.push_back({task.record.id, choice.id, task.record.assignment, epoch{}});
+        choice.domain->proposed += demand;
+        task.proposed = true;
+        task.proposed_domain = choice.id;
+        task.queued = false;
+        owner.used += demand;
+        owner.waiting.erase(task.place);
+        ++assigner_.counters.assigned;
+        return pending_reason::none;
+    }
+
+    assigner_state& assigner_;
+    time_point now_;
+    resources whole_;
+    failed_demands failed_;
+};
+
+} // namespace
+
+wire::assign_tasks assign_pending(assigner_state& assigner, std::size_t limit, time_point now)
+{
+    wire::assign_tasks chosen;
+    if (!assigner.leading)
+        return chosen;
+    assignment_pass pass{assigner, now};
+    pass.run(limit, true, chosen);
+    pass.run(limit, false, chosen);
+    return chosen;
+}
+
+wire::assign_tasks reclaim_silent(assigner_state& assigner, std::size_t limit, time_point now)
+{
+    wire::assign_tasks chosen;
+    if (!assigner.leading)
+        return chosen;
+    for (auto& [id, domain] : assigner.domains) {
+        const auto heard = std::max(domain.last_heard, assigner.led_since);
+        for (const auto& [hold, task_name] : domain.holds) {
+            if (now <= heard + grantor_span(assigner.terms, hold) || chosen.items.size() >= limit)
+                break;
+            auto& task = assigner.tasks.at(task_name);
+            if (task.proposed)
+                continue;
+            const auto choice = choose_domain(assigner, task, now);
+            if (choice.domain == nullptr || choice.id == id)
+                continue;
+            // The silent steward is answered again only under a later stewardship.
+            domain.granted_life.reset();
+            domain.proposed_life.reset();
+            chosen.items.push_back(
+                {task_name, choice.id, task.record.assignment, domain.stewardship});
+            choice.domain->proposed += task.record.demand;
+            task.proposed = true;
+            task.proposed_domain = choice.id;
+            ++assigner.counters.moved;
+        }
+    }
+    return chosen;
+}
+
+void on_proposal_failed(assigner_state& assigner, const wire::assign_tasks& proposal)
+{
+    for (const auto& item : proposal.items) {
+        const auto found = assigner.tasks.find(item.id);
+        if (found == assigner.tasks.end() || !found->second.proposed)
+            continue;
+        auto& task = found->second;
+        task.proposed = false;
+        assigner.domains[task.proposed_domain].proposed -= task.record.demand;
+        if (task.record.phase != wire::task_phase::pending)
+            continue;
+        auto& owner = assigner.owners[task.record.owner];
+        owner.used -= task.record.demand;
+        owner.waiting.insert(task.place);
+        task.queued = true;
+    }
+}
+
+const char* to_string(pending_reason reason)
+{
+    switch (reason) {
+    case pending_reason::none:
+        return "none";
+    case pending_reason::quota:
+        return "quota";
+    case pending_reason::no_domain:
+        return "no_domain";
+    case pending_reason::no_capacity:
+        return "no_capacity";
+    case pending_reason::fits_no_worker:
+        return "fits_no_worker";
+    case pending_reason::count:
+        break;
+    }
+    return "invalid";
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/placement.cpp
@@ -0,0 +1,159 @@
+#include "placement.h"
+
+#include "faileddemands.h"
+#include "steward.h"
+#include "taskchart.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** Candidates that are compared; the search finds them spread over the domain. */
+constexpr std::size_t candidate_limit = 16;
+constexpr std::chrono::seconds queue_pass_interval{1};
+/** Bounds the work of one pass; the rest follows with the next tick. */
+constexpr std::size_t placements_a_pass = 2000;
+
+constexpr double rack_cost = 0.5;
+constexpr double same_worker_cost = 1.0;
+constexpr double wasted_accelerator_cost = 2.0;
+constexpr double failed_here_cost = 10.0;
+constexpr double imbalance_cost = 0.5;
+constexpr double packing_cost = 0.3;
+
+double share(std::int64_t part, std::int64_t whole)
+{
+    return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/** Prefers workers that the task fills evenly, and leaves accelerators to those who need them. */
+double packing_score(const worker_entry& worker, const task_entry& task)
+{
+    const auto free = worker.capacity - worker.reserved - task.reserved;
+    const auto processors = share(free.processors.value(), worker.capacity.processors.value());
+    const auto memory = share(free.memory.value(), worker.capacity.memory.value());
+    double cost = imbalance_cost * std::abs(processors - memory);
+    // Batch work is packed; services get the emptiest workers.
+    const double fill = (processors + memory) / 2;
+    cost += packing_cost * (task.record.task_class == work_class::batch ? fill : 1 - fill);
+    if (task.reserved.accelerators == accelerator_count{})
+        cost += wasted_accelerator_cost *
+                share(free.accelerators.value(), worker.capacity.accelerators.value());
+    return cost;
+}
+
+/** Tasks of one job go to different racks, and to different workers in a rack. */
+double spread_score(const steward_state& steward, const worker_entry& worker,
+                    const task_entry& task)
+{
+    if (task.record.task_class == work_class::batch)
+        return 0;
+    const auto rack = steward.job_racks.find({task.record.job, worker.rack});
+    double cost =
+        rack == steward.job_racks.end() ? 0.0 : rack_cost * static_cast<double>(rack->second);
+    for (const auto& id : worker.tasks) {
+        if (steward.tasks.at(id).record.job == task.record.job)
+            cost += same_worker_cost;
+    }
+    return cost;
+}
+
+std::size_t search_start(const task_entry& task)
+{
+    return std::hash<task_id>{}(task.record.id) + task.placements;
+}
+
+/** Returns why the task may not be placed now whatever is free. */
+wait_reason blocked_by(const steward_state& steward, const task_entry& task, time_point now)
+{
+    if (now < steward.predecessor_until)
+        return wait_reason::predecessor_lease;
+    if (now < task.not_before)
+        return wait_reason::backing_off;
+    const auto lease = grantor_span(steward.terms, steward.terms.worker_lease);
+    if (now + lease > grant_limit(steward, task))
+        return wait_reason::hold_ending;
+    return wait_reason::none;
+}
+
+} // namespace
+
+placement_choice choose_worker(steward_state& steward, const task_entry& task, time_point /*now*/)
+{
+    std::vector<std::size_t> slots;
+    slots.reserve(candidate_limit);
+    steward.index.search(task.reserved, search_start(task), candidate_limit, slots);
+    placement_choice choice;
+    double least = std::numeric_limits<double>::max();
+    for (const auto slot : slots) {
+        auto& worker = steward.workers.at(steward.slots[slot]);
+        double cost = packing_score(worker, task) + spread_score(steward, worker, task);
+        if (task.failed_on.contains(worker.id))
+            cost += failed_here_cost;
+        if (cost < least) {
+            least = cost;
+            choice.worker = &worker;
+        }
+    }
+    if (choice.worker == nullptr)
+        choice.refused =
+            steward.workers.empty() ? wait_reason::no_worker : wait_reason::no_capacity;
+    return choice;
+}
+
+void place_task(steward_state& steward, task_entry& task, worker_entry& worker, time_point now)
+{
+    ++task.placements;
+    task.placement = placement_epoch(task.record.assignment, steward.stewardship, task.placements);
+    task.inherited = false;
+    task.seen = false;
+    task.placed_life = worker.life;
+    task.worker = worker.id;
+    task.record.worker = worker.id;
+    // The answer that carries the start counts from the worker's last heartbeat.
+    task.lease_until = worker.received_at + grantor_span(steward.terms, steward.terms.worker_lease);
+    GN_INVARIANT(fits(task.reserved, worker.capacity - worker.reserved), {"task", task.record.id},
+                 {"worker", worker.id});
+    GN_INVARIANT(apply_task_event(steward, task, "place", now), {"task", task.record.id},
+                 {"state", task.state});
+    ++steward.counters.placements;
+}
+
+void place_waiting(steward_state& steward, time_point now)
+{
+    if (!steward.queue_changed && now < steward.next_queue_pass)
+        return;
+    steward.queue_changed = false;
+    steward.next_queue_pass = now + queue_pass_interval;
+    failed_demands failed;
+    std::size_t placed = 0;
+    for (auto place = steward.queue.begin(); place != steward.queue.end();) {
+        auto& task = steward.tasks.at(place->id);
+        ++place;
+        task.waits_for = blocked_by(steward, task, now);
+        if (task.waits_for != wait_reason::none)
+            continue;
+        if (failed.covers(task.reserved)) {
+            task.waits_for = wait_reason::no_capacity;
+            continue;
+        }
+        const auto choice = choose_worker(steward, task, now);
+        if (choice.worker == nullptr) {
+            task.waits_for = choice.refused;
+            ++steward.counters.placements_refused;
+            failed.add(task.reserved);
+            continue;
+        }
+        place_task(steward, task, *choice.worker, now);
+        if (++placed == placements_a_pass) {
+            steward.queue_changed = true;
+            return;
+        }
+    }
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/steward.cpp
@@ -0,0 +1,214 @@
+#include "steward.h"
+
+#include "taskchart.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** Whether the record gives the task to this domain. */
+bool is_ours(const steward_state& steward, const wire::task_record* record)
+{
+    return record != nullptr && record->phase == wire::task_phase::assigned &&
+           record->domain == steward.domain;
+}
+
+void add_task(steward_state& steward, const wire::task_record& record, bool inherited,
+              time_point now)
+{
+    auto& task = steward.tasks[record.id];
+    task = task_entry{};
+    task.record = record;
+    task.state = steward.chart->initial;
+    task.reserved = record.demand;
+    task.inherited = inherited;
+    task.not_before = inherited ? steward.predecessor_until : now;
+    enqueue_task(steward, task, now);
+    if ((record.cancel_requested || record.stop_requested) && !inherited)
+        apply_task_event(steward, task, "end", now);
+}
+
+/** Returns whether the task stays until its worker has ended it. */
+bool remove_task(steward_state& steward, task_entry& task, time_point now)
+{
+    if (on_worker(task)) {
+        task.dropped = true;
+        if (apply_task_event(steward, task, "end", now))
+            ++steward.counters
+                  .evictions[static_cast<std::size_t>(eviction_reason::moved_by_ledger)];
+        return true;
+    }
+    steward.queue.erase(task.place);
+    steward.reports.erase(task.record.id);
+    steward.tasks.erase(task_id{task.record.id});
+    return false;
+}
+
+void update_record(steward_state& steward, task_entry& task, const wire::task_record& record,
+                   time_point now)
+{
+    const auto checkpoint = task.record.checkpoint;
+    const auto worker = task.record.worker;
+    task.record = record;
+    // What the worker reported last is at least as new as what the ledger has.
+    if (checkpoint)
+        task.record.checkpoint = checkpoint;
+    if (!worker.empty())
+        task.record.worker = worker;
+    const bool waits_for_predecessor = task.inherited && now < task.not_before && !on_worker(task);
+    if ((record.cancel_requested || record.stop_requested) && !waits_for_predecessor)
+        apply_task_event(steward, task, "end", now);
+}
+
+} // namespace
+
+void begin_stewardship(steward_state& steward, epoch number, time_point now)
+{
+    end_stewardship(steward);
+    steward.stewardship = number;
+    steward.inheritance_open = true;
+    // The first steward of a domain has no predecessor.
+    const bool first = number == epoch{}.next();
+    const auto lease = grantor_span(steward.terms, steward.terms.worker_lease);
+    steward.predecessor_until = first ? now : now + lease;
+}
+
+void renumber_stewardship(steward_state& steward, epoch number)
+{
+    GN_INVARIANT(number > steward.stewardship, {"held", steward.stewardship}, {"next", number});
+    steward.stewardship = number;
+}
+
+void end_stewardship(steward_state& steward)
+{
+    steward.stewardship = epoch{};
+    steward.acknowledged = time_point{};
+    steward.tasks.clear();
+    steward.workers.clear();
+    steward.slots.clear();
+    steward.job_racks.clear();
+    steward.ended_drops.clear();
+    steward.index = capacity_index{};
+    steward.queue.clear();
+    steward.reports.clear();
+}
+
+void on_heartbeat_acknowledged(steward_state& steward, time_point sent)
+{
+    if (sent <= steward.acknowledged)
+        return;
+    steward.acknowledged = sent;
+    steward.queue_changed = true;
+}
+
+void on_catalogue(steward_state& steward, const catalogue& entries)
+{
+    steward.jobs = entries.jobs;
+    steward.objectives.clear();
+    for (const auto& [id, entry] : entries.services) {
+        if (entry.latency_objective == duration{})
+            continue;
+        auto& objective = steward.objectives[entry.owner];
+        if (objective == duration{} || entry.latency_objective < objective)
+            objective = entry.latency_objective;
+    }
+}
+
+void on_record(steward_state& steward, const task_id& id, const wire::task_record* record,
+               bool inherited, time_point now)
+{
+    const auto found = steward.tasks.find(id);
+    if (found == steward.tasks.end()) {
+        if (is_ours(steward, record))
+            add_task(steward, *record, inherited, now);
+        return;
+    }
+    auto& task = found->second;
+    const bool same = is_ours(steward, record) && record->assignment == task.record.assignment;
+    if (same && !task.dropped) {
+        update_record(steward, task, *record, now);
+        return;
+    }
+    if (task.dropped || remove_task(steward, task, now)) {
+        task.successor = is_ours(steward, record) ? std::optional{*record} : std::nullopt;
+        return;
+    }
+    if (is_ours(steward, record))
+        add_task(steward, *record, inherited, now);
+}
+
+void forget_dropped(steward_state& steward, time_point now)
+{
+    for (const auto& id : std::exchange(steward.ended_drops, {})) {
+        const auto successor = steward.tasks.at(id).successor;
+        steward.tasks.erase(id);
+        if (successor)
+            add_task(steward, *successor, false, now);
+    }
+}
+
+std::vector<wire::report_tasks::item> due_reports(const steward_state& steward, std::size_t limit)
+{
+    std::vector<wire::report_tasks::item> due;
+    for (const auto& [id, item] : steward.reports) {
+        if (due.size() >= limit)
+            break;
+        due.push_back(item);
+    }
+    return due;
+}
+
+void on_reports_accepted(steward_state& steward,
+                         const std::vector<wire::report_tasks::item>& accepted)
+{
+    for (const auto& item : accepted) {
+        const auto found = steward.reports.find(item.id);
+        if (found == steward.reports.end())
+            continue;
+        const auto& now_due = found->second;
+        const bool same = now_due.assignment == item.assignment &&
+                          now_due.outcome == item.outcome && now_due.released == item.released &&
+                          now_due.checkpoint == item.checkpoint && now_due.reason == item.reason;
+        if (same)
+            steward.reports.erase(found);
+    }
+}
+
+domain_load current_load(const steward_state& steward)
+{
+    domain_load load;
+    for (const auto& [id, worker] : steward.workers) {
+        if (worker.silent || worker.leaving)
+            continue;
+        load.capacity += worker.capacity;
+        ++load.workers;
+        load.quarantined += worker.health.quarantined ? 1 : 0;
+        load.running += static_cast<std::uint32_t>(worker.tasks.size());
+        auto& largest = load.largest_worker;
+        largest.processors = std::max(largest.processors, worker.capacity.processors);
+        largest.memory = std::max(largest.memory, worker.capacity.memory);
+        largest.accelerators = std::max(largest.accelerators, worker.capacity.accelerators);
+        if (!worker.health.quarantined)
+            load.free += worker.capacity - worker.reserved;
+    }
+    load.largest_free = steward.index.largest_free();
+    load.waiting = static_cast<std::uint32_t>(steward.queue.size());
+    for (const auto& place : steward.queue)
+        load.waiting_demand += steward.tasks.at(place.id).reserved;
+    return load;
+}
+
+time_point grant_limit(const steward_state& steward, const task_entry& task)
+{
+    if (steward.acknowledged == time_point{})
+        return {};
+    auto span = effective_hold(steward.terms, task.record.hold);
+    if (steward.succession_possible)
+        span = std::min(span, steward.terms.stewardship_limit);
+    return steward.acknowledged + span;
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/workerreports.cpp
@@ -0,0 +1,203 @@
+#include "failures.h"
+#include "steward.h"
+#include "taskchart.h"
+
+#include <algorithm>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+using wire::worker_task_state;
+
+bool has_ended(worker_task_state state)
+{
+    return state != worker_task_state::starting && state != worker_task_state::running &&
+           state != worker_task_state::checkpointing;
+}
+
+worker_entry& find_or_add_worker(steward_state& steward, const worker_id& id)
+{
+    const auto [found, added] = steward.workers.try_emplace(id);
+    if (added) {
+        found->second.id = id;
+        found->second.slot = steward.slots.size();
+        steward.slots.push_back(id);
+    }
+    return found->second;
+}
+
+void note_checkpoint(steward_state& steward, task_entry& task, const wire::worker_task& report,
+                     time_point now)
+{
+    if (!report.checkpoint || task.record.checkpoint == report.checkpoint)
+        return;
+    task.record.checkpoint = report.checkpoint;
+    if (!task.dropped) {
+        auto& item = steward.reports[task.record.id];
+        item.id = task.record.id;
+        item.assignment = task.record.assignment;
+        item.checkpoint = report.checkpoint;
+        item.worker = task.worker;
+    }
+    if (task.state == "checkpointing")
+        apply_task_event(steward, task, "evict", now);
+}
+
+/** Takes over the end of a placement that the worker reports. */
+void end_placement(steward_state& steward, worker_entry& worker, task_entry& task,
+                   const wire::worker_task& report, time_point now)
+{
+    if (report.state == worker_task_state::succeeded) {
+        on_task_success(steward, task, worker, now);
+        apply_task_event(steward, task, "succeed", now);
+        return;
+    }
+    const bool ordered = task.state == "ending" || task.state == "evicting";
+    if (report.state == worker_task_state::evicted && !ordered)
+        ++steward.counters.evictions[static_cast<std::size_t>(eviction_reason::worker_evicted)];
+    apply_task_event(steward, task, "gone", now);
+    if (task.state != "waiting" || ordered)
+        return;
+    if (report.state == worker_task_state::failed)
+        on_task_failure(steward, task, worker, report.reason, now);
+    if (report.state == worker_task_state::out_of_memory)
+        on_out_of_memory(steward, task, now);
+}
+
+/** Takes over a placement that a predecessor made. */
+void adopt(steward_state& steward, worker_entry& worker, task_entry& task,
+           const wire::worker_task& report, time_point now)
+{
+    task.placement = report.assignment;
+    task.worker = worker.id;
+    task.record.worker = worker.id;
+    task.seen = true;
+    task.lease_until = std::max(steward.predecessor_until, now);
+    apply_task_event(steward, task, "seen_running", now);
+    if (task.record.cancel_requested || task.record.stop_requested)
+        apply_task_event(steward, task, "end", now);
+}
+
+/** Handles a listed placement that is not the one this steward knows of. */
+void take_inherited(steward_state& steward, worker_entry& worker, task_entry& task,
+                    const wire::worker_task& report, time_point now)
+{
+    if (has_ended(report.state)) {
+        if (on_worker(task) ||
+            (task.inherited_end && task.inherited_end->assignment > report.assignment))
+            return;
+        task.inherited_end = report;
+        task.inherited_end_worker = worker.id;
+        return;
+    }
+    if (on_worker(task))
+        apply_task_event(steward, task, "gone", now);
+    if (task.state == "waiting")
+        adopt(steward, worker, task, report, now);
+}
+
+void take_known(steward_state& steward, worker_entry& worker, task_entry& task,
+                const wire::worker_task& report, time_point now)
+{
+    task.seen = true;
+    task.used = report.used;
+    note_checkpoint(steward, task, report, now);
+    if (has_ended(report.state))
+        end_placement(steward, worker, task, report, now);
+    else
+        apply_task_event(steward, task, "seen_running", now);
+}
+
+/** Returns false where the worker must stop, or may forget, what it lists. */
+bool take_task(steward_state& steward, worker_entry& worker, const wire::worker_task& report,
+               time_point now)
+{
+    const auto found = steward.tasks.find(report.id);
+    if (found == steward.tasks.end())
+        return false;
+    auto& task = found->second;
+    if (task.worker == worker.id && task.placement == report.assignment) {
+        take_known(steward, worker, task, report, now);
+        return on_worker(task) || steward.reports.contains(report.id);
+    }
+    const bool later = report.assignment > task.placement &&
+                       assignment_of(report.assignment) == task.record.assignment;
+    if (later && task.inherited && !task.dropped) {
+        take_inherited(steward, worker, task, report, now);
+        return true;
+    }
+    const bool ended_here = task.placement == report.assignment && !on_worker(task);
+    if (!ended_here)
+        ++steward.counters.stale_reports;
+    return ended_here && steward.reports.contains(report.id);
+}
+
+/** A placement that was listed before and is no longer has ended without a word. */
+void end_missing(steward_state& steward, worker_entry& worker, time_point now)
+{
+    const auto tasks = worker.tasks;
+    for (const auto& id : tasks) {
+        auto& task = steward.tasks.at(id);
+        const auto listed = worker.listed.find(id);
+        if (!task.seen || (listed != worker.listed.end() && listed->second == task.placement))
+            continue;
+        if (task.state != "ending" && task.state != "evicting")
+            ++steward.counters.evictions[static_cast<std::size_t>(eviction_reason::worker_lost)];
+        apply_task_event(steward, task, "gone", now);
+    }
+}
+
+} // namespace
+
+announcement_result on_announcement(steward_state& steward,
+                                    const wire::worker_announcement& announced, time_point now)
+{
+    auto& worker = find_or_add_worker(steward, announced.id);
+    if (announced.life < worker.life ||
+        (announced.life == worker.life && announced.heartbeat < worker.heartbeat)) {
+        ++steward.counters.stale_reports;
+        return announcement_result::late;
+    }
+    if (announced.life == worker.life && announced.heartbeat == worker.heartbeat)
+        return announcement_result::repeated;
+    const bool same_life = announced.life == worker.life;
+    worker.life = announced.life;
+    worker.heartbeat = announced.heartbeat;
+    worker.received_at = now;
+    worker.rack = announced.rack;
+    worker.capacity = announced.capacity;
+    worker.leaving = announced.leaving;
+    worker.silent = false;
+    worker.due = false;
+    worker.listed.clear();
+    worker.strays.clear();
+    for (const auto& report : announced.tasks) {
+        worker.listed[report.id] = report.assignment;
+        if (!take_task(steward, worker, report, now))
+            worker.strays[report.id] = report.assignment;
+    }
+    // After a restart of the worker, what its earlier life ran ends with its lease at the latest.
+    if (same_life)
+        end_missing(steward, worker, now);
+    update_index(steward, worker);
+    steward.queue_changed = true;
+    forget_dropped(steward, now);
+    return announcement_result::accepted;
+}
+
+bool awaits_ledger(const steward_state& steward, const worker_id& id)
+{
+    const auto worker = steward.workers.find(id);
+    if (worker == steward.workers.end())
+        return false;
+    for (const auto& [task, placement] : worker->second.listed) {
+        const auto report = steward.reports.find(task);
+        if (report != steward.reports.end() && report->second.outcome != wire::task_outcome::none &&
+            report->second.assignment == assignment_of(placement))
+            return true;
+    }
+    return false;
+}
+
+} // namespace galenaturn::schedule
--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -110,11 +110,16 @@
         failure_domain_id domain;
         /** The assignment that this one follows; a stale leader's proposal changes nothing. */
         epoch expected;
+        /**
+         * Only for a task taken from another domain: that domain's stewardship. The item changes
+         * nothing once a later one was granted, since that steward goes on with its tasks.
+         */
+        epoch from_stewardship;
 
         template <class Archive>
         void serialize(Archive& archive)
         {
-            archive(id, domain, expected);
+            archive(id, domain, expected, from_stewardship);
         }
     };
     std::vector<item> items;
