--- /dev/null
+++ b/tests/schedule/fakeworker.cpp
@@ -0,0 +1,145 @@
+#include "fakeworker.h"
+
+#include <algorithm>
+
+namespace galenaturn::schedule {
+
+using wire::worker_command_kind;
+using wire::worker_task_state;
+
+namespace {
+
+constexpr std::size_t remembered_heartbeats = 64;
+
+} // namespace
+
+bool is_active(const fake_run& run)
+{
+    return run.state == worker_task_state::running || run.state == worker_task_state::checkpointing;
+}
+
+bool fake_worker::runs_task(const task_id& task) const
+{
+    const auto run = runs_.find(task);
+    return run != runs_.end() && is_active(run->second);
+}
+
+wire::worker_announcement fake_worker::announce(time_point now)
+{
+    heartbeat_ = heartbeat_.next();
+    sent_[heartbeat_] = now;
+    if (sent_.size() > remembered_heartbeats)
+        sent_.erase(sent_.begin());
+    wire::worker_announcement announced;
+    announced.id = id;
+    announced.domain = domain;
+    announced.rack = rack;
+    announced.life = life;
+    announced.heartbeat = heartbeat_;
+    announced.capacity = capacity;
+    for (auto& [task, run] : runs_) {
+        if (!is_active(run) && run.end_listed == heartbeat_number{})
+            run.end_listed = heartbeat_;
+        announced.tasks.push_back({task, run.placement, run.state, run.checkpoint, run.demand, {}});
+    }
+    return announced;
+}
+
+std::vector<task_id> fake_worker::take_answer(const wire::worker_answer& answer, time_point now)
+{
+    std::vector<task_id> granted;
+    const auto sent = sent_.find(answer.heartbeat);
+    if (sent == sent_.end() || answer.stewardship < stewardship_)
+        return granted;
+    stewardship_ = answer.stewardship;
+    forget_reported(answer.heartbeat);
+    const auto lease_until = sent->second + answer.lease;
+    for (const auto& command : answer.commands) {
+        const auto run = runs_.find(command.id);
+        const bool same = run != runs_.end() && run->second.placement == command.assignment;
+        if (command.kind == worker_command_kind::start && lease_until > now && !same)
+            start(command, lease_until);
+        const bool grant = command.kind == worker_command_kind::start ||
+                           command.kind == worker_command_kind::renew;
+        if (grant && runs_task(command.id) && runs_[command.id].placement == command.assignment) {
+            runs_[command.id].lease_until = std::max(runs_[command.id].lease_until, lease_until);
+            granted.push_back(command.id);
+        }
+        if (command.kind == worker_command_kind::checkpoint && same)
+            run->second.checkpoint_ordered = true;
+        if (command.kind == worker_command_kind::stop && same) {
+            if (is_active(run->second))
+                run->second.state = worker_task_state::stopped;
+        }
+    }
+    check_capacity();
+    return granted;
+}
+
+void fake_worker::start(const wire::worker_command& command, time_point lease_until)
+{
+    auto& highest = highest_[command.id];
+    if (command.assignment <= highest)
+        return;
+    highest = command.assignment;
+    fake_run run;
+    run.placement = command.assignment;
+    run.job = command.job;
+    run.demand = command.demand;
+    run.checkpoint = command.checkpoint;
+    run.done = command.checkpoint ? duration{std::stoll(command.checkpoint->value())} : duration{};
+    run.lease_until = lease_until;
+    runs_[command.id] = run;
+}
+
+void fake_worker::forget_reported(heartbeat_number answered)
+{
+    std::erase_if(runs_, [answered](const auto& entry) {
+        const auto& run = entry.second;
+        return !is_active(run) && run.end_listed != heartbeat_number{} &&
+               run.end_listed <= answered;
+    });
+}
+
+void fake_worker::work(time_point now, duration span)
+{
+    for (auto& [task, run] : runs_) {
+        if (!is_active(run))
+            continue;
+        if (now >= run.lease_until) {
+            run.state = worker_task_state::stopped;
+            continue;
+        }
+        run.done += span;
+        if (std::exchange(run.checkpoint_ordered, false))
+            run.checkpoint = checkpoint_id{std::to_string(run.done.count())};
+    }
+}
+
+void fake_worker::end_run(const task_id& task, worker_task_state state)
+{
+    runs_.at(task).state = state;
+}
+
+void fake_worker::crash()
+{
+    up = false;
+    life = life.next();
+    runs_.clear();
+    highest_.clear();
+    sent_.clear();
+    heartbeat_ = heartbeat_number{};
+    stewardship_ = epoch{};
+}
+
+void fake_worker::check_capacity() const
+{
+    resources used;
+    for (const auto& [task, run] : runs_) {
+        if (is_active(run))
+            used += run.demand;
+    }
+    GN_INVARIANT(fits(used, capacity), {"worker", id}, {"processors", used.processors});
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/tests/schedule/soak/main.cpp
@@ -0,0 +1,39 @@
+#include "virtualworld.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_int32(seconds, 10, "How long to run");
+DEFINE_uint64(seed, 1, "First seed; each further run takes the next one");
+
+/** Runs seeded worlds, one after the other, until the time is over. */
+int main(int argc, char** argv)
+{
+    using namespace galenaturn;
+    gflags::SetUsageMessage("[--seconds N] [--seed S]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    init_log(log_level::error);
+    const auto end = monotonic_now() + std::chrono::seconds{FLAGS_seconds};
+    std::uint64_t seed = FLAGS_seed;
+    schedule::world_counts sum;
+    do {
+        std::cout << "seed " << seed << std::endl;
+        schedule::world_options options;
+        options.seed = seed++;
+        options.charts_folder = GALENATURN_SOURCE_DIR "/charts";
+        const auto counts = schedule::virtual_world{options}.run();
+        sum.finished += counts.finished;
+        sum.starts += counts.starts;
+        sum.moves += counts.moves;
+        sum.steward_crashes += counts.steward_crashes;
+        sum.worker_crashes += counts.worker_crashes;
+        sum.partitions += counts.partitions;
+    } while (monotonic_now() < end);
+    std::cout << "runs=" << seed - FLAGS_seed << " finished=" << sum.finished
+              << " starts=" << sum.starts << " moves=" << sum.moves
+              << " steward_crashes=" << sum.steward_crashes
+              << " worker_crashes=" << sum.worker_crashes << " partitions=" << sum.partitions
+              << "\n";
+    return 0;
+}
--- /dev/null
+++ b/tests/schedule/virtualworld.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "fakeledger.h"
+#include "fakeworker.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace galenaturn::schedule {
+
+/** What a randomised run does. */
+struct world_options {
+    std::uint64_t seed{1};
+    std::string charts_folder;
+    std::size_t domains{3};
+    std::size_t workers_a_domain{4};
+    std::size_t tasks{60};
+    /** Faults come during this time; then everything heals. */
+    duration faulty{std::chrono::seconds{240}};
+    /** Every task must have its outcome this long after. */
+    duration healing{std::chrono::seconds{400}};
+};
+
+/** What happened in a run. */
+struct world_counts {
+    std::uint64_t finished{0};
+    std::uint64_t starts{0};
+    std::uint64_t moves{0};
+    std::uint64_t worker_crashes{0};
+    std::uint64_t steward_crashes{0};
+    std::uint64_t partitions{0};
+    std::uint64_t leaders{0};
+};
+
+/**
+ * Stewards, the assigner at a changing leader, and fake workers in virtual time, over a network
+ * that loses, delays and repeats messages. Promises are checked inside, at every step.
+ */
+class virtual_world {
+public:
+    explicit virtual_world(const world_options& options);
+    ~virtual_world();
+
+    /** Runs to the end. Breaks an invariant where a promise is broken. */
+    world_counts run();
+
+private:
+    using action = std::function<void()>;
+    /** One control process: a voter with its copy of the ledger, a steward and an assigner. */
+    struct control {
+        std::size_t number{0};
+        failure_domain_id domain;
+        process_id process;
+        double clock_rate{1};
+        bool up{true};
+        incarnation life{1};
+        heartbeat_number heartbeat;
+        epoch granted;
+        fake_ledger_state state;
+        std::size_t applied{0};
+        steward_state steward;
+        assigner_state assigner;
+        std::map<worker_id, std::pair<heartbeat_number, time_point>> held;
+    };
+    struct worker_site {
+        fake_worker worker;
+        std::size_t home{0};
+        double clock_rate{1};
+        bool cut_off{false};
+    };
+
+    void schedule_at(duration when, action act);
+    void every(duration interval, const action& act);
+    /** Delivers `act` after a random delay, perhaps twice or never. */
+    void send(action act);
+    [[nodiscard]] time_point local(double clock_rate) const;
+    bool chance(double probability);
+    duration random_span(duration least, duration most);
+
+    [[nodiscard]] bool connected(std::size_t from, std::size_t to) const;
+    [[nodiscard]] bool has_quorum(std::size_t number) const;
+    [[nodiscard]] control* leader();
+    void watch_leader();
+    void submit(std::size_t from, const wire::command& command, const action& done);
+    void commit(const wire::command& command);
+    void catch_up(control& voter);
+    void take_change(control& voter, const fake_change& change);
+    void take_stewardship(control& voter);
+    void add_tasks();
+
+    void tick_control(control& at);
+    void send_steward_heartbeat(control& at);
+    void answer_steward(const steward_heartbeat& beat, std::size_t from, time_point sent);
+    void take_announcement(control& at, const wire::worker_announcement& announced);
+    void answer_workers(control& at);
+    void tick_worker(worker_site& site);
+    void end_runs(worker_site& site);
+    void send_worker_heartbeat(worker_site& site);
+    void take_answer(worker_site& site, const wire::worker_answer& answer, incarnation life);
+
+    void start_faults();
+    void crash_control();
+    void crash_worker();
+    void cut_domain();
+    void cut_worker();
+    void cancel_some();
+    void heal();
+    void check_promises();
+    void check_quotas() const;
+
+    world_options options_;
+    std::mt19937_64 random_;
+    state_chart chart_;
+    catalogue catalogue_;
+    std::multimap<duration, action> events_;
+    duration now_{};
+    bool faulty_{true};
+    std::vector<std::unique_ptr<control>> controls_;
+    std::vector<std::unique_ptr<worker_site>> workers_;
+    std::vector<bool> domain_cut_;
+    std::vector<wire::command> log_;
+    std::optional<std::size_t> leader_;
+    bool leads_{false};
+    duration leader_lost_{};
+    fake_ledger_state committed_;
+    std::map<task_id, duration> needs_;
+    /** What the ledger knew when it assigned the task, as progress. */
+    std::map<std::pair<task_id, epoch>, duration> assigned_progress_;
+    std::map<std::pair<task_id, epoch>, worker_id> started_;
+    world_counts counts_;
+};
+
+} // namespace galenaturn::schedule
