membership: announcements over HTTP, a table of upstreams, stand-ins

Upstreams and workers had no way to announce themselves. Worker announcements go to the control of their domain. galenaturn-standin brings an upstream, a worker and a load generator.

--- a/include/galenaturn/http.h
+++ b/include/galenaturn/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/** The HTTP library: server, router, client and problem answers, on Boost.Beast. */
+/** The HTTP library: server, router, client, problem answers and the JSON of announcements. */
 
+#include "libhttp/announcementjson.h"
 #include "libhttp/httpclient.h"
 #include "libhttp/httpserver.h"
--- a/include/galenaturn/wire.h
+++ b/include/galenaturn/wire.h
@@ -4,4 +4,5 @@
 
 #include "galenaturn/messages.h"
 #include "libwire/channel.h"
+#include "libwire/datagram.h"
 #include "libwire/ledgerclient.h"
--- /dev/null
+++ b/src/entryd/announcementservice.cpp
@@ -0,0 +1,177 @@
+#include "announcementservice.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace galenaturn::entryd {
+
+namespace {
+
+namespace json = boost::json;
+
+/** Longer than the steward holds a heartbeat open. */
+constexpr std::chrono::seconds steward_timeout{2};
+constexpr std::int64_t steward_retry_seconds = 1;
+constexpr std::int64_t leaving_retry_seconds = 1;
+
+const std::vector<std::string> refusal_reasons{"malformed_announcement", "leaving",
+                                               "unknown_failure_domain", "steward_unreachable"};
+
+http::response json_response(const json::object& body)
+{
+    return http::make_response(http::status::ok, json::serialize(body), "application/json");
+}
+
+} // namespace
+
+announcement_service::announcement_service(daemon::context& shared, gossip_service& gossip)
+    : shared_{shared}, gossip_{gossip}, workers_forwarded_{shared.metrics.make_counter(
+                                            "galenaturn_worker_announcements_forwarded_total")}
+{
+    for (const auto& reason : refusal_reasons)
+        refusals_[reason] = &shared.metrics.make_counter("galenaturn_announcements_refused_total",
+                                                         {{"reason", reason}});
+    shared.routes.add(http::verb::put, "/v1/upstreams/{id}",
+                      [this](http::call& incoming) -> boost::asio::awaitable<http::response> {
+                          co_return take_upstream(incoming);
+                      });
+    shared.routes.add(http::verb::put, "/v1/workers/{id}",
+                      [this](http::call& incoming) { return take_worker(incoming); });
+    shared.routes.add(http::verb::get, "/v1/upstreams",
+                      [this](http::call&) -> boost::asio::awaitable<http::response> {
+                          co_return list_upstreams();
+                      });
+    shared.routes.add(http::verb::get, "/v1/members",
+                      [this](http::call&) -> boost::asio::awaitable<http::response> {
+                          co_return list_members();
+                      });
+}
+
+result<void> announcement_service::start()
+{
+    return success();
+}
+
+http::response announcement_service::take_upstream(const http::call& incoming)
+{
+    if (!shared_.accepting)
+        return refuse_leaving();
+    const auto parsed = http::parse_upstream_announcement(
+        incoming.message.body(), upstream_id{incoming.parameters.at("id")});
+    if (!parsed.problems.empty())
+        return refuse_malformed(parsed.problems);
+    if (!is_known(parsed.message.domain))
+        return refuse_unknown_domain(parsed.message.domain);
+    const auto outcome = gossip_.hear(parsed.message);
+    json::object body;
+    body["outcome"] = to_string(outcome);
+    body["announcement_interval_ms"] = membership::announcement_interval.count();
+    return json_response(body);
+}
+
+boost::asio::awaitable<http::response> announcement_service::take_worker(http::call& incoming)
+{
+    if (!shared_.accepting)
+        co_return refuse_leaving();
+    const auto parsed = http::parse_worker_announcement(incoming.message.body(),
+                                                        worker_id{incoming.parameters.at("id")});
+    if (!parsed.problems.empty())
+        co_return refuse_malformed(parsed.problems);
+    if (!is_known(parsed.message.domain))
+        co_return refuse_unknown_domain(parsed.message.domain);
+    auto* steward = find_steward(parsed.message.domain);
+    bool not_run = true;
+    if (steward != nullptr) {
+        workers_forwarded_.add();
+        const auto reply = co_await steward->call(wire::frame_kind::worker_announcement,
+                                                  wire::encode(parsed.message),
+                                                  incoming.arrived + steward_timeout);
+        const auto answer = reply ? wire::decode<wire::worker_answer>(reply.value())
+                                  : result<wire::worker_answer>{reply.error()};
+        not_run = !reply && reply.error() == make_error_code(wire::wire_error::not_connected);
+        if (answer)
+            co_return http::make_response(http::status::ok, http::to_json(answer.value()),
+                                          "application/json");
+    }
+    refusals_.at("steward_unreachable")->add();
+    co_return http::make_problem({http::status::service_unavailable, "steward_unreachable",
+                                  "the steward of the worker's failure domain does not answer",
+                                  steward_retry_seconds, not_run});
+}
+
+http::response
+announcement_service::refuse_malformed(const std::vector<http::field_problem>& problems)
+{
+    refusals_.at("malformed_announcement")->add();
+    return http::make_problem({http::status::bad_request, "malformed_announcement",
+                               http::problem_text(problems), 0, true});
+}
+
+http::response announcement_service::refuse_leaving()
+{
+    refusals_.at("leaving")->add();
+    return http::make_problem({http::status::service_unavailable, "leaving",
+                               "this process is stopping; announce to another entry",
+                               leaving_retry_seconds, true});
+}
+
+http::response announcement_service::refuse_unknown_domain(const failure_domain_id& domain)
+{
+    refusals_.at("unknown_failure_domain")->add();
+    return http::make_problem({http::status::bad_request, "unknown_failure_domain",
+                               "no member is in failure domain '" + domain.value() + "'", 0, true});
+}
+
+bool announcement_service::is_known(const failure_domain_id& domain) const
+{
+    const auto& members = shared_.settings.members;
+    return std::any_of(members.begin(), members.end(),
+                       [&domain](const auto& member) { return member.domain == domain; });
+}
+
+wire::peer_link* announcement_service::find_steward(const failure_domain_id& domain)
+{
+    for (const auto& member : shared_.settings.members) {
+        if (member.role == process_role::control && member.domain == domain)
+            return shared_.peers.find(member.id);
+    }
+    return nullptr;
+}
+
+http::response announcement_service::list_upstreams() const
+{
+    const auto now = monotonic_now();
+    json::array upstreams;
+    for (const auto& [id, record] : gossip_.upstreams().records()) {
+        auto item = json::parse(http::to_json(record.last)).as_object();
+        item["state"] = record.state;
+        item["heard_ms_ago"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - record.heard).count();
+        upstreams.push_back(std::move(item));
+    }
+    json::object body;
+    body["upstreams"] = std::move(upstreams);
+    return json_response(body);
+}
+
+http::response announcement_service::list_members() const
+{
+    json::array members;
+    for (const auto& member : shared_.settings.members) {
+        json::object item;
+        item["name"] = member.id.value();
+        item["role"] = to_string(member.role);
+        item["failure_domain"] = member.domain.value();
+        item["region"] = member.region.value();
+        members.push_back(std::move(item));
+    }
+    json::object body;
+    body["members"] = std::move(members);
+    return json_response(body);
+}
+
+} // namespace galenaturn::entryd
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -133,13 +133,15 @@
         explicit session(tcp::socket socket) : stream{std::move(socket)} {}
         beast::tcp_stream stream;
         bool busy{false};
+        bool cut_answer{false};
     };
 
     state(asio::io_context& shared_io, const router& shared_routes, server_limits bounds,
           metrics_registry& metrics)
         : io{shared_io}, routes{shared_routes}, limits{bounds}, acceptor{shared_io},
           requests{metrics.make_counter("galenaturn_http_requests_total")},
-          bad_requests{metrics.make_counter("galenaturn_http_bad_requests_total")}
+          bad_requests{metrics.make_counter("galenaturn_http_bad_requests_total")},
+          refused_connections{metrics.make_counter("galenaturn_http_connections_refused_total")}
     {
     }
 
@@ -149,6 +151,7 @@
     tcp::acceptor acceptor;
     counter& requests;
     counter& bad_requests;
+    counter& refused_connections;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t in_progress{0};
     bool stopped{false};
@@ -164,6 +167,10 @@
                 co_await pause.async_wait(use_result);
                 continue;
             }
+            if (self->sessions.size() >= self->limits.connections) {
+                self->refused_connections.add();
+                continue;
+            }
             auto accepted = std::make_shared<session>(std::move(socket));
             self->sessions.insert(accepted);
             asio::co_spawn(self->io, serve(self, accepted), asio::detached);
@@ -202,6 +209,8 @@
         answer.keep_alive(message.keep_alive() && !self.stopped && answer.keep_alive());
         answer.prepare_payload();
         peer.stream.expires_after(self.limits.idle);
+        if (peer.cut_answer)
+            cut(answer);
         auto [write_error, written] =
             co_await beast_http::async_write(peer.stream, answer, use_result);
         peer.busy = false;
@@ -209,6 +218,15 @@
         co_return !write_error && answer.keep_alive();
     }
 
+    /** Halves the body under its whole length, and ends the connection. */
+    static void cut(response& answer)
+    {
+        const auto whole = answer.body().size();
+        answer.body().resize(whole / 2);
+        answer.keep_alive(false);
+        answer.content_length(whole);
+    }
+
     static asio::awaitable<response> handle(state& self, session& peer, const request& message)
     {
         const auto target =
@@ -232,7 +250,9 @@
         for (const auto& parameter : target->params())
             incoming.query[parameter.key] = parameter.value;
         peer.stream.expires_never();
-        co_return co_await found(incoming);
+        auto answer = co_await found(incoming);
+        peer.cut_answer = incoming.cut_answer;
+        co_return answer;
     }
 
     static asio::awaitable<bool> refuse_unreadable(state& self, session& peer,
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -31,6 +31,8 @@
     /** Values of the query string, decoded. */
     std::map<std::string, std::string> query;
     time_point arrived;
+    /** Set by a handler to close the connection half way through its answer; for failure tests. */
+    bool cut_answer{false};
 };
 
 /** Returns the answer to one request. */
@@ -64,6 +66,8 @@
     bytes body{std::int64_t{8} << 20};
     bytes header{std::int64_t{16} << 10};
     duration idle = std::chrono::seconds{60};
+    /** Connections beyond this are closed at once. */
+    std::size_t connections{4096};
 };
 
 /** Serves HTTP/1.1 with keep-alive; each connection has at most one request in progress. */
--- /dev/null
+++ b/src/standin/announcer.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "flags.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace galenaturn::standin {
+
+/** Sends announcements to one entry, and to the next one after a failure. */
+class announcer {
+public:
+    announcer(boost::asio::io_context& io, std::vector<ip_endpoint> entries);
+
+    /** Sends a PUT and returns the answer's body, or why there is none. */
+    boost::asio::awaitable<result<std::string>> put(std::string target, std::string body,
+                                                    duration timeout);
+
+private:
+    boost::asio::io_context& io_;
+    std::vector<ip_endpoint> entries_;
+    std::size_t current_;
+};
+
+} // namespace galenaturn::standin
--- /dev/null
+++ b/tests/http/announcementjsontest.cpp
@@ -0,0 +1,154 @@
+#include <galenaturn/http.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+namespace galenaturn::http {
+
+class announcement_json_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(announcement_json_test);
+    CPPUNIT_TEST(messages_survive_their_json_form);
+    CPPUNIT_TEST(every_malformed_field_is_reported_at_once);
+    CPPUNIT_TEST(documents_that_are_no_object_are_refused);
+    CPPUNIT_TEST(numbers_at_and_beyond_their_bounds);
+    CPPUNIT_TEST(mutated_documents_are_refused_or_read_without_harm);
+    CPPUNIT_TEST_SUITE_END();
+
+    static wire::upstream_announcement upstream()
+    {
+        wire::upstream_announcement said;
+        said.id = upstream_id{"runner-1"};
+        said.service = service_id{"tawhiti-forecast"};
+        said.domain = failure_domain_id{"picton-hall"};
+        said.rack = rack_id{"rack-3"};
+        said.address = {"127.0.0.1", 8080};
+        said.life = incarnation{7};
+        said.sequence = 9;
+        said.slots = 8;
+        said.connections = 64;
+        said.busy_slots = 3;
+        said.leaving = true;
+        return said;
+    }
+
+    static wire::worker_announcement worker()
+    {
+        wire::worker_announcement said;
+        said.id = worker_id{"w-1"};
+        said.domain = failure_domain_id{"hall-a"};
+        said.rack = rack_id{"rack-1"};
+        said.life = incarnation{3};
+        said.heartbeat = heartbeat_number{12};
+        said.capacity = {millicores{64000}, bytes{250LL << 30}, accelerator_count{2}};
+        said.tasks.push_back({task_id{"t-1"},
+                              epoch{4},
+                              wire::worker_task_state::running,
+                              checkpoint_id{"t-1-500"},
+                              {millicores{1500}, bytes{1 << 20}, {}},
+                              "as planned"});
+        said.usage_age = std::chrono::milliseconds{900};
+        said.service_latency = std::chrono::milliseconds{12};
+        return said;
+    }
+
+    void messages_survive_their_json_form()
+    {
+        const auto first = parse_upstream_announcement(to_json(upstream()), upstream().id);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, problem_text(first.problems));
+        CPPUNIT_ASSERT(wire::encode(first.message) == wire::encode(upstream()));
+
+        const auto second = parse_worker_announcement(to_json(worker()), worker().id);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, problem_text(second.problems));
+        CPPUNIT_ASSERT(wire::encode(second.message) == wire::encode(worker()));
+
+        wire::worker_answer answer;
+        answer.heartbeat = heartbeat_number{12};
+        answer.stewardship = epoch{2};
+        answer.lease = std::chrono::seconds{3};
+        answer.commands.push_back({wire::worker_command_kind::start, task_id{"t-2"}, epoch{1},
+                                   job_id{"notices"}, worker().capacity, checkpoint_id{"c"},
+                                   millicores{500}});
+        const auto third = parse_worker_answer(to_json(answer));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, problem_text(third.problems));
+        CPPUNIT_ASSERT(wire::encode(third.message) == wire::encode(answer));
+    }
+
+    static bool has_problem(const std::vector<field_problem>& problems,
+                            const std::pair<std::string, field_error>& expected)
+    {
+        return std::any_of(problems.begin(), problems.end(), [&expected](const auto& item) {
+            return item.pointer == expected.first && item.error == expected.second;
+        });
+    }
+
+    void every_malformed_field_is_reported_at_once()
+    {
+        const auto parsed = parse_worker_announcement(
+            R"({"id": "other", "rack": 7, "incarnation": -1, "heartbeat": 1.5, "capacity": {},)"
+            R"( "tasks": [{"id": "t", "epoch": 1, "state": "asleep", "used": 3}], "colour": 1})",
+            worker_id{"w-1"});
+        const std::vector<std::pair<std::string, field_error>> expected{
+            {"/id", field_error::mismatch},
+            {"/failure_domain", field_error::missing},
+            {"/rack", field_error::wrong_type},
+            {"/incarnation", field_error::out_of_range},
+            {"/heartbeat", field_error::wrong_type},
+            {"/capacity/processors_millicores", field_error::missing},
+            {"/capacity/memory_bytes", field_error::missing},
+            {"/tasks/0/state", field_error::unknown_value},
+            {"/tasks/0/used", field_error::wrong_type},
+            {"/colour", field_error::unknown_field},
+        };
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(problem_text(parsed.problems), expected.size(),
+                                     parsed.problems.size());
+        for (const auto& item : expected)
+            CPPUNIT_ASSERT_MESSAGE(item.first, has_problem(parsed.problems, item));
+    }
+
+    void documents_that_are_no_object_are_refused()
+    {
+        const std::string deep = std::string(100, '[') + std::string(100, ']');
+        for (const auto& body : {std::string{}, std::string{"{"}, std::string{"[]"},
+                                 std::string{"null"}, std::string{"{}x"}, deep}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                body, !parse_upstream_announcement(body, upstream_id{"u"}).problems.empty());
+            CPPUNIT_ASSERT_MESSAGE(body, !parse_worker_answer(body).problems.empty());
+        }
+    }
+
+    static bool accepts_slots(const std::string& slots)
+    {
+        auto body = to_json(upstream());
+        const std::string known = "\"slots\":8";
+        body.replace(body.find(known), known.size(), "\"slots\":" + slots);
+        return parse_upstream_announcement(body, upstream().id).problems.empty();
+    }
+
+    void numbers_at_and_beyond_their_bounds()
+    {
+        CPPUNIT_ASSERT(accepts_slots("1"));
+        CPPUNIT_ASSERT(accepts_slots("4096"));
+        for (const auto* slots :
+             {"0", "4097", "-1", "18446744073709551615", "1e400", "8.0", "\"8\"", "true", "null"})
+            CPPUNIT_ASSERT_MESSAGE(slots, !accepts_slots(slots));
+    }
+
+    void mutated_documents_are_refused_or_read_without_harm()
+    {
+        const auto body = to_json(worker());
+        std::mt19937_64 random{4}; // NOLINT: a fixed seed gives the same verdict every time
+        int refused = 0;
+        for (int round = 0; round < 5000; ++round) {
+            auto mutated = body;
+            mutated[random() % mutated.size()] = static_cast<char>(random());
+            refused += parse_worker_announcement(mutated, worker().id).problems.empty() ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(refused > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(announcement_json_test);
+
+} // namespace galenaturn::http
