--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,5 +1,7 @@
 #include "announcementservice.h"
+#include "entryhub.h"
 #include "gossipservice.h"
+#include "operatorservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -11,6 +13,9 @@
         std::vector<std::unique_ptr<daemon::service>> services;
         auto gossip = std::make_unique<entryd::gossip_service>(shared, hub);
         services.push_back(std::make_unique<entryd::announcement_service>(shared, *gossip));
+        services.push_back(
+            std::make_unique<entryd::operator_service>(shared, hub, entryd::ledger_of(shared)));
+        // Last, since its start publishes to the services above.
         services.push_back(std::move(gossip));
         return services;
     });
