--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -1,5 +1,7 @@
+#include "assignerservice.h"
 #include "controlhub.h"
 #include "ledgerservice.h"
+#include "stewardservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -10,6 +12,8 @@
     return daemon::run(argc, argv, process_role::control, [&hub](daemon::context& shared) {
         std::vector<std::unique_ptr<daemon::service>> services;
         services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
+        services.push_back(std::make_unique<controld::assigner_service>(shared, hub));
+        services.push_back(std::make_unique<controld::steward_service>(shared, hub));
         return services;
     });
 }
