route: requests admitted, routed, retried and answered

An entry serves ANY /v1/services/{service}/{path...}: weighted max-min admission by owner and service, choice of upstream by free slots, a keep-alive connection for each slot, safe retries within a budget, and problem answers with a counter for each reason.

--- /dev/null
+++ b/src/entryd/requestservice.cpp
@@ -0,0 +1,226 @@
+#include "requestservice.h"
+
+#include "requestmetrics.h"
+#include "requestparser.h"
+#include "slotbroker.h"
+#include "upstreamclient.h"
+
+#include <algorithm>
+#include <map>
+
+namespace galenaturn::entryd {
+
+namespace asio = boost::asio;
+using route::attempt_outcome;
+using route::refusal_reason;
+
+namespace {
+
+/** First attempt and retries together. */
+constexpr std::size_t most_attempts = 3;
+
+broker_settings make_broker_settings(const process_settings& settings)
+{
+    const auto entries =
+        std::count_if(settings.members.begin(), settings.members.end(),
+                      [](const auto& member) { return member.role == process_role::entry; });
+    return {settings.self.id, settings.self.domain,
+            std::max<std::size_t>(static_cast<std::size_t>(entries), 1)};
+}
+
+std::int64_t whole_seconds(duration span)
+{
+    return std::chrono::ceil<std::chrono::seconds>(span).count();
+}
+
+} // namespace
+
+/** The request path of one entry. Coroutines hold it by shared pointer. */
+struct request_service::flow : std::enable_shared_from_this<flow> {
+    explicit flow(daemon::context& context)
+        : shared{context}, metrics{context.metrics}, upstreams{context.io,
+                                                               context.settings.body_limit,
+                                                               metrics},
+          broker{context.io, make_broker_settings(context.settings), metrics},
+          id_prefix{context.settings.self.id.value() + "-" +
+                    std::to_string(wall_now().time_since_epoch().count()) + "-"}
+    {
+    }
+
+    daemon::context& shared;
+    request_metrics metrics;
+    upstream_client upstreams;
+    slot_broker broker;
+    std::string id_prefix;
+    std::uint64_t last_id{0};
+    std::shared_ptr<const catalogue> entries;
+    std::map<owner_id, route::retry_budget> owner_budgets;
+    std::map<service_id, route::retry_budget> service_budgets;
+
+    /** One request on its way. Lives in the coroutine that serves it. */
+    struct progress {
+        explicit progress(asio::io_context& io) : waiter{io} {}
+
+        std::string id;
+        parsed_request request;
+        http::request message;
+        slot_waiter waiter;
+        exchange_control exchange;
+        std::vector<upstream_id> tried;
+        /** Whether some upstream may have started the request. */
+        bool maybe_run{false};
+    };
+
+    /** How the attempts ended: the last one's result, and the upstream that it was made at. */
+    struct attempts_result {
+        attempt_result last;
+        upstream_id upstream;
+    };
+
+    http::response refuse(refusal_reason reason, const std::string& id, bool maybe_run,
+                          duration retry_after)
+    {
+        metrics.refused(reason);
+        const auto& details = route::describe(reason);
+        http::problem problem;
+        problem.code = static_cast<http::status>(details.http_status);
+        problem.reason = details.name;
+        problem.detail = details.text;
+        problem.not_run = details.not_run && !maybe_run;
+        if (details.temporary)
+            problem.retry_after_seconds = std::max<std::int64_t>(1, whole_seconds(retry_after));
+        auto answer = http::make_problem(problem);
+        answer.set(request_id_header, id);
+        return answer;
+    }
+
+    static asio::awaitable<http::response> handle(std::shared_ptr<flow> self, http::call& incoming)
+    {
+        self->metrics.requests.add();
+        progress work{self->shared.io};
+        work.id = self->id_prefix + std::to_string(++self->last_id);
+        if (!self->shared.accepting)
+            co_return self->refuse(refusal_reason::leaving, work.id, false, {});
+        if (!self->entries)
+            co_return self->refuse(refusal_reason::no_catalogue, work.id, false, {});
+        auto parsed = parse_request(incoming, *self->entries);
+        if (parsed.refused)
+            co_return self->refuse(*parsed.refused, work.id, false, {});
+        work.request = std::move(parsed.request);
+        work.message = make_upstream_request(incoming.message, work.request, work.id);
+        auto answer = co_await self->serve(work);
+        self->metrics.latency.record(monotonic_now() - work.request.arrived);
+        co_return answer;
+    }
+
+    asio::awaitable<http::response> serve(progress& work)
+    {
+        co_await broker.acquire(work.waiter, work.request.owner, work.request.service,
+                                work.request.deadline);
+        if (work.waiter.refused)
+            co_return refuse(*work.waiter.refused, work.id, false, work.waiter.retry_after);
+        const auto result = co_await attempt(work);
+        const bool whole = result.last.outcome == attempt_outcome::answered;
+        broker.finish(work.waiter, whole ? std::optional{result.last.took} : std::nullopt);
+        if (!whole && result.last.outcome != attempt_outcome::server_error)
+            co_return refuse(route::refusal_of(result.last.outcome), work.id, work.maybe_run, {});
+        co_return pass_on(work, result);
+    }
+
+    http::response pass_on(const progress& work, const attempts_result& result)
+    {
+        metrics.answered.add();
+        metrics.upstream_time.record(result.last.took);
+        http::response answer = result.last.answer;
+        remove_hop_headers(answer);
+        answer.set(request_id_header, work.id);
+        answer.set(upstream_header, result.upstream.value());
+        answer.keep_alive(true);
+        return answer;
+    }
+
+    /** Sends the request, again elsewhere where that is safe, until it is answered or given up. */
+    asio::awaitable<attempts_result> attempt(progress& work)
+    {
+        auto grant = *work.waiter.grant;
+        for (;;) {
+            attempts_result result;
+            result.upstream = grant.target.id;
+            result.last = co_await upstreams.exchange(grant.target, work.message, work.id,
+                                                      work.request.deadline,
+                                                      !work.request.idempotent, &work.exchange);
+            const auto outcome = result.last.outcome;
+            work.tried.push_back(grant.target.id);
+            work.maybe_run |= !route::certainly_not_run(outcome);
+            broker.settle(grant, outcome, result.last.took);
+            if (outcome == attempt_outcome::answered) {
+                route::earn_retry(owner_budgets[work.request.owner]);
+                route::earn_retry(service_budgets[work.request.service]);
+                co_return result;
+            }
+            auto next = plan_retry(work, outcome);
+            if (!next)
+                co_return result;
+            grant = *next;
+        }
+    }
+
+    /** Returns the slot for another attempt, or nothing where there is to be none. */
+    std::optional<slot_grant> plan_retry(const progress& work, attempt_outcome outcome)
+    {
+        const auto reason = route::safe_retry(outcome, work.request.idempotent);
+        if (!reason)
+            return {};
+        const auto deny = [&](route::retry_denial denial) {
+            metrics.retry_denied(denial);
+            return std::nullopt;
+        };
+        if (work.tried.size() >= most_attempts)
+            return deny(route::retry_denial::attempts);
+        if (monotonic_now() >= work.request.deadline)
+            return deny(route::retry_denial::deadline);
+        auto& service_budget = service_budgets[work.request.service];
+        auto& owner_budget = owner_budgets[work.request.owner];
+        if (!route::can_spend_retry(service_budget, owner_budget))
+            return deny(route::retry_denial::budget);
+        auto grant = broker.acquire_other(work.waiter.service, work.tried);
+        if (!grant)
+            return deny(route::retry_denial::no_other_upstream);
+        route::spend_retry(service_budget, owner_budget);
+        metrics.retried(*reason);
+        return grant;
+    }
+};
+
+request_service::request_service(daemon::context& shared, entry_hub& hub)
+    : flow_{std::make_shared<flow>(shared)}
+{
+    shared.routes.add(
+        http::verb::unknown, "/v1/services/{service}/{path...}",
+        [self = flow_](http::call& incoming) { return flow::handle(self, incoming); });
+    shared.work_in_progress.emplace_back([self = flow_] { return self->broker.held(); });
+    hub.catalogue_changed.emplace_back([self = flow_](const catalogue_in_force& news) {
+        self->entries = std::make_shared<const catalogue>(news.entries);
+        self->broker.set_catalogue(news.entries);
+    });
+    hub.upstream_announced.emplace_back(
+        [self = flow_](const wire::upstream_announcement& news, time_point /*heard*/) {
+            self->broker.announce(news);
+            if (news.leaving)
+                self->upstreams.forget(news.id);
+        });
+    hub.upstream_lapsed.emplace_back([self = flow_](const upstream_id& id) {
+        self->broker.lapse(id);
+        self->upstreams.forget(id);
+    });
+    hub.entries_changed.emplace_back([self = flow_](const std::vector<live_entry>& entries) {
+        self->broker.set_entries(entries);
+    });
+}
+
+result<void> request_service::start()
+{
+    return success();
+}
+
+} // namespace galenaturn::entryd
--- /dev/null
+++ b/src/entryd/requestservice.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "entryhub.h"
+
+#include <galenaturn/daemon.h>
+
+#include <memory>
+
+namespace galenaturn::entryd {
+
+/** Serves ANY /v1/services/{service}/{path...}: admits, routes, retries and answers. */
+class request_service : public daemon::service {
+public:
+    /** Subscribes to `hub`. Both arguments outlive the service. */
+    request_service(daemon::context& shared, entry_hub& hub);
+
+    result<void> start() override;
+
+private:
+    struct flow;
+    std::shared_ptr<flow> flow_;
+};
+
+} // namespace galenaturn::entryd
--- /dev/null
+++ b/src/entryd/upstreamclient.cpp
@@ -0,0 +1,245 @@
+#include "upstreamclient.h"
+
+#include "requestparser.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+
+namespace galenaturn::entryd {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using route::attempt_outcome;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+/** An upstream in the same region accepts well within this time. */
+constexpr duration connect_limit = std::chrono::milliseconds{500};
+/** A kept connection that was idle for longer is closed instead of used. */
+constexpr duration idle_limit = std::chrono::seconds{20};
+constexpr std::uint32_t answer_header_limit = 32U << 10;
+
+bool is_server_error(http::status code)
+{
+    return code == http::status::internal_server_error || code == http::status::bad_gateway ||
+           code == http::status::service_unavailable || code == http::status::gateway_timeout;
+}
+
+attempt_outcome outcome_of(const boost::system::error_code& error, bool answer_began)
+{
+    namespace beast_http = boost::beast::http;
+    if (error == beast::error::timeout)
+        return attempt_outcome::timed_out;
+    if (error == beast_http::error::body_limit || error == beast_http::error::header_limit)
+        return attempt_outcome::answer_too_large;
+    if (error == beast_http::error::partial_message)
+        return attempt_outcome::answer_cut;
+    if (error == beast_http::error::end_of_stream)
+        return attempt_outcome::connection_lost;
+    if (error.category() == make_error_code(beast_http::error::bad_version).category())
+        return attempt_outcome::answer_malformed;
+    return answer_began ? attempt_outcome::answer_cut : attempt_outcome::connection_lost;
+}
+
+attempt_outcome outcome_of(const http::response& answer)
+{
+    if (answer.result() == http::status::service_unavailable && answer[not_run_header] == "true")
+        return attempt_outcome::not_run;
+    return is_server_error(answer.result()) ? attempt_outcome::server_error
+                                            : attempt_outcome::answered;
+}
+
+} // namespace
+
+struct upstream_client::connection {
+    explicit connection(asio::io_context& io) : stream{io} {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    incarnation life;
+    ip_endpoint address;
+    time_point idle_since;
+    bool reusable{false};
+
+    /** Returns whether the other side has neither closed nor sent anything unasked. */
+    bool quiet()
+    {
+        boost::system::error_code error;
+        char byte = 0;
+        auto& socket = stream.socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+};
+
+/** Counts a connection as in use for as long as its exchange lasts. */
+class upstream_client::use_guard {
+public:
+    explicit use_guard(upstream_connections& upstream) : upstream_{upstream} { ++upstream_.in_use; }
+    ~use_guard() { --upstream_.in_use; }
+    use_guard(const use_guard&) = delete;
+    use_guard& operator=(const use_guard&) = delete;
+
+private:
+    upstream_connections& upstream_;
+};
+
+upstream_client::upstream_client(asio::io_context& io, bytes body_limit, request_metrics& metrics)
+    : io_{io}, body_limit_{static_cast<std::uint64_t>(body_limit.value())}, metrics_{metrics}
+{
+}
+
+upstream_client::~upstream_client() = default;
+
+std::unique_ptr<upstream_client::connection>
+upstream_client::take_idle(const upstream_target& target)
+{
+    auto& idle = upstreams_[target.id].idle;
+    const auto now = monotonic_now();
+    while (!idle.empty()) {
+        auto link = std::move(idle.back());
+        idle.pop_back();
+        const bool current = link->life == target.life && link->address == target.address;
+        if (current && now - link->idle_since < idle_limit && link->quiet())
+            return link;
+    }
+    return nullptr;
+}
+
+asio::awaitable<bool> upstream_client::connect(connection& link, const upstream_target& target,
+                                               time_point deadline)
+{
+    link.life = target.life;
+    link.address = target.address;
+    const tcp::endpoint endpoint{asio::ip::make_address(target.address.address),
+                                 target.address.port};
+    link.stream.expires_at(std::min(deadline, monotonic_now() + connect_limit));
+    metrics_.connections_opened.add();
+    auto [error] = co_await link.stream.async_connect(endpoint, use_result);
+    if (error)
+        co_return false;
+    boost::system::error_code ignored;
+    link.stream.socket().set_option(tcp::no_delay{true}, ignored);
+    co_return true;
+}
+
+asio::awaitable<attempt_result> upstream_client::read_answer(connection& link, bool head_only,
+                                                             const std::string& id)
+{
+    attempt_result result;
+    for (;;) {
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.body_limit(body_limit_);
+        parser.header_limit(answer_header_limit);
+        parser.skip(head_only);
+        auto [error, size] =
+            co_await beast::http::async_read(link.stream, link.buffer, parser, use_result);
+        if (error) {
+            result.outcome = outcome_of(error, parser.got_some());
+            co_return result;
+        }
+        // An informational answer is followed by the one that counts.
+        if (beast::http::to_status_class(parser.get().result()) ==
+            beast::http::status_class::informational)
+            continue;
+        // Without a length nobody can tell a whole answer from one that was cut off.
+        if (parser.need_eof() && !head_only) {
+            result.outcome = attempt_outcome::answer_cut;
+            co_return result;
+        }
+        link.reusable = parser.get().keep_alive() && link.buffer.size() == 0;
+        result.answer = parser.release();
+        break;
+    }
+    const auto echoed = result.answer.find(request_id_header);
+    if (echoed != result.answer.end() && echoed->value() != id) {
+        link.reusable = false;
+        result.outcome = attempt_outcome::answer_mismatched;
+        co_return result;
+    }
+    result.outcome = outcome_of(result.answer);
+    co_return result;
+}
+
+asio::awaitable<attempt_result> upstream_client::carry(connection& link, http::request& message,
+                                                       const std::string& id, time_point deadline)
+{
+    link.reusable = false;
+    link.stream.expires_at(deadline);
+    auto [error, size] = co_await beast::http::async_write(link.stream, message, use_result);
+    if (error) {
+        attempt_result failed;
+        failed.outcome = error == beast::error::timeout ? attempt_outcome::timed_out
+                                                        : attempt_outcome::connection_lost;
+        co_return failed;
+    }
+    co_return co_await read_answer(link, message.method() == http::verb::head, id);
+}
+
+asio::awaitable<attempt_result> upstream_client::exchange(upstream_target target,
+                                                          http::request message, std::string id,
+                                                          time_point deadline, bool new_connection,
+                                                          exchange_control* control)
+{
+    const auto started = monotonic_now();
+    metrics_.attempts.add();
+    auto& upstream = upstreams_[target.id];
+    const use_guard use{upstream};
+    auto link = new_connection ? nullptr : take_idle(target);
+    attempt_result result;
+    bool connected = link != nullptr;
+    if (connected)
+        metrics_.connections_reused.add();
+    else
+        link = std::make_unique<connection>(io_);
+    if (control != nullptr)
+        control->cancel = [&link] { link->stream.close(); };
+    if (!connected)
+        connected = co_await connect(*link, target, deadline);
+    if (connected)
+        result = co_await carry(*link, message, id, deadline);
+    if (control != nullptr)
+        control->cancel = nullptr;
+    result.took = monotonic_now() - started;
+    if (link->reusable)
+        keep(target, std::move(link));
+    else
+        link->stream.close();
+    co_return result;
+}
+
+void upstream_client::keep(const upstream_target& target, std::unique_ptr<connection> link)
+{
+    auto& idle = upstreams_[target.id].idle;
+    if (idle.size() >= target.idle_limit)
+        return;
+    link->stream.expires_never();
+    link->idle_since = monotonic_now();
+    idle.push_back(std::move(link));
+}
+
+void upstream_client::forget(const upstream_id& id)
+{
+    const auto known = upstreams_.find(id);
+    if (known != upstreams_.end())
+        known->second.idle.clear();
+}
+
+std::size_t upstream_client::connections(const upstream_id& id) const
+{
+    const auto known = upstreams_.find(id);
+    return known == upstreams_.end() ? 0 : known->second.idle.size() + known->second.in_use;
+}
+
+} // namespace galenaturn::entryd
--- /dev/null
+++ b/tests/route/fakeupstream.cpp
@@ -0,0 +1,158 @@
+#include "fakeupstream.h"
+
+#include <galenaturn/messages.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+
+namespace galenaturn {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+/** Returns the raw bytes of an answer that breaks a rule, or nothing where there is no answer. */
+std::string broken_answer(fake_behaviour behaviour)
+{
+    switch (behaviour) {
+    case fake_behaviour::cut_answer:
+        return "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part";
+    case fake_behaviour::send_garbage:
+        return "\x01\x02 this is not HTTP\r\n\r\n";
+    case fake_behaviour::answer_without_length:
+        return "HTTP/1.1 200 OK\r\n\r\nmaybe whole, maybe not";
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+struct fake_upstream::session {
+    explicit session(tcp::socket accepted) : socket{std::move(accepted)} {}
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+};
+
+fake_upstream::fake_upstream(asio::io_context& io)
+    : io_{io}, acceptor_{io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}},
+      port_{acceptor_.local_endpoint().port()}
+{
+    asio::co_spawn(io_, accept(), asio::detached);
+}
+
+fake_upstream::~fake_upstream()
+{
+    *alive_ = false;
+    kill();
+}
+
+void fake_upstream::kill()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& peer : sessions_)
+        peer->socket.close(ignored);
+}
+
+wire::upstream_announcement fake_upstream::announcement(const std::string& id,
+                                                        std::uint64_t sequence) const
+{
+    wire::upstream_announcement news;
+    news.id = upstream_id{id};
+    news.service = service_id{service};
+    news.domain = failure_domain_id{domain};
+    news.address = {"127.0.0.1", port_};
+    news.life = incarnation{1};
+    news.sequence = sequence;
+    news.slots = slots;
+    news.connections = connection_limit;
+    news.busy_slots = static_cast<std::uint32_t>(busy);
+    return news;
+}
+
+asio::awaitable<void> fake_upstream::accept()
+{
+    const auto alive = alive_;
+    for (;;) {
+        auto [error, socket] = co_await acceptor_.async_accept(use_result);
+        if (!*alive || error)
+            co_return;
+        auto peer = std::make_shared<session>(std::move(socket));
+        sessions_.insert(peer);
+        most_connections = std::max(most_connections, ++connections);
+        asio::co_spawn(io_, serve(peer), asio::detached);
+    }
+}
+
+asio::awaitable<void> fake_upstream::serve(std::shared_ptr<session> peer)
+{
+    const auto alive = alive_;
+    bool keep = true;
+    while (keep && *alive)
+        keep = co_await serve_one(*peer);
+    boost::system::error_code ignored;
+    peer->socket.close(ignored);
+    if (!*alive)
+        co_return;
+    --connections;
+    sessions_.erase(peer);
+}
+
+asio::awaitable<bool> fake_upstream::serve_one(session& peer)
+{
+    const auto alive = alive_;
+    http::request message;
+    auto [read_error, size] =
+        co_await boost::beast::http::async_read(peer.socket, peer.buffer, message, use_result);
+    if (read_error || !*alive)
+        co_return false;
+    ++received;
+    ++bodies[message.body()];
+    const auto chosen = behaviour;
+    most_busy = std::max(most_busy, ++busy);
+    asio::steady_timer timer{io_};
+    timer.expires_after(chosen == fake_behaviour::never_answer ? std::chrono::seconds{30} : delay);
+    if (chosen == fake_behaviour::never_answer || delay > duration::zero())
+        co_await timer.async_wait(use_result);
+    if (!*alive)
+        co_return false;
+    --busy;
+    if (chosen == fake_behaviour::close_unanswered)
+        co_return false;
+    if (const auto raw = broken_answer(chosen); !raw.empty()) {
+        co_await asio::async_write(peer.socket, asio::buffer(raw), use_result);
+        co_return false;
+    }
+    auto answer = http::make_response(
+        chosen == fake_behaviour::fail ? http::status::internal_server_error : http::status::ok,
+        "answer to " + message.body(), "text/plain");
+    if (chosen == fake_behaviour::refuse_not_run) {
+        answer.result(http::status::service_unavailable);
+        answer.set("Galenaturn-Not-Run", "true");
+    }
+    answer.set("Galenaturn-Request-Id", chosen == fake_behaviour::answer_other_request
+                                            ? "another-request"
+                                            : std::string{message["Galenaturn-Request-Id"]});
+    answer.set("Upstream-Target", std::string{message.target()});
+    auto [write_error, written] =
+        co_await boost::beast::http::async_write(peer.socket, answer, use_result);
+    if (!*alive)
+        co_return false;
+    answered += write_error ? 0 : 1;
+    co_return !write_error;
+}
+
+} // namespace galenaturn
--- /dev/null
+++ b/tests/route/requestservicetest.cpp
@@ -0,0 +1,276 @@
+#include "fakeupstream.h"
+#include "testentry.h"
+
+#include <galenaturn/route.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn {
+
+/** The request path of one entry over loopback, with upstreams that fail in every way. */
+class request_service_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_service_test);
+    CPPUNIT_TEST(an_answer_reaches_its_caller_whole);
+    CPPUNIT_TEST(every_reason_has_its_counter_from_the_start);
+    CPPUNIT_TEST(bad_requests_are_refused_as_not_run);
+    CPPUNIT_TEST(a_broken_answer_never_reaches_the_caller);
+    CPPUNIT_TEST(an_idempotent_request_is_answered_by_another_upstream);
+    CPPUNIT_TEST(a_request_that_may_have_run_is_not_sent_twice);
+    CPPUNIT_TEST(a_request_that_did_not_run_is_sent_again);
+    CPPUNIT_TEST(an_upstream_that_leaves_gets_nothing_new);
+    CPPUNIT_TEST(slots_and_connections_are_never_exceeded);
+    CPPUNIT_TEST(a_full_queue_and_a_used_up_rate_refuse_at_once);
+    CPPUNIT_TEST(a_request_that_cannot_start_in_time_is_answered_at_its_latest_start);
+    CPPUNIT_TEST(a_stopping_entry_refuses_as_not_run_and_ends_what_it_has);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<test_entry> entry_;
+    std::vector<std::unique_ptr<fake_upstream>> upstreams_;
+
+public:
+    void setUp() override
+    {
+        entry_ = std::make_unique<test_entry>(
+            test_settings("entry-1", {test_member("entry-1", process_role::entry, "hall-a", 0)}));
+        entry_->apply_catalogue(test_catalogue());
+    }
+
+    void tearDown() override
+    {
+        upstreams_.clear();
+        entry_->shared.io.poll();
+        entry_.reset();
+    }
+
+private:
+    fake_upstream& add_upstream(std::uint32_t slots = 8)
+    {
+        upstreams_.push_back(std::make_unique<fake_upstream>(entry_->shared.io));
+        auto& upstream = *upstreams_.back();
+        upstream.slots = slots;
+        announce(upstream, 1);
+        return upstream;
+    }
+
+    void announce(const fake_upstream& upstream, std::uint64_t sequence, bool leaving = false)
+    {
+        auto news = upstream.announcement("runner-" + std::to_string(upstream.port()), sequence);
+        news.leaving = leaving;
+        entryd::publish(entry_->hub.upstream_announced, news, monotonic_now());
+    }
+
+    void an_answer_reaches_its_caller_whole()
+    {
+        auto& upstream = add_upstream();
+        call_options options;
+        options.path = "/tides/tory%20channel?at=ebb";
+        options.method = http::verb::post;
+        options.body = "spring tide";
+        const auto call = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(200U, call->status());
+        CPPUNIT_ASSERT_EQUAL(std::string{"answer to spring tide"}, call->answer->value().body());
+        CPPUNIT_ASSERT_EQUAL(options.path, call->header("Upstream-Target"));
+        CPPUNIT_ASSERT(!call->header("Galenaturn-Request-Id").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.received);
+    }
+
+    void every_reason_has_its_counter_from_the_start()
+    {
+        for (const auto& details : route::all_refusals())
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, entry_->refused(std::string{details.name}));
+        for (const auto* reason : {"connect_failed", "not_run", "connection_lost", "timed_out",
+                                   "answer_cut", "server_error"})
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                                 entry_->counted(std::string{"galenaturn_retries_total{reason=\""} +
+                                                 reason + "\"}"));
+    }
+
+    void expect_not_run(const call_options& options, unsigned status, const std::string& reason)
+    {
+        const auto call = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(reason, call->reason());
+        CPPUNIT_ASSERT_EQUAL(status, call->status());
+        CPPUNIT_ASSERT_EQUAL(std::string{"true"}, call->header("Galenaturn-Not-Run"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry_->refused(reason));
+    }
+
+    void bad_requests_are_refused_as_not_run()
+    {
+        call_options options;
+        expect_not_run(options, 503, "no_upstream");
+        auto& upstream = add_upstream();
+        options.service = "tags";
+        expect_not_run(options, 404, "unknown_service");
+        options = {};
+        options.owner = "";
+        expect_not_run(options, 400, "owner_missing");
+        options.owner = "stranger";
+        expect_not_run(options, 403, "unknown_owner");
+        options = {};
+        options.timeout = "soon";
+        expect_not_run(options, 400, "bad_timeout");
+        options = {};
+        options.key = std::string(256, 'k');
+        expect_not_run(options, 400, "bad_key");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, upstream.received);
+    }
+
+    void expect_broken(fake_behaviour behaviour, const std::string& reason)
+    {
+        upstreams_.back()->behaviour = behaviour;
+        call_options options;
+        options.method = http::verb::post;
+        options.body = "behaviour " + std::to_string(static_cast<int>(behaviour));
+        options.timeout = "200ms";
+        const auto call = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(reason, call->reason());
+        CPPUNIT_ASSERT(call->status() >= 500);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, call->header("Galenaturn-Not-Run"));
+        CPPUNIT_ASSERT_EQUAL(1, upstreams_.back()->bodies[options.body]);
+    }
+
+    void a_broken_answer_never_reaches_the_caller()
+    {
+        add_upstream();
+        expect_broken(fake_behaviour::close_unanswered, "upstream_failed");
+        expect_broken(fake_behaviour::cut_answer, "answer_cut");
+        expect_broken(fake_behaviour::answer_without_length, "answer_cut");
+        expect_broken(fake_behaviour::send_garbage, "answer_malformed");
+        expect_broken(fake_behaviour::answer_other_request, "answer_mismatched");
+        expect_broken(fake_behaviour::never_answer, "upstream_timeout");
+        upstreams_.back()->behaviour = fake_behaviour::answer;
+        CPPUNIT_ASSERT_EQUAL(200U, call_and_wait(*entry_)->status());
+    }
+
+    void an_idempotent_request_is_answered_by_another_upstream()
+    {
+        add_upstream().behaviour = fake_behaviour::close_unanswered;
+        add_upstream().behaviour = fake_behaviour::answer;
+        CPPUNIT_ASSERT_EQUAL(200U, call_and_wait(*entry_)->status());
+        CPPUNIT_ASSERT_EQUAL(200U, call_and_wait(*entry_)->status());
+        CPPUNIT_ASSERT(upstreams_.front()->received > 0);
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint64_t{upstreams_.front()->received},
+            entry_->counted("galenaturn_retries_total{reason=\"connection_lost\"}"));
+    }
+
+    void a_request_that_may_have_run_is_not_sent_twice()
+    {
+        add_upstream().behaviour = fake_behaviour::close_unanswered;
+        add_upstream().behaviour = fake_behaviour::close_unanswered;
+        call_options options;
+        options.method = http::verb::post;
+        options.body = "charge 7";
+        const auto call = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(std::string{"upstream_failed"}, call->reason());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstreams_[0]->received + upstreams_[1]->received);
+    }
+
+    void a_request_that_did_not_run_is_sent_again()
+    {
+        add_upstream().behaviour = fake_behaviour::refuse_not_run;
+        add_upstream().kill();
+        call_options options;
+        options.method = http::verb::post;
+        const auto refused = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(std::string{"true"}, refused->header("Galenaturn-Not-Run"));
+        add_upstream().behaviour = fake_behaviour::answer;
+        CPPUNIT_ASSERT_EQUAL(200U, call_and_wait(*entry_, options)->status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstreams_[2]->received);
+    }
+
+    void an_upstream_that_leaves_gets_nothing_new()
+    {
+        auto& leaving = add_upstream();
+        auto& staying = add_upstream();
+        leaving.delay = std::chrono::milliseconds{50};
+        staying.delay = std::chrono::milliseconds{50};
+        const auto first = send_call(*entry_);
+        const auto second = send_call(*entry_);
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return leaving.busy + staying.busy == 2; }));
+        announce(leaving, 2, true);
+        const auto before = leaving.received;
+        for (int round = 0; round < 5; ++round)
+            CPPUNIT_ASSERT_EQUAL(200U, call_and_wait(*entry_)->status());
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return first->answer && second->answer; }));
+        CPPUNIT_ASSERT_EQUAL(200U, first->status());
+        CPPUNIT_ASSERT_EQUAL(200U, second->status());
+        CPPUNIT_ASSERT_EQUAL(before, leaving.received);
+    }
+
+    void slots_and_connections_are_never_exceeded()
+    {
+        auto& upstream = add_upstream(2);
+        upstream.delay = std::chrono::milliseconds{2};
+        std::vector<std::shared_ptr<pending_call>> calls;
+        calls.reserve(15);
+        for (int number = 0; number < 15; ++number) {
+            call_options options;
+            options.method = number % 2 == 0 ? http::verb::get : http::verb::post;
+            options.body = "request " + std::to_string(number);
+            calls.push_back(send_call(*entry_, options));
+        }
+        CPPUNIT_ASSERT(run_until(*entry_, [&] {
+            return std::all_of(calls.begin(), calls.end(), [](auto& call) { return call->answer; });
+        }));
+        for (std::size_t number = 0; number < calls.size(); ++number)
+            CPPUNIT_ASSERT_EQUAL("answer to request " + std::to_string(number),
+                                 calls[number]->answer->value().body());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, upstream.most_busy);
+        CPPUNIT_ASSERT(upstream.most_connections <= upstream.connection_limit);
+    }
+
+    void a_full_queue_and_a_used_up_rate_refuse_at_once()
+    {
+        auto& upstream = add_upstream(1);
+        upstream.behaviour = fake_behaviour::never_answer;
+        std::vector<std::shared_ptr<pending_call>> calls(30);
+        for (auto& call : calls)
+            call = send_call(*entry_);
+        // One runs and twenty wait.
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return entry_->refused("queue_full") == 9; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.most_busy);
+        call_options options;
+        options.owner = "slow";
+        const auto first = send_call(*entry_, options);
+        const auto second = send_call(*entry_, options);
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return first->answer || second->answer; }));
+        const auto& refused = first->answer ? *first : *second;
+        CPPUNIT_ASSERT_EQUAL(std::string{"owner_rate"}, refused.reason());
+        CPPUNIT_ASSERT_EQUAL(429U, refused.status());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, refused.header("Retry-After"));
+    }
+
+    void a_request_that_cannot_start_in_time_is_answered_at_its_latest_start()
+    {
+        auto& upstream = add_upstream(1);
+        upstream.delay = std::chrono::seconds{2};
+        const auto first = send_call(*entry_);
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return upstream.busy == 1; }));
+        call_options options;
+        options.timeout = "50ms";
+        const auto second = call_and_wait(*entry_, options);
+        CPPUNIT_ASSERT_EQUAL(std::string{"deadline_passed"}, second->reason());
+        CPPUNIT_ASSERT(!first->answer);
+        CPPUNIT_ASSERT_EQUAL(std::string{"true"}, second->header("Galenaturn-Not-Run"));
+        CPPUNIT_ASSERT(!second->header("Retry-After").empty());
+    }
+
+    void a_stopping_entry_refuses_as_not_run_and_ends_what_it_has()
+    {
+        auto& upstream = add_upstream();
+        upstream.delay = std::chrono::milliseconds{50};
+        const auto before = send_call(*entry_);
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return upstream.busy == 1; }));
+        entry_->shared.accepting = false;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry_->shared.work_in_progress.front()());
+        expect_not_run({}, 503, "leaving");
+        CPPUNIT_ASSERT(run_until(*entry_, [&] { return before->answer.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(200U, before->status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entry_->shared.work_in_progress.front()());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_service_test);
+
+} // namespace galenaturn
