--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -1,4 +1,5 @@
 #include "controlhub.h"
+#include "ledgerservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -6,8 +7,9 @@
 {
     using namespace galenaturn;
     controld::control_hub hub;
-    return daemon::run(argc, argv, process_role::control, [&hub](daemon::context& /*shared*/) {
+    return daemon::run(argc, argv, process_role::control, [&hub](daemon::context& shared) {
         std::vector<std::unique_ptr<daemon::service>> services;
+        services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
         return services;
     });
 }
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -27,11 +27,30 @@
     co_return http::make_response(http::status::ok, std::move(text), "text/plain; charset=utf-8");
 }
 
+/** Returns what every part of this process says of itself. */
+process_status current_status(const context& shared)
+{
+    process_status status;
+    status.self = shared.settings.self;
+    status.ready = shared.ready;
+    status.accepting = shared.accepting;
+    for (const auto& fill : shared.status_parts)
+        fill(status);
+    return status;
+}
+
 void add_process_routes(context& shared)
 {
     shared.routes.add(http::verb::get, "/healthz", [](http::call&) { return answer_text("ok\n"); });
     shared.routes.add(http::verb::get, "/metrics",
                       [&shared](http::call&) { return answer_text(shared.metrics.text()); });
+    shared.routes.add(http::verb::get, "/v1/status",
+                      [&shared](http::call&) -> boost::asio::awaitable<http::response> {
+                          co_return http::make_response(
+                              http::status::ok,
+                              status_json(current_status(shared), shared.settings),
+                              "application/json");
+                      });
     shared.routes.add(
         http::verb::get, "/readyz",
         [&shared](http::call&) -> boost::asio::awaitable<http::response> {
@@ -42,6 +61,32 @@
         });
 }
 
+/** Reads `refused_domains` anew from the settings file. Other settings need a restart. */
+void reload_refused_domains(context& shared)
+{
+    settings_builder builder;
+    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(FLAGS_settings);
+    const auto settings = builder.build(shared.settings.self.role);
+    if (!settings) {
+        log_event(log_level::error, "reload_refused", {{"findings", builder.problems().text()}});
+        return;
+    }
+    shared.channels.refused_domains = settings.value().refused_domains;
+    log_event(log_level::warning, "refused_domains_changed",
+              {{"count", shared.channels.refused_domains.size()}});
+}
+
+/** Calls reload_refused_domains at each SIGHUP. */
+void watch_reload(context& shared, boost::asio::signal_set& signals)
+{
+    signals.async_wait([&shared, &signals](const boost::system::error_code& error, int) {
+        if (error)
+            return;
+        reload_refused_domains(shared);
+        watch_reload(shared, signals);
+    });
+}
+
 /** Opens the listeners and starts the services. Returns false after logging why not. */
 bool open(context& shared, http::server& server, wire::frame_server& peers,
           std::vector<std::unique_ptr<service>>& services)
@@ -90,6 +135,8 @@
         if (!error)
             life.request_stop();
     });
+    boost::asio::signal_set reloads{shared.io, SIGHUP};
+    watch_reload(shared, reloads);
     life.started();
     shared.io.run();
     log_event(log_level::info, "daemon_stopped", {{"cut_off", life.cut_off()}});
