--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -3,6 +3,7 @@
 #include "entryhub.h"
 #include "gossipservice.h"
 #include "operatorservice.h"
+#include "requestservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -17,6 +18,7 @@
         services.push_back(
             std::make_unique<entryd::operator_service>(shared, hub, entryd::ledger_of(shared)));
         services.push_back(std::make_unique<entryd::catalogue_service>(shared, hub));
+        services.push_back(std::make_unique<entryd::request_service>(shared, hub));
         // Last, since its start publishes to the services above.
         services.push_back(std::move(gossip));
         return services;
