entryd, galenaturn: a start that is repeated with the same span is a resend

A deadline such as 2h names another time whenever the command is repeated, so the second start was refused as another task. The entry now turns the span into a time and compares job, demand and, where it was given as a time, the deadline. control processes add version and ledger to /v1/status.

--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -53,6 +53,14 @@
     hub_.submit = [this](wire::command body, time_point deadline) {
         return submit(std::move(body), deadline);
     };
+    shared_.status_parts.emplace_back([this](daemon::process_status& process) {
+        if (!runner_.running())
+            return;
+        const auto& document = ledger::catalogue_in_force(state_);
+        process.version = document.version;
+        process.digest = document.digest;
+        process.ledger = status();
+    });
     add_frames();
 }
 
--- a/src/entryd/operatorjson.cpp
+++ b/src/entryd/operatorjson.cpp
@@ -191,25 +191,35 @@
                                         {"learners", std::move(learners)}});
 }
 
-wire::start_task parse_start(const task_id& id, const std::string& body, wall_time now,
-                             findings& found)
+start_order parse_start(const task_id& id, const std::string& body, wall_time now, findings& found)
 {
-    wire::start_task start;
-    start.id = id;
-    start.submitted = now;
+    start_order order;
+    order.start.id = id;
+    order.start.submitted = now;
     boost::system::error_code error;
     const auto document = json::parse(body, error);
     if (error || !document.is_object()) {
         found.add({"request body", 0, 0}, "not a JSON object", "write {\"job\": \"NAME\"}");
-        return start;
+        return order;
     }
     json_reader reader{document.get_object(), found};
-    start.job = job_id{reader.text("job", true)};
-    start.deadline = parse_task_deadline(reader.text("deadline", false), now, reader);
+    order.start.job = job_id{reader.text("job", true)};
+    const auto deadline = reader.text("deadline", false);
+    order.start.deadline = parse_task_deadline(deadline, now, reader);
+    order.relative_deadline = parse_duration(deadline).has_value();
     if (const auto* demand = reader.object("demand"))
-        start.demand = parse_demand(*demand, found);
+        order.start.demand = parse_demand(*demand, found);
     reader.finish();
-    return start;
+    return order;
+}
+
+bool is_resend(const start_order& order, const wire::task_record& known)
+{
+    const auto& start = order.start;
+    const bool same_deadline =
+        order.relative_deadline ? known.deadline != wall_time{} : known.deadline == start.deadline;
+    return known.job == start.job && same_deadline &&
+           (!start.demand || *start.demand == known.demand);
 }
 
 http::response make_findings_problem(const std::string& reason, const findings& found)
--- a/src/entryd/operatorjson.h
+++ b/src/entryd/operatorjson.h
@@ -18,12 +18,20 @@
 std::string outcome_json(const wire::command_response& response);
 std::string ledger_json(const wire::ledger_status& ledger);
 
+/** What an operator asked to start. */
+struct start_order {
+    wire::start_task start;
+    /** Whether the deadline was given as a span, so that each resend names another time. */
+    bool relative_deadline{false};
+};
+
 /**
  * Parses {"job", "deadline", "demand": {"processors", "memory", "accelerators"}}; `now` is the
  * moment from which a relative deadline counts. Every problem goes to `found`.
  */
-wire::start_task parse_start(const task_id& id, const std::string& body, wall_time now,
-                             findings& found);
+start_order parse_start(const task_id& id, const std::string& body, wall_time now, findings& found);
+/** Returns whether `order` is a resend of the start that made `known`. */
+bool is_resend(const start_order& order, const wire::task_record& known);
 
 /** Returns the refusal of a document whose problems are `found`. */
 http::response make_findings_problem(const std::string& reason, const findings& found);
--- a/src/entryd/operatorservice.cpp
+++ b/src/entryd/operatorservice.cpp
@@ -266,29 +266,38 @@
         co_return refuse({http::status::bad_request, "invalid_task_id",
                           "use 1 to 128 letters, digits, '-', '_', '.' or ':'", 0, true});
     findings found;
-    auto start = parse_start(id, incoming.message.body(), wall_now(), found);
+    const auto order = parse_start(id, incoming.message.body(), wall_now(), found);
     if (!found.empty()) {
         refusals_["invalid_task"]->add();
         co_return make_findings_problem("invalid_task", found);
     }
-    wire::command_request request{id_of(incoming), std::move(start)};
+    wire::command_request request{id_of(incoming), order.start};
     const auto response =
         co_await ledger_.submit(std::move(request), monotonic_now() + ledger_limit);
-    if (response.status == wire::command_status::accepted ||
-        response.status == wire::command_status::duplicate) {
-        const bool created = response.status == wire::command_status::accepted;
-        const auto found_task =
-            co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
-        co_return answer_task(found_task, id, created ? http::status::created : http::status::ok);
-    }
-    if (response.status == wire::command_status::conflict)
-        co_return refuse({http::status::conflict, "task_conflict",
-                          "this id belongs to a task with other content: " + response.reason, 0,
-                          true});
-    if (response.status == wire::command_status::rejected)
-        co_return refuse(
+    if (response.status == wire::command_status::unavailable ||
+        response.status == wire::command_status::unknown)
+        co_return refuse_undecided(response);
+    auto question = task_query(id);
+    const auto known = co_await ledger_.ask(std::move(question), monotonic_now() + ledger_limit);
+    co_return answer_start(order, response, known);
+}
+
+http::response operator_service::answer_start(const start_order& order,
+                                              const wire::command_response& response,
+                                              const wire::query_response& known)
+{
+    const auto& id = order.start.id;
+    if (response.status == wire::command_status::accepted)
+        return answer_task(known, id, http::status::created);
+    if (response.status == wire::command_status::duplicate)
+        return answer_task(known, id, http::status::ok);
+    if (known.status != wire::query_status::found || known.tasks.empty())
+        return refuse(
             {http::status::unprocessable_entity, "ledger_refused", response.reason, 0, true});
-    co_return refuse_undecided(response);
+    if (is_resend(order, known.tasks.front()))
+        return answer_task(known, id, http::status::ok);
+    return refuse({http::status::conflict, "task_conflict",
+                   "this id belongs to a task with another job, deadline or demand", 0, true});
 }
 
 http::response operator_service::answer_task(const wire::query_response& response,
@@ -305,7 +314,8 @@
 {
     requests_.add();
     const task_id id{incoming.parameters["id"]};
-    const auto response = co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
+    auto question = task_query(id);
+    const auto response = co_await ledger_.ask(std::move(question), monotonic_now() + ledger_limit);
     co_return answer_task(response, id, http::status::ok);
 }
 
@@ -333,7 +343,8 @@
     if (response.status == wire::command_status::unavailable ||
         response.status == wire::command_status::unknown)
         co_return refuse_undecided(response);
-    const auto known = co_await ledger_.ask(task_query(id), monotonic_now() + ledger_limit);
+    auto question = task_query(id);
+    const auto known = co_await ledger_.ask(std::move(question), monotonic_now() + ledger_limit);
     const bool done = response.status == wire::command_status::accepted ||
                       response.status == wire::command_status::duplicate;
     if (done || known.status == wire::query_status::not_found)
--- a/src/entryd/operatorservice.h
+++ b/src/entryd/operatorservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entryhub.h"
+#include "operatorjson.h"
 
 #include <galenaturn/daemon.h>
 
@@ -44,6 +45,8 @@
     answer end_task(http::call& incoming, bool stop);
     answer get_ledger(http::call& incoming);
 
+    http::response answer_start(const start_order& order, const wire::command_response& response,
+                                const wire::query_response& known);
     http::response answer_task(const wire::query_response& response, const task_id& id,
                                http::status code);
     http::response refuse(const http::problem& details);
--- a/src/galenaturn/arguments.cpp
+++ b/src/galenaturn/arguments.cpp
@@ -105,8 +105,8 @@
         if (!deadline || *deadline <= now)
             add(found, "--deadline is '" + FLAGS_deadline + "'",
                 "write a later time such as 2026-03-05T18:00:00Z or a span such as 2h");
-        flags.deadline = deadline.value_or(wall_time{});
     }
+    flags.deadline = FLAGS_deadline;
     flags.owner = FLAGS_owner;
     flags.author = FLAGS_author;
     flags.request_id = FLAGS_request_id;
@@ -167,7 +167,7 @@
   galenaturn task show ID                   print phase, outcome and reason
   galenaturn task list [--owner OWNER] [--limit N]
   galenaturn status                         print each process, its version in force and the ledger
-  galenaturn members                        print the processes that an entry believes alive
+  galenaturn members                        print the processes of the deployment
   galenaturn upstreams                      print the upstreams that an entry knows
 
   --entries IP:PORT,...   entries, tried in turn; default: GALENATURN_ENTRIES
--- a/src/galenaturn/arguments.h
+++ b/src/galenaturn/arguments.h
@@ -28,7 +28,8 @@
     bool expected_given{false};
     catalogue_version version_number;
     std::string job;
-    wall_time deadline;
+    /** A time or a span from now; the entry turns a span into a time. */
+    std::string deadline;
     std::string owner;
     std::string author;
     std::string request_id;
--- a/src/galenaturn/statuscommands.cpp
+++ b/src/galenaturn/statuscommands.cpp
@@ -110,7 +110,7 @@
 exit_code show_members(const arguments& given, output out)
 {
     return show_list(given, out, "/v1/members", "members",
-                     {"name", "role", "failure_domain", "state", "incarnation"});
+                     {"name", "role", "failure_domain", "region"});
 }
 
 exit_code show_upstreams(const arguments& given, output out)
--- a/src/galenaturn/taskcommands.cpp
+++ b/src/galenaturn/taskcommands.cpp
@@ -67,8 +67,8 @@
         return exit_code::bad_usage;
     }
     json::object body{{"job", flags.job}};
-    if (flags.deadline != wall_time{})
-        body["deadline"] = format_wall_time(flags.deadline);
+    if (!flags.deadline.empty())
+        body["deadline"] = flags.deadline;
     entry_client client{flags.entries, flags.timeout, flags.request_id};
     const auto answer = client.send(http::verb::put, task_target(given), json::serialize(body));
     if (answer.status == 200 && !flags.json)
--- a/tests/product/argumentstest.cpp
+++ b/tests/product/argumentstest.cpp
@@ -31,7 +31,7 @@
         CPPUNIT_ASSERT(given.words == (std::vector<std::string>{"task", "start", "id-1"}));
         CPPUNIT_ASSERT(given.flags.json);
         CPPUNIT_ASSERT_EQUAL(std::string{"run"}, given.flags.job);
-        CPPUNIT_ASSERT(given.flags.deadline == wall_time{std::chrono::hours{24 * 365 + 2}});
+        CPPUNIT_ASSERT_EQUAL(std::string{"2h"}, given.flags.deadline);
     }
 
     void every_bad_flag_is_reported_in_one_pass()
--- a/tests/product/fakeledger.cpp
+++ b/tests/product/fakeledger.cpp
@@ -34,8 +34,7 @@
             response.status = command_status::duplicate;
         return response;
     }
-    auto response =
-        std::visit([this](const auto& body) { return apply_body(body); }, request.body);
+    auto response = std::visit([this](const auto& body) { return apply_body(body); }, request.body);
     done_.emplace(request.id, response);
     return response;
 }
@@ -60,8 +59,9 @@
     command_response response;
     const auto known = tasks.find(start.id);
     if (known != tasks.end()) {
-        response.status =
-            known->second.job == start.job ? command_status::duplicate : command_status::conflict;
+        const bool same =
+            known->second.job == start.job && known->second.deadline == start.deadline;
+        response.status = same ? command_status::duplicate : command_status::rejected;
         return response;
     }
     if (start.job.value() == "unknown") {
--- a/tests/product/operatoredgetest.cpp
+++ b/tests/product/operatoredgetest.cpp
@@ -178,8 +178,10 @@
         const std::string body = R"({"job": "run", "deadline": "2h"})";
         CPPUNIT_ASSERT_EQUAL(201U, edge.send(http::verb::put, "/v1/tasks/night-1", body).status);
         CPPUNIT_ASSERT_EQUAL(200U, edge.send(http::verb::put, "/v1/tasks/night-1", body).status);
-        CPPUNIT_ASSERT_EQUAL(
-            409U, edge.send(http::verb::put, "/v1/tasks/night-1", R"({"job": "other"})").status);
+        for (const auto* other : {R"({"job": "other", "deadline": "2h"})", R"({"job": "run"})",
+                                  R"({"job": "run", "deadline": "2099-01-01T00:00:00Z"})"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                other, 409U, edge.send(http::verb::put, "/v1/tasks/night-1", other).status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, edge.ledger.tasks.size());
     }
 
