--- a/src/libcore/walltime.cpp
+++ b/src/libcore/walltime.cpp
@@ -33,7 +33,8 @@
 std::optional<wall_time> parse_wall_time(std::string_view text)
 {
     static const std::regex pattern{
-        R"((\d{4}-\d{2}-\d{2}T\d{2}:\d{2}:\d{2}(?:\.\d{1,6})?)(?:Z|([+-])(\d{2}):(\d{2})))"};
+        R"((\d{4}-\d{2}-\d{2}T(?:[01]\d|2[0-3]):[0-5]\d:[0-5]\d(?:\.\d{1,6})?))"
+        R"((?:Z|([+-])((?:[01]\d|2[0-3])):([0-5]\d)))"};
     std::cmatch parts;
     if (!std::regex_match(text.data(), text.data() + text.size(), parts, pattern))
         return {};
