--- a/include/galenaturn/messages.h
+++ b/include/galenaturn/messages.h
@@ -5,6 +5,7 @@
 #include "libwire/announcements.h"
 #include "libwire/codec.h"
 #include "libwire/commands.h"
+#include "libwire/digest.h"
 #include "libwire/frame.h"
 #include "libwire/voterchange.h"
 #include "libwire/wireerrors.h"
