--- a/src/libledger/ledgerstate.h
+++ b/src/libledger/ledgerstate.h
@@ -42,12 +42,14 @@
 /** The outcome of a catalogue write, for a resend of the same request. */
 struct recorded_write {
     request_id id;
+    /** Of the document that the request carried. */
+    std::string digest;
     wire::command_response outcome;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(id, outcome);
+        archive(id, digest, outcome);
     }
 };
 
