--- a/src/libledger/statemachine.cpp
+++ b/src/libledger/statemachine.cpp
@@ -94,6 +94,9 @@
     if (const auto* write = std::get_if<wire::write_catalogue>(&request.body)) {
         if (write->document.size() > largest_document)
             return make_response(command_status::rejected, "the document is larger than 2 MiB");
+        if (write->digest != wire::content_digest(write->document))
+            return make_response(command_status::rejected,
+                                 "the digest is not that of the document");
         findings found;
         parse_catalogue(write->document, "catalogue", found);
         if (!found.empty())
--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -238,6 +238,13 @@
 
 /** A command with the id under which a resend has one effect. */
 struct command_request {
+    // Constructors, because g++ 12 destroys aggregates in the operand of co_await twice.
+    command_request() = default;
+    command_request(request_id request, command content)
+        : id{std::move(request)}, body{std::move(content)}
+    {
+    }
+
     request_id id;
     command body;
 
@@ -336,6 +343,10 @@
     std::variant<get_catalogue, list_catalogue_history, get_task, list_tasks, get_ledger_status>;
 
 struct query_request {
+    // Constructors, because g++ 12 destroys aggregates in the operand of co_await twice.
+    query_request() = default;
+    query_request(query content, bool stale) : body{std::move(content)}, stale_allowed{stale} {}
+
     query body;
     bool stale_allowed{false};
 
