--- a/src/libschedule/placement.cpp
+++ b/src/libschedule/placement.cpp
@@ -1,12 +1,14 @@
 #include "placement.h"
 
 #include "faileddemands.h"
+#include "reactions.h"
 #include "steward.h"
 #include "taskchart.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 
 namespace galenaturn::schedule {
 
@@ -24,6 +26,16 @@
 constexpr double failed_here_cost = 10.0;
 constexpr double imbalance_cost = 0.5;
 constexpr double packing_cost = 0.3;
+/** Cost of each worker failure that is not yet enough to set the worker aside. */
+constexpr double worker_failure_cost = 1.0;
+constexpr double latency_cost = 4.0;
+/** Expected latency in relation to the objective, from which on it costs. */
+constexpr double free_latency = 0.7;
+/** Batch work goes beside a service only where even a bad guess keeps the objective... */
+constexpr double highest_latency = 1.0;
+/** ...unless it is late. */
+constexpr double highest_latency_when_late = 1.15;
+constexpr std::chrono::minutes late_after{10};
 
 double share(std::int64_t part, std::int64_t whole)
 {
@@ -62,6 +74,22 @@
     return cost;
 }
 
+/** What the placement is expected to do to services; nothing where it must not be made. */
+std::optional<double> latency_score(const steward_state& steward, const worker_entry& worker,
+                                    const task_entry& task, time_point now)
+{
+    const auto worst = worst_latency(steward, worker, task, now);
+    const auto pessimistic = worst.mean + worst.deviation;
+    const bool service = task.record.task_class == work_class::interactive;
+    const bool late = now > task.waiting_since + late_after;
+    const auto limit = late ? highest_latency_when_late : highest_latency;
+    const bool measured_slow = worker.latency_ratio > limit && !worker.history.empty();
+    const bool has_service = worst.mean > 0;
+    if (!service && !task.record.urgent && has_service && (pessimistic > limit || measured_slow))
+        return {};
+    return latency_cost * std::max(0.0, pessimistic - free_latency);
+}
+
 std::size_t search_start(const task_entry& task)
 {
     return std::hash<task_id>{}(task.record.id) + task.placements;
@@ -80,9 +108,35 @@
     return wait_reason::none;
 }
 
+/** Returns a worker that is kept for the task, or waits for it as its probe, and has the room. */
+worker_entry* kept_worker(steward_state& steward, const task_entry& task, time_point now)
+{
+    const bool may_probe =
+        task.record.task_class == work_class::batch && !task.record.urgent && task.failures == 0;
+    for (const auto& id : steward.special_workers) {
+        auto& worker = steward.workers.at(id);
+        const bool held = worker.held_for == task.record.id;
+        const bool probe = may_probe && worker.health.quarantined && worker.health.probe.empty() &&
+                           now >= worker.health.probe_at;
+        const bool usable = !worker.silent && !worker.leaving;
+        if ((held || probe) && usable && fits(task.reserved, worker.capacity - worker.reserved))
+            return &worker;
+    }
+    return nullptr;
+}
+
+void find_special_workers(steward_state& steward)
+{
+    steward.special_workers.clear();
+    for (const auto& [id, worker] : steward.workers) {
+        if (!worker.held_for.empty() || worker.health.quarantined)
+            steward.special_workers.push_back(id);
+    }
+}
+
 } // namespace
 
-placement_choice choose_worker(steward_state& steward, const task_entry& task, time_point /*now*/)
+placement_choice choose_worker(steward_state& steward, const task_entry& task, time_point now)
 {
     std::vector<std::size_t> slots;
     slots.reserve(candidate_limit);
@@ -91,7 +145,13 @@
     double least = std::numeric_limits<double>::max();
     for (const auto slot : slots) {
         auto& worker = steward.workers.at(steward.slots[slot]);
-        double cost = packing_score(worker, task) + spread_score(steward, worker, task);
+        const auto latency = latency_score(steward, worker, task, now);
+        if (!latency) {
+            choice.refused = wait_reason::would_slow_service;
+            continue;
+        }
+        double cost = *latency + packing_score(worker, task) + spread_score(steward, worker, task) +
+                      worker_failure_cost * worker.health.failures;
         if (task.failed_on.contains(worker.id))
             cost += failed_here_cost;
         if (cost < least) {
@@ -99,7 +159,9 @@
             choice.worker = &worker;
         }
     }
-    if (choice.worker == nullptr)
+    if (choice.worker != nullptr)
+        choice.refused = wait_reason::none;
+    else if (slots.empty())
         choice.refused =
             steward.workers.empty() ? wait_reason::no_worker : wait_reason::no_capacity;
     return choice;
@@ -110,6 +172,7 @@
     ++task.placements;
     task.placement = placement_epoch(task.record.assignment, steward.stewardship, task.placements);
     task.inherited = false;
+    task.resumed = task.record.checkpoint.has_value();
     task.seen = false;
     task.placed_life = worker.life;
     task.worker = worker.id;
@@ -121,6 +184,12 @@
     GN_INVARIANT(apply_task_event(steward, task, "place", now), {"task", task.record.id},
                  {"state", task.state});
     ++steward.counters.placements;
+    if (worker.health.quarantined)
+        worker.health.probe = task.record.id;
+    if (worker.held_for == task.record.id) {
+        worker.held_for = task_id{};
+        update_index(steward, worker);
+    }
 }
 
 void place_waiting(steward_state& steward, time_point now)
@@ -129,6 +198,7 @@
         return;
     steward.queue_changed = false;
     steward.next_queue_pass = now + queue_pass_interval;
+    find_special_workers(steward);
     failed_demands failed;
     std::size_t placed = 0;
     for (auto place = steward.queue.begin(); place != steward.queue.end();) {
@@ -137,18 +207,22 @@
         task.waits_for = blocked_by(steward, task, now);
         if (task.waits_for != wait_reason::none)
             continue;
-        if (failed.covers(task.reserved)) {
+        auto* kept = kept_worker(steward, task, now);
+        if (kept == nullptr && failed.covers(task.reserved)) {
             task.waits_for = wait_reason::no_capacity;
             continue;
         }
-        const auto choice = choose_worker(steward, task, now);
-        if (choice.worker == nullptr) {
+        const auto choice =
+            kept != nullptr ? placement_choice{kept} : choose_worker(steward, task, now);
+        auto* worker = kept != nullptr ? kept : choice.worker;
+        if (worker == nullptr) {
             task.waits_for = choice.refused;
             ++steward.counters.placements_refused;
-            failed.add(task.reserved);
+            if (choice.refused == wait_reason::no_capacity)
+                failed.add(task.reserved);
             continue;
         }
-        place_task(steward, task, *choice.worker, now);
+        place_task(steward, task, *worker, now);
         if (++placed == placements_a_pass) {
             steward.queue_changed = true;
             return;
--- /dev/null
+++ b/src/libschedule/reactions.cpp
@@ -0,0 +1,240 @@
+#include "reactions.h"
+
+#include "steward.h"
+#include "taskchart.h"
+
+#include <algorithm>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/** Late measurements are matched with what ran at most this long ago. */
+constexpr seconds history_kept{90};
+/** In relation to the objective: above is too slow, below leaves room for more. */
+constexpr double too_slow = 1.0;
+constexpr double comfortable = 0.8;
+/** One slow measurement may be chance. */
+constexpr std::uint32_t samples_before_reaction = 2;
+constexpr std::uint32_t samples_before_restoring = 6;
+constexpr std::int64_t throttle_percent = 40;
+/** A task is not evicted again so soon, unless nothing else is left. */
+constexpr minutes eviction_guard{10};
+constexpr double guarded_cost = 1e6;
+constexpr std::uint32_t most_guarded_evictions = 2;
+
+bool is_batch(const task_entry& task)
+{
+    return task.record.task_class == work_class::batch;
+}
+
+bool is_service(const task_entry& task)
+{
+    return task.record.task_class == work_class::interactive;
+}
+
+double processor_share(const steward_state& steward, const worker_entry& worker,
+                       const task_entry& task)
+{
+    auto used = expected_processors(steward.sizes, task.record.job, task.record.demand.processors);
+    if (task.state == "throttled")
+        used = std::min(used, task.throttled_to);
+    return static_cast<double>(used.value()) /
+           static_cast<double>(std::max<std::int64_t>(worker.capacity.processors.value(), 1));
+}
+
+/** Returns the objective of the services on the worker that is hardest to meet. */
+duration tightest_objective(const steward_state& steward, const std::vector<owner_id>& owners)
+{
+    duration tightest{};
+    for (const auto& owner : owners) {
+        const auto found = steward.objectives.find(owner);
+        if (found != steward.objectives.end() &&
+            (tightest == duration{} || found->second < tightest))
+            tightest = found->second;
+    }
+    return tightest;
+}
+
+const occupancy* occupancy_at(const worker_entry& worker, time_point when)
+{
+    const occupancy* found = nullptr;
+    for (const auto& entry : worker.history) {
+        if (entry.since <= when)
+            found = &entry;
+    }
+    return found;
+}
+
+/** The batch task whose restraint helps most for what it costs. */
+task_entry* choose_culprit(steward_state& steward, const worker_entry& worker,
+                           const occupancy& then, time_point now)
+{
+    task_entry* chosen = nullptr;
+    double best = 0;
+    for (const auto& id : worker.tasks) {
+        auto& task = steward.tasks.at(id);
+        const bool ran_then =
+            std::find(then.tasks.begin(), then.tasks.end(), id) != then.tasks.end();
+        const bool can_act = task.state == "running" || task.state == "throttled";
+        if (!is_batch(task) || !ran_then || !can_act || task.record.urgent)
+            continue;
+        double harm = 0;
+        for (const auto& service : then.services)
+            harm += std::max(effect_of(steward.interference, service, task.record.job, now).mean,
+                             0.01) *
+                    processor_share(steward, worker, task);
+        const double cost = 1 + eviction_cost(task, now);
+        if (harm / cost > best) {
+            best = harm / cost;
+            chosen = &task;
+        }
+    }
+    return chosen;
+}
+
+void restrain(steward_state& steward, worker_entry& worker, const occupancy& then, time_point now)
+{
+    auto* culprit = choose_culprit(steward, worker, then, now);
+    if (culprit == nullptr)
+        return;
+    worker.last_reaction = now;
+    if (culprit->state == "running") {
+        culprit->throttled_to =
+            millicores{culprit->reserved.processors.value() * throttle_percent / 100};
+        apply_task_event(steward, *culprit, "throttle", now);
+        ++steward.counters.throttles;
+        return;
+    }
+    order_eviction(steward, *culprit, eviction_reason::service_tail, now);
+}
+
+void restore_one(steward_state& steward, worker_entry& worker, time_point now)
+{
+    for (const auto& id : worker.tasks) {
+        auto& task = steward.tasks.at(id);
+        if (!apply_task_event(steward, task, "unthrottle", now))
+            continue;
+        worker.last_reaction = now;
+        return;
+    }
+}
+
+} // namespace
+
+double eviction_cost(const task_entry& task, time_point now)
+{
+    const auto since = std::max(task.started, task.last_checkpoint);
+    const auto lost = std::chrono::duration<double>(now - since).count();
+    const double processors = static_cast<double>(task.reserved.processors.value()) / 1000;
+    return std::max(lost, 0.0) * processors + (is_guarded(task, now) ? guarded_cost : 0);
+}
+
+bool is_guarded(const task_entry& task, time_point now)
+{
+    return task.evictions >= most_guarded_evictions && now < task.last_eviction + eviction_guard;
+}
+
+void note_occupancy(steward_state& steward, worker_entry& worker, time_point now)
+{
+    occupancy present;
+    present.since = now;
+    for (const auto& id : worker.tasks) {
+        const auto& task = steward.tasks.at(id);
+        if (!task.seen)
+            continue;
+        present.tasks.push_back(id);
+        if (is_service(task)) {
+            present.services.push_back(task.record.job);
+            present.owners.push_back(task.record.owner);
+        }
+        else {
+            present.neighbours.push_back({task.record.job, processor_share(steward, worker, task)});
+        }
+    }
+    worker.history.push_back(std::move(present));
+    while (worker.history.size() > 1 && worker.history.front().since < now - history_kept)
+        worker.history.pop_front();
+}
+
+void take_latency(steward_state& steward, worker_entry& worker, duration latency, duration age,
+                  time_point now)
+{
+    const auto measured_at = now - age;
+    const auto* then = occupancy_at(worker, measured_at);
+    if (latency == duration{} || then == nullptr || then->services.empty() ||
+        measured_at <= worker.latency_measured)
+        return;
+    const auto objective = tightest_objective(steward, then->owners);
+    if (objective == duration{})
+        return;
+    const double ratio =
+        static_cast<double>(latency.count()) / static_cast<double>(objective.count());
+    worker.latency_ratio = ratio;
+    worker.latency_measured = measured_at;
+    worker.measured_occupancy = *then;
+    for (const auto& service : then->services)
+        learn_latency(steward.interference, service, then->neighbours, ratio, now);
+    // What was measured before the last reaction says nothing of its effect.
+    if (measured_at <= worker.last_reaction && steward.hysteresis)
+        return;
+    worker.high_samples = ratio > too_slow ? worker.high_samples + 1 : 0;
+    worker.low_samples = ratio < comfortable ? worker.low_samples + 1 : 0;
+    react_to_latency(steward, worker, now);
+}
+
+void react_to_latency(steward_state& steward, worker_entry& worker, time_point now)
+{
+    const auto before_reaction = steward.hysteresis ? samples_before_reaction : 1;
+    const auto before_restoring = steward.hysteresis ? samples_before_restoring : 1;
+    if (worker.high_samples >= before_reaction) {
+        worker.high_samples = 0;
+        restrain(steward, worker, worker.measured_occupancy, now);
+    }
+    else if (worker.low_samples >= before_restoring) {
+        worker.low_samples = 0;
+        restore_one(steward, worker, now);
+    }
+}
+
+std::vector<neighbour> batch_neighbours(const steward_state& steward, const worker_entry& worker,
+                                        const task_entry* extra)
+{
+    std::vector<neighbour> found;
+    for (const auto& id : worker.tasks) {
+        const auto& task = steward.tasks.at(id);
+        if (!is_service(task))
+            found.push_back({task.record.job, processor_share(steward, worker, task)});
+    }
+    if (extra != nullptr && !is_service(*extra))
+        found.push_back({extra->record.job, processor_share(steward, worker, *extra)});
+    return found;
+}
+
+latency_estimate worst_latency(const steward_state& steward, const worker_entry& worker,
+                               const task_entry& extra, time_point now)
+{
+    std::vector<job_id> services;
+    for (const auto& id : worker.tasks) {
+        const auto& task = steward.tasks.at(id);
+        if (is_service(task))
+            services.push_back(task.record.job);
+    }
+    if (is_service(extra))
+        services.push_back(extra.record.job);
+    latency_estimate worst;
+    if (services.empty())
+        return worst;
+    const auto neighbours = batch_neighbours(steward, worker, &extra);
+    for (const auto& service : services) {
+        const auto estimate = predict_latency(steward.interference, service, neighbours, now);
+        if (estimate.mean + estimate.deviation > worst.mean + worst.deviation)
+            worst = estimate;
+    }
+    return worst;
+}
+
+} // namespace galenaturn::schedule
--- a/src/libschedule/schedulenames.cpp
+++ b/src/libschedule/schedulenames.cpp
@@ -32,6 +32,8 @@
         return "no_worker";
     case wait_reason::no_capacity:
         return "no_capacity";
+    case wait_reason::would_slow_service:
+        return "would_slow_service";
     case wait_reason::hold_ending:
         return "hold_ending";
     case wait_reason::predecessor_lease:
--- a/src/libschedule/steward.cpp
+++ b/src/libschedule/steward.cpp
@@ -23,7 +23,7 @@
     task = task_entry{};
     task.record = record;
     task.state = steward.chart->initial;
-    task.reserved = record.demand;
+    task.reserved = needed_reservation(steward.sizes, record.job, record.demand);
     task.inherited = inherited;
     task.not_before = inherited ? steward.predecessor_until : now;
     enqueue_task(steward, task, now);
@@ -108,6 +108,9 @@
 {
     steward.jobs = entries.jobs;
     steward.objectives.clear();
+    steward.quotas.clear();
+    for (const auto& [id, entry] : entries.owners)
+        steward.quotas[id] = entry.quota;
     for (const auto& [id, entry] : entries.services) {
         if (entry.latency_objective == duration{})
             continue;
--- a/src/libschedule/steward.h
+++ b/src/libschedule/steward.h
@@ -38,6 +38,10 @@
 /** Orders a running task off its worker, to resume elsewhere. Returns false where it cannot be. */
 bool evict_task(steward_state& steward, task_entry& task, eviction_reason reason, time_point now);
 
+/** Lets a running task take a checkpoint and then evicts it; evicts it at once where it cannot. */
+bool order_eviction(steward_state& steward, task_entry& task, eviction_reason reason,
+                    time_point now);
+
 /** Returns up to `limit` reports for the ledger. They stay until they are accepted. */
 std::vector<wire::report_tasks::item> due_reports(const steward_state& steward, std::size_t limit);
 /** Drops reports that the ledger accepted, unless they changed since. */
--- a/src/libschedule/stewardstate.h
+++ b/src/libschedule/stewardstate.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "capacityindex.h"
+#include "interference.h"
+#include "jobsizes.h"
 #include "leaseterms.h"
 #include "stewardmessages.h"
 
@@ -31,6 +33,7 @@
     none,
     no_worker,
     no_capacity,
+    would_slow_service,
     hold_ending,
     predecessor_lease,
     backing_off,
@@ -83,6 +86,8 @@
     time_point not_before;
     bool inherited{false};
     time_point started;
+    /** Whether it began from a checkpoint. */
+    bool resumed{false};
     /** Processors the worker may use while throttled. */
     millicores throttled_to;
     bool restore_speed{false};
@@ -94,6 +99,12 @@
     time_point waiting_since;
     std::uint32_t evictions{0};
     time_point last_eviction;
+    /** A checkpoint that precedes an eviction is awaited no longer than this. */
+    time_point checkpoint_deadline;
+    time_point last_checkpoint;
+    /** Since when it fits on no worker of the domain, however empty. */
+    time_point unfit_since;
+    wait_reason reported_wait{wait_reason::none};
     std::uint32_t failures{0};
     std::set<worker_id> failed_on;
     resources used;
@@ -106,8 +117,8 @@
 
 /** What a worker's failures say of it. */
 struct worker_health {
-    /** Jobs whose tasks failed here since the last success. */
-    std::map<job_id, std::uint32_t> failures;
+    /** Failures since the last success here that speak against the worker, not the job. */
+    std::uint32_t failures{0};
     bool quarantined{false};
     time_point probe_at;
     duration probe_pause{};
@@ -115,11 +126,21 @@
     task_id probe;
 };
 
+/** What a job's failures say of it. */
+struct job_evidence {
+    /** Workers on which its tasks failed since its last success. */
+    std::set<worker_id> failed_on;
+    bool succeeded{false};
+};
+
 /** Which tasks ran on a worker from some moment on. */
 struct occupancy {
     time_point since;
     std::vector<task_id> tasks;
-    std::vector<job_id> jobs;
+    /** Jobs and owners of the services, and the other tasks as their neighbours. */
+    std::vector<job_id> services;
+    std::vector<owner_id> owners;
+    std::vector<neighbour> neighbours;
 };
 
 /** A worker of this domain. */
@@ -147,11 +168,16 @@
     time_point next_lease_end{time_point::max()};
     worker_health health;
     std::deque<occupancy> history;
-    duration service_latency{};
+    /** Last measured latency in relation to the objective, and what ran then. */
+    double latency_ratio{0};
     time_point latency_measured;
+    occupancy measured_occupancy;
     std::uint32_t high_samples{0};
     std::uint32_t low_samples{0};
     time_point last_reaction;
+    /** The task for which the worker's room is kept, until `held_until`. */
+    task_id held_for;
+    time_point held_until;
 };
 
 /** Counts since the process started, by reason. */
@@ -163,6 +189,7 @@
     std::uint64_t leases_lapsed{0};
     std::uint64_t stale_reports{0};
     std::uint64_t throttles{0};
+    std::uint64_t workers_held{0};
     std::uint64_t quarantines{0};
     std::uint64_t quarantines_capped{0};
     std::uint64_t released{0};
@@ -188,10 +215,20 @@
     /** Jobs and owners as the catalogue in force declares them. */
     std::map<job_id, job_entry> jobs;
     std::map<owner_id, duration> objectives;
+    std::map<owner_id, resources> quotas;
+    /** How many failure domains there are; a task that fits in none is parked. */
+    std::uint32_t domain_count{1};
+    /** Whether reactions wait for measurements made after the last one. */
+    bool hysteresis{true};
+    interference_model interference;
+    job_sizes sizes;
+    std::map<job_id, job_evidence> evidence;
 
     std::map<task_id, task_entry> tasks;
     std::map<worker_id, worker_entry> workers;
     std::vector<worker_id> slots;
+    /** Workers kept for one task, or set aside. */
+    std::vector<worker_id> special_workers;
     /** How many tasks of a job are on a rack. */
     std::map<std::pair<job_id, rack_id>, std::uint32_t> job_racks;
     capacity_index index;
@@ -199,6 +236,9 @@
     /** Set when a waiting task may now fit. */
     bool queue_changed{false};
     time_point next_queue_pass;
+    time_point next_settling;
+    /** Largest amount of each resource that any worker has. */
+    resources largest_capacity;
     /** What the ledger must learn, by task; kept until it has accepted it. */
     std::map<task_id, wire::report_tasks::item> reports;
     /** Dropped tasks that have ended and are to be forgotten. */
--- a/src/libschedule/stewardtick.cpp
+++ b/src/libschedule/stewardtick.cpp
@@ -1,3 +1,4 @@
+#include "displacement.h"
 #include "placement.h"
 #include "steward.h"
 #include "taskchart.h"
@@ -10,6 +11,8 @@
 
 /** A worker that missed this share of a lease gets nothing new until it is heard again. */
 constexpr int silent_lease_share = 2;
+/** An eviction does not wait longer for a checkpoint. */
+constexpr std::chrono::seconds checkpoint_limit{10};
 
 /** Ends the placements whose leases are over: their worker has stopped them by itself. */
 void lapse_leases(steward_state& steward, worker_entry& worker, time_point now)
@@ -31,16 +34,34 @@
     }
 }
 
+/** Evicts what was given time for a checkpoint, and everything from a worker that leaves. */
+void watch_evictions(steward_state& steward, worker_entry& worker, time_point now)
+{
+    for (const auto& id : worker.tasks) {
+        auto& task = steward.tasks.at(id);
+        if (task.state == "checkpointing" && now >= task.checkpoint_deadline)
+            apply_task_event(steward, task, "evict", now);
+        const bool stays =
+            task.state == "running" || task.state == "throttled" || task.state == "starting";
+        if (worker.leaving && stays)
+            order_eviction(steward, task, eviction_reason::worker_leaving, now);
+    }
+}
+
 void watch_workers(steward_state& steward, time_point now)
 {
     for (auto& [id, worker] : steward.workers) {
         const bool silent =
             now > worker.received_at + steward.terms.worker_lease / silent_lease_share;
-        if (silent != worker.silent) {
+        const bool hold_over = !worker.held_for.empty() && now >= worker.held_until;
+        if (hold_over)
+            worker.held_for = task_id{};
+        if (silent != worker.silent || hold_over) {
             worker.silent = silent;
             update_index(steward, worker);
         }
         lapse_leases(steward, worker, now);
+        watch_evictions(steward, worker, now);
     }
 }
 
@@ -82,6 +103,18 @@
     return true;
 }
 
+bool order_eviction(steward_state& steward, task_entry& task, eviction_reason reason,
+                    time_point now)
+{
+    if (!apply_task_event(steward, task, "checkpoint", now))
+        return evict_task(steward, task, reason, now);
+    ++steward.counters.evictions[static_cast<std::size_t>(reason)];
+    ++task.evictions;
+    task.last_eviction = now;
+    task.checkpoint_deadline = now + checkpoint_limit;
+    return true;
+}
+
 void on_tick(steward_state& steward, time_point now)
 {
     if (steward.stewardship == epoch{})
@@ -89,6 +122,7 @@
     watch_workers(steward, now);
     settle_inherited(steward, now);
     place_waiting(steward, now);
+    settle_unplaceable(steward, now);
     forget_dropped(steward, now);
 }
 
--- a/src/libschedule/taskchart.cpp
+++ b/src/libschedule/taskchart.cpp
@@ -50,17 +50,19 @@
     update_index(step.steward, *worker);
 }
 
-duration expected_run_time(const task_step& step)
+duration run_time_of(const task_step& step)
 {
     const auto job = step.steward.jobs.find(step.task.record.job);
-    return job == step.steward.jobs.end() ? duration{} : job->second.expected_run_time;
+    const auto declared =
+        job == step.steward.jobs.end() ? duration{} : job->second.expected_run_time;
+    return expected_run_time(step.steward.sizes, step.task.record.job, declared);
 }
 
 void enqueue(task_step& step)
 {
     step.task.waiting_since = step.now;
     step.task.waits_for = wait_reason::none;
-    step.task.place = make_queue_key(step.task.record, expected_run_time(step));
+    step.task.place = make_queue_key(step.task.record, run_time_of(step));
     step.steward.queue.insert(step.task.place);
     step.steward.queue_changed = true;
 }
@@ -159,7 +161,8 @@
 
 void update_index(steward_state& steward, const worker_entry& worker)
 {
-    const bool closed = worker.silent || worker.leaving || worker.health.quarantined;
+    const bool closed =
+        worker.silent || worker.leaving || worker.health.quarantined || !worker.held_for.empty();
     constexpr resources nothing{millicores{-1}, bytes{-1}, accelerator_count{-1}};
     steward.index.set(worker.slot, closed ? nothing : worker.capacity - worker.reserved);
 }
--- a/src/libschedule/workerreports.cpp
+++ b/src/libschedule/workerreports.cpp
@@ -1,4 +1,5 @@
 #include "failures.h"
+#include "reactions.h"
 #include "steward.h"
 #include "taskchart.h"
 
@@ -33,6 +34,7 @@
     if (!report.checkpoint || task.record.checkpoint == report.checkpoint)
         return;
     task.record.checkpoint = report.checkpoint;
+    task.last_checkpoint = now;
     if (!task.dropped) {
         auto& item = steward.reports[task.record.id];
         item.id = task.record.id;
@@ -50,14 +52,18 @@
 {
     if (report.state == worker_task_state::succeeded) {
         on_task_success(steward, task, worker, now);
+        // A resumed task's last stretch says nothing of the whole run.
+        if (!task.resumed)
+            learn_run_time(steward.sizes, task.record.job, now - task.started);
         apply_task_event(steward, task, "succeed", now);
         return;
     }
-    const bool ordered = task.state == "ending" || task.state == "evicting";
+    const bool ordered =
+        task.state == "ending" || task.state == "evicting" || task.state == "checkpointing";
     if (report.state == worker_task_state::evicted && !ordered)
         ++steward.counters.evictions[static_cast<std::size_t>(eviction_reason::worker_evicted)];
     apply_task_event(steward, task, "gone", now);
-    if (task.state != "waiting" || ordered)
+    if (task.state != "waiting" || task.dropped)
         return;
     if (report.state == worker_task_state::failed)
         on_task_failure(steward, task, worker, report.reason, now);
@@ -102,6 +108,9 @@
 {
     task.seen = true;
     task.used = report.used;
+    // A throttled task shows its limit, not what it would use.
+    if (task.state == "running")
+        learn_use(steward.sizes, task.record.job, report.used);
     note_checkpoint(steward, task, report, now);
     if (has_ended(report.state))
         end_placement(steward, worker, task, report, now);
@@ -167,6 +176,10 @@
     worker.received_at = now;
     worker.rack = announced.rack;
     worker.capacity = announced.capacity;
+    auto& largest = steward.largest_capacity;
+    largest.processors = std::max(largest.processors, worker.capacity.processors);
+    largest.memory = std::max(largest.memory, worker.capacity.memory);
+    largest.accelerators = std::max(largest.accelerators, worker.capacity.accelerators);
     worker.leaving = announced.leaving;
     worker.silent = false;
     worker.due = false;
@@ -180,6 +193,8 @@
     // After a restart of the worker, what its earlier life ran ends with its lease at the latest.
     if (same_life)
         end_missing(steward, worker, now);
+    take_latency(steward, worker, announced.service_latency, announced.usage_age, now);
+    note_occupancy(steward, worker, now);
     update_index(steward, worker);
     steward.queue_changed = true;
     forget_dropped(steward, now);
