--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -3,6 +3,8 @@
 /** The schedule library: quotas, placement, leases, eviction; decisions without I/O. */
 
 #include "libschedule/assigner.h"
+#include "libschedule/interference.h"
+#include "libschedule/jobsizes.h"
 #include "libschedule/leaseterms.h"
 #include "libschedule/placement.h"
 #include "libschedule/scheduleerrors.h"
--- a/src/controld/stewardservice.cpp
+++ b/src/controld/stewardservice.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <set>
 #include <utility>
 
 namespace galenaturn::controld {
@@ -38,6 +39,7 @@
     mirror.add("galenaturn_worker_leases_lapsed_total", {}, counters.leases_lapsed);
     mirror.add("galenaturn_worker_reports_stale_total", {}, counters.stale_reports);
     mirror.add("galenaturn_throttles_total", {}, counters.throttles);
+    mirror.add("galenaturn_workers_held_total", {}, counters.workers_held);
     mirror.add("galenaturn_worker_quarantines_total", {}, counters.quarantines);
     mirror.add("galenaturn_worker_quarantines_capped_total", {}, counters.quarantines_capped);
     mirror.add("galenaturn_tasks_released_total", {}, counters.released);
@@ -62,6 +64,10 @@
             return member.role == process_role::control && member.domain == self.domain &&
                    member.id != self.id;
         });
+    std::set<failure_domain_id> domains;
+    for (const auto& member : shared.settings.members)
+        domains.insert(member.domain);
+    steward_.domain_count = static_cast<std::uint32_t>(domains.size());
     hub.applied.emplace_back([this](const ledger::applied_change& change) { take_change(change); });
     shared.frames.on(
         wire::frame_kind::worker_announcement,
--- a/src/libschedule/assigner.cpp
+++ b/src/libschedule/assigner.cpp
@@ -145,7 +145,11 @@
         return;
     }
     auto& task = assigner.tasks[id];
-    task.last_domain = task.record.domain;
+    const auto from = task.record.domain;
+    const bool returned = task.record.phase == wire::task_phase::assigned &&
+                          record->phase == wire::task_phase::pending;
+    if (returned)
+        ++task.returned_by[from];
     task.record = *record;
     if (record->phase == wire::task_phase::assigned) {
         join_domain(assigner, *record, index);
--- a/src/libschedule/assigner.h
+++ b/src/libschedule/assigner.h
@@ -33,7 +33,8 @@
     /** Proposed to the ledger and not yet applied. */
     bool proposed{false};
     failure_domain_id proposed_domain;
-    failure_domain_id last_domain;
+    /** How often each domain gave the task back. */
+    std::map<failure_domain_id, std::uint32_t> returned_by;
     pending_reason waits_for{pending_reason::none};
     time_point pending_since;
     time_point unfit_since;
--- a/src/libschedule/assignment.cpp
+++ b/src/libschedule/assignment.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
+using std::chrono::seconds;
+
 /** A steward that is silent for longer gets no new tasks. */
-constexpr std::chrono::seconds silent_steward{3};
+constexpr seconds silent_steward{3};
 /** Tasks that a domain may hold waiting, so that freed room is used before the next load report. */
 constexpr double backlog_share = 0.05;
 /** Tasks of one owner that are looked at behind one that cannot be assigned now. */
@@ -17,7 +19,9 @@
 /** An owner whose first task fits is passed over at most this often for each owner there is. */
 constexpr std::uint64_t overtake_limit = 16;
 /** A large task waits this long for room before a domain is asked to make it. */
-constexpr std::chrono::seconds large_task_patience{5};
+constexpr seconds large_task_patience{5};
+/** A task that fits on no worker of any domain is handed to the stewards after this. */
+constexpr seconds unfit_patience{30};
 constexpr double same_job_cost = 0.1;
 constexpr double returned_cost = 1.0;
 
@@ -54,8 +58,12 @@
     if (is_silent(domain, now))
         return pending_reason::no_domain;
     const auto& demand = task.record.demand;
-    if (!fits(demand, domain.load.largest_worker))
-        return pending_reason::fits_no_worker;
+    if (!fits(demand, domain.load.largest_worker)) {
+        // In the end the stewards look at each worker and park what fits on none.
+        const bool try_it = domain.load.workers > 0 && task.unfit_since != time_point{} &&
+                            now >= task.unfit_since + unfit_patience;
+        return try_it ? pending_reason::none : pending_reason::fits_no_worker;
+    }
     const bool may_displace = task.record.urgent && domain.load.waiting < domain.load.workers;
     if (may_displace)
         return pending_reason::none;
@@ -77,8 +85,9 @@
             cost += same_job_cost * static_cast<double>(same->second);
     }
     // A domain that gave the task back is asked last.
-    if (id == task.last_domain)
-        cost += returned_cost;
+    const auto returned = task.returned_by.find(id);
+    if (returned != task.returned_by.end())
+        cost += returned_cost * returned->second;
     return cost;
 }
 
@@ -180,6 +189,10 @@
             auto& task = assigner_.tasks.at(place.id);
             const auto refused = try_assign(owner, task, chosen);
             task.waits_for = refused;
+            if (refused != pending_reason::fits_no_worker)
+                task.unfit_since = time_point{};
+            else if (task.unfit_since == time_point{})
+                task.unfit_since = now_;
             if (refused == pending_reason::none)
                 return true;
             ++assigner_.counters.refused[static_cast<std::size_t>(refused)];
--- a/src/libschedule/interference.cpp
+++ b/src/libschedule/interference.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** A service that is alone is taken to stay well below its objective. */
-constexpr pair_effect alone_prior{0.6, 0.04, {}};
+constexpr pair_effect alone_prior{0.6, 0.01, {}};
 /** An unknown neighbour that uses a whole worker is taken to add this much. */
 constexpr pair_effect pair_prior{0.6, 0.5, {}};
 constexpr double measurement_variance = 0.01;
--- a/src/libschedule/stewardstate.h
+++ b/src/libschedule/stewardstate.h
@@ -104,7 +104,9 @@
     time_point last_checkpoint;
     /** Since when it fits on no worker of the domain, however empty. */
     time_point unfit_since;
+    /** What the ledger's record says of why it waits. */
     wait_reason reported_wait{wait_reason::none};
+    time_point wait_reported;
     std::uint32_t failures{0};
     std::set<worker_id> failed_on;
     resources used;
@@ -237,6 +239,7 @@
     bool queue_changed{false};
     time_point next_queue_pass;
     time_point next_settling;
+    time_point next_wait_report;
     /** Largest amount of each resource that any worker has. */
     resources largest_capacity;
     /** What the ledger must learn, by task; kept until it has accepted it. */
--- a/src/libschedule/stewardtick.cpp
+++ b/src/libschedule/stewardtick.cpp
@@ -2,6 +2,7 @@
 #include "placement.h"
 #include "steward.h"
 #include "taskchart.h"
+#include "waitreports.h"
 
 #include <algorithm>
 
@@ -11,6 +12,8 @@
 
 /** A worker that missed this share of a lease gets nothing new until it is heard again. */
 constexpr int silent_lease_share = 2;
+/** A task that runs for so long on a worker that was set aside speaks for the worker. */
+constexpr std::chrono::seconds probe_limit{30};
 /** An eviction does not wait longer for a checkpoint. */
 constexpr std::chrono::seconds checkpoint_limit{10};
 
@@ -48,12 +51,38 @@
     }
 }
 
+bool waits(const steward_state& steward, const task_id& id)
+{
+    const auto task = steward.tasks.find(id);
+    return task != steward.tasks.end() && task->second.state == "waiting";
+}
+
+/** A probe passes by running for long enough, and is void where the task left without a verdict. */
+void watch_probe(worker_entry& worker, steward_state& steward, time_point now)
+{
+    auto& health = worker.health;
+    if (!health.quarantined || health.probe.empty())
+        return;
+    if (!worker.tasks.contains(health.probe)) {
+        health.probe = task_id{};
+        health.probe_at = now + health.probe_pause;
+        return;
+    }
+    const auto& probe = steward.tasks.at(health.probe);
+    if (!probe.seen || now < probe.started + probe_limit)
+        return;
+    health = worker_health{};
+    update_index(steward, worker);
+}
+
 void watch_workers(steward_state& steward, time_point now)
 {
     for (auto& [id, worker] : steward.workers) {
         const bool silent =
             now > worker.received_at + steward.terms.worker_lease / silent_lease_share;
-        const bool hold_over = !worker.held_for.empty() && now >= worker.held_until;
+        watch_probe(worker, steward, now);
+        const bool hold_over = !worker.held_for.empty() &&
+                               (now >= worker.held_until || !waits(steward, worker.held_for));
         if (hold_over)
             worker.held_for = task_id{};
         if (silent != worker.silent || hold_over) {
@@ -123,6 +152,7 @@
     settle_inherited(steward, now);
     place_waiting(steward, now);
     settle_unplaceable(steward, now);
+    report_waits(steward, now);
     forget_dropped(steward, now);
 }
 
--- /dev/null
+++ b/src/libschedule/waitreports.cpp
@@ -0,0 +1,76 @@
+#include "waitreports.h"
+
+namespace galenaturn::schedule {
+
+namespace {
+
+using std::chrono::seconds;
+
+/** Shorter waits are ordinary and are not worth a command in the ledger. */
+constexpr seconds reported_after{5};
+constexpr seconds reported_again_after{30};
+constexpr seconds pass_interval{2};
+
+void set_reason(steward_state& steward, const task_entry& task, const std::string& reason)
+{
+    auto& item = steward.reports[task.record.id];
+    if (item.outcome != wire::task_outcome::none || item.released)
+        return;
+    item.id = task.record.id;
+    item.assignment = task.record.assignment;
+    item.reason = reason;
+}
+
+} // namespace
+
+const char* explain(wait_reason reason)
+{
+    switch (reason) {
+    case wait_reason::none:
+        return "";
+    case wait_reason::no_worker:
+        return "waits: its failure domain has no worker";
+    case wait_reason::no_capacity:
+        return "waits: no worker of its failure domain has room for it";
+    case wait_reason::would_slow_service:
+        return "waits: where it fits it would slow a service";
+    case wait_reason::hold_ending:
+        return "waits: its failure domain is cut off and its hold is ending";
+    case wait_reason::predecessor_lease:
+        return "waits: leases of the previous steward are not over";
+    case wait_reason::backing_off:
+        return "waits: pause after a failure";
+    case wait_reason::fits_no_worker:
+        return "waits: larger than every worker of its failure domain";
+    case wait_reason::count:
+        break;
+    }
+    return "waits";
+}
+
+void report_waits(steward_state& steward, time_point now)
+{
+    if (now < steward.next_wait_report)
+        return;
+    steward.next_wait_report = now + pass_interval;
+    for (const auto& place : steward.queue) {
+        auto& task = steward.tasks.at(place.id);
+        const bool due = now >= task.waiting_since + reported_after &&
+                         now >= task.wait_reported + reported_again_after;
+        if (!due || task.waits_for == task.reported_wait)
+            continue;
+        task.reported_wait = task.waits_for;
+        task.wait_reported = now;
+        set_reason(steward, task, explain(task.waits_for));
+    }
+}
+
+void report_running(steward_state& steward, task_entry& task)
+{
+    if (task.reported_wait == wait_reason::none || task.dropped)
+        return;
+    task.reported_wait = wait_reason::none;
+    set_reason(steward, task, {});
+}
+
+} // namespace galenaturn::schedule
--- a/src/libschedule/workerreports.cpp
+++ b/src/libschedule/workerreports.cpp
@@ -2,6 +2,7 @@
 #include "reactions.h"
 #include "steward.h"
 #include "taskchart.h"
+#include "waitreports.h"
 
 #include <algorithm>
 
@@ -114,8 +115,8 @@
     note_checkpoint(steward, task, report, now);
     if (has_ended(report.state))
         end_placement(steward, worker, task, report, now);
-    else
-        apply_task_event(steward, task, "seen_running", now);
+    else if (apply_task_event(steward, task, "seen_running", now))
+        report_running(steward, task);
 }
 
 /** Returns false where the worker must stop, or may forget, what it lists. */
