--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -31,6 +31,8 @@
     /** Values of the query string, decoded. */
     std::map<std::string, std::string> query;
     time_point arrived;
+    /** Set by a handler to close the connection half way through its answer; for failure tests. */
+    bool cut_answer{false};
 };
 
 /** Returns the answer to one request. */
@@ -64,6 +66,8 @@
     bytes body{std::int64_t{8} << 20};
     bytes header{std::int64_t{16} << 10};
     duration idle = std::chrono::seconds{60};
+    /** Connections beyond this are closed at once. */
+    std::size_t connections{4096};
 };
 
 /** Serves HTTP/1.1 with keep-alive; each connection has at most one request in progress. */
@@ -79,6 +83,8 @@
     /** Returns the port that was bound; useful after listening on port 0. */
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t requests_in_progress() const;
+    /** From now on each answer closes its connection, so that callers move elsewhere. */
+    void close_after_answers();
     /** Accepts nothing more, closes idle connections; requests in progress end and then close. */
     void stop();
 
