--- a/src/controld/assignerservice.cpp
+++ b/src/controld/assignerservice.cpp
@@ -155,6 +155,12 @@
 
 asio::awaitable<void> assigner_service::propose(wire::assign_tasks proposal)
 {
+    // Checked here because submit passes commands on to another leader, where this proposal, made
+    // from an older state, could pass a quota.
+    if (!hub_.leads()) {
+        schedule::on_proposal_failed(assigner_, proposal);
+        co_return;
+    }
     proposing_ = true;
     const auto response =
         co_await hub_.submit(wire::command{proposal}, monotonic_now() + proposal_limit);
--- a/src/libledger/applytasks.cpp
+++ b/src/libledger/applytasks.cpp
@@ -84,14 +84,24 @@
     return make_response(command_status::accepted);
 }
 
+/** Whether the domain that holds the task is still under the stewardship the item names. */
+bool may_leave_domain(const ledger_state& state, const task_record& task,
+                      const wire::assign_tasks::item& item)
+{
+    const auto held = state.stewardships.find(task.domain);
+    const auto number = held == state.stewardships.end() ? epoch{} : held->second.number;
+    return task.domain != item.domain && number == item.from_stewardship;
+}
+
 bool assign(apply_context& at, const wire::assign_tasks::item& item)
 {
     const auto found = at.state.tasks.find(item.id);
     if (found == at.state.tasks.end())
         return false;
     auto& task = found->second;
-    const bool movable = task.phase == task_phase::pending ||
-                         (task.phase == task_phase::assigned && task.domain != item.domain);
+    const bool movable =
+        task.phase == task_phase::pending ||
+        (task.phase == task_phase::assigned && may_leave_domain(at.state, task, item));
     if (!movable || task.assignment != item.expected)
         return false;
     if (finish_if_asked(at, task))
