--- a/tests/schedule/fakeworker.cpp
+++ b/tests/schedule/fakeworker.cpp
@@ -7,6 +7,11 @@
 using wire::worker_command_kind;
 using wire::worker_task_state;
 
+duration checkpoint_progress(const std::optional<checkpoint_id>& checkpoint)
+{
+    return checkpoint ? duration{std::stoll(checkpoint->value())} : duration{};
+}
+
 namespace {
 
 constexpr std::size_t remembered_heartbeats = 64;
@@ -87,7 +92,7 @@
     run.job = command.job;
     run.demand = command.demand;
     run.checkpoint = command.checkpoint;
-    run.done = command.checkpoint ? duration{std::stoll(command.checkpoint->value())} : duration{};
+    run.done = checkpoint_progress(command.checkpoint);
     run.lease_until = lease_until;
     runs_[command.id] = run;
 }
--- a/tests/schedule/fakeworker.h
+++ b/tests/schedule/fakeworker.h
@@ -64,6 +64,8 @@
     epoch stewardship_;
 };
 
+/** Returns how far a task had got at a checkpoint of the fake workers. */
+duration checkpoint_progress(const std::optional<checkpoint_id>& checkpoint);
 /** Whether the task still uses the worker. */
 bool is_active(const fake_run& run);
 
--- a/tests/schedule/virtualworld.cpp
+++ b/tests/schedule/virtualworld.cpp
@@ -19,6 +19,17 @@
 constexpr double repeat = 0.05;
 constexpr double slow = 0.03;
 
+ledger::applied_change apply(ledger::ledger_state& state, log_index index,
+                             const wire::command& command)
+{
+    wire::command_request request;
+    request.id = request_id{std::to_string(index.value())};
+    request.body = command;
+    ledger::applied_change change;
+    ledger::apply_command(state, request, index, change);
+    return change;
+}
+
 } // namespace
 
 virtual_world::virtual_world(const world_options& options)
@@ -187,7 +198,7 @@
 
 void virtual_world::commit(const wire::command& command)
 {
-    committed_.apply(command);
+    apply(committed_, log_index{log_.size() + 1}, command);
     log_.push_back(command);
     if (const auto* assign = std::get_if<wire::assign_tasks>(&command)) {
         for (const auto& item : assign->items) {
@@ -203,13 +214,13 @@
 void virtual_world::catch_up(control& voter)
 {
     while (voter.applied < log_.size()) {
-        const auto change = voter.state.apply(log_[voter.applied]);
+        const auto change = apply(voter.state, log_index{voter.applied + 1}, log_[voter.applied]);
         ++voter.applied;
         take_change(voter, change);
     }
 }
 
-void virtual_world::take_change(control& voter, const fake_change& change)
+void virtual_world::take_change(control& voter, const ledger::applied_change& change)
 {
     const auto now = local(voter.clock_rate);
     if (change.stewardships) {
--- a/tests/schedule/virtualworld.h
+++ b/tests/schedule/virtualworld.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "fakeledger.h"
 #include "fakeworker.h"
 
+#include <galenaturn/ledger.h>
+
 #include <functional>
 #include <memory>
 #include <random>
@@ -58,7 +59,7 @@
         incarnation life{1};
         heartbeat_number heartbeat;
         epoch granted;
-        fake_ledger_state state;
+        ledger::ledger_state state;
         std::size_t applied{0};
         steward_state steward;
         assigner_state assigner;
@@ -86,7 +87,7 @@
     void submit(std::size_t from, const wire::command& command, const action& done);
     void commit(const wire::command& command);
     void catch_up(control& voter);
-    void take_change(control& voter, const fake_change& change);
+    void take_change(control& voter, const ledger::applied_change& change);
     void take_stewardship(control& voter);
     void add_tasks();
 
@@ -124,7 +125,7 @@
     std::optional<std::size_t> leader_;
     bool leads_{false};
     duration leader_lost_{};
-    fake_ledger_state committed_;
+    ledger::ledger_state committed_;
     std::map<task_id, duration> needs_;
     /** What the ledger knew when it assigned the task, as progress. */
     std::map<std::pair<task_id, epoch>, duration> assigned_progress_;
