http: callers that leave are seen, slow callers are cut off, handlers may fail

A handler went on for a caller that had closed its connection, a slow caller held a connection for the idle limit, a request that was read by halves at a stop was cut off, and a handler that threw left its request in progress for ever. Router and answers have files of their own.

--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -7,16 +7,15 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 
+#include <optional>
 #include <set>
-#include <sstream>
 #include <utility>
 
 namespace galenaturn::http {
@@ -29,109 +28,22 @@
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_pause{50};
-
-std::vector<std::string> split_path(const std::string& path)
-{
-    std::vector<std::string> segments;
-    std::istringstream in{path};
-    std::string segment;
-    while (std::getline(in, segment, '/')) {
-        if (!segment.empty())
-            segments.push_back(segment);
-    }
-    return segments;
-}
-
-bool is_parameter(const std::string& segment)
-{
-    return segment.size() > 2 && segment.front() == '{' && segment.back() == '}';
-}
-
-std::string parameter_name(const std::string& segment)
-{
-    return segment.substr(1, segment.size() - 2);
-}
-
-/** Returns whether the segments match and fills `parameters`. */
-bool match_segments(const std::vector<std::string>& pattern, const std::vector<std::string>& path,
-                    std::map<std::string, std::string>& parameters)
-{
-    for (std::size_t index = 0; index < pattern.size(); ++index) {
-        const auto& expected = pattern[index];
-        if (is_parameter(expected) && expected.ends_with("...}")) {
-            std::string rest;
-            for (auto part = index; part < path.size(); ++part)
-                rest += "/" + path[part];
-            parameters[expected.substr(1, expected.size() - 5)] = rest;
-            return true;
-        }
-        if (index >= path.size())
-            return false;
-        if (is_parameter(expected))
-            parameters[parameter_name(expected)] = path[index];
-        else if (expected != path[index])
-            return false;
-    }
-    return pattern.size() == path.size();
-}
+constexpr std::size_t first_read_size = 4096;
 
 } // namespace
 
-void router::add(verb method, const std::string& pattern, handler target)
-{
-    routes_.push_back({method, split_path(pattern), std::move(target)});
-}
-
-router::match router::find(verb method, const std::string& path,
-                           std::map<std::string, std::string>& parameters, handler& target) const
-{
-    const auto segments = split_path(path);
-    bool path_known = false;
-    for (const auto& candidate : routes_) {
-        std::map<std::string, std::string> matched;
-        if (!match_segments(candidate.segments, segments, matched))
-            continue;
-        path_known = true;
-        if (candidate.method != verb::unknown && candidate.method != method)
-            continue;
-        parameters = std::move(matched);
-        target = candidate.target;
-        return match::found;
-    }
-    return path_known ? match::wrong_method : match::unknown_path;
-}
-
-response make_response(status code, std::string body, const std::string& content_type)
-{
-    response answer{code, 11};
-    answer.set(field::content_type, content_type);
-    answer.body() = std::move(body);
-    answer.prepare_payload();
-    return answer;
-}
-
-response make_problem(const problem& details)
-{
-    boost::json::object body;
-    body["type"] = "about:blank";
-    body["title"] = std::string{beast_http::obsolete_reason(details.code)};
-    body["status"] = static_cast<int>(details.code);
-    body["reason"] = details.reason;
-    body["detail"] = details.detail;
-    body["not_run"] = details.not_run;
-    auto answer =
-        make_response(details.code, boost::json::serialize(body), "application/problem+json");
-    if (details.retry_after_seconds > 0)
-        answer.set(field::retry_after, std::to_string(details.retry_after_seconds));
-    if (details.not_run)
-        answer.set("Galenaturn-Not-Run", "true");
-    return answer;
-}
+/** What the watch of a caller's connection needs of a call while its handler runs. */
+struct caller_watch {
+    /** Null once the handler has ended. */
+    call* incoming{nullptr};
+    bool abandoned{false};
+};
 
 struct server::state : std::enable_shared_from_this<server::state> {
     struct session {
         explicit session(tcp::socket socket) : stream{std::move(socket)} {}
         beast::tcp_stream stream;
+        /** From the first byte of a request to the last byte of its answer. */
         bool busy{false};
         bool cut_answer{false};
     };
@@ -141,7 +53,14 @@
         : io{shared_io}, routes{shared_routes}, limits{bounds}, acceptor{shared_io},
           requests{metrics.make_counter("galenaturn_http_requests_total")},
           bad_requests{metrics.make_counter("galenaturn_http_bad_requests_total")},
-          refused_connections{metrics.make_counter("galenaturn_http_connections_refused_total")}
+          refused_connections{metrics.make_counter("galenaturn_http_connections_refused_total")},
+          abandoned_requests{metrics.make_counter("galenaturn_http_requests_abandoned_total")},
+          failed_handlers{metrics.make_counter("galenaturn_http_handlers_failed_total")},
+          header_timeouts{
+              metrics.make_counter("galenaturn_http_timeouts_total", {{"part", "header"}})},
+          body_timeouts{metrics.make_counter("galenaturn_http_timeouts_total", {{"part", "body"}})},
+          answer_timeouts{
+              metrics.make_counter("galenaturn_http_timeouts_total", {{"part", "answer"}})}
     {
     }
 
@@ -152,6 +71,11 @@
     counter& requests;
     counter& bad_requests;
     counter& refused_connections;
+    counter& abandoned_requests;
+    counter& failed_handlers;
+    counter& header_timeouts;
+    counter& body_timeouts;
+    counter& answer_timeouts;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t in_progress{0};
     bool closing{false};
@@ -192,33 +116,78 @@
 
     /** Returns whether the connection may carry another request. */
     static asio::awaitable<bool> serve_one(state& self, session& peer, beast::flat_buffer& buffer)
+    {
+        if (!co_await wait_for_request(self, peer, buffer))
+            co_return false;
+        ++self.in_progress;
+        peer.busy = true;
+        const bool keep = co_await serve_request(self, peer, buffer);
+        peer.busy = false;
+        --self.in_progress;
+        co_return keep;
+    }
+
+    /** Returns whether the first bytes of a request are in `buffer`. */
+    static asio::awaitable<bool> wait_for_request(state& self, session& peer,
+                                                  beast::flat_buffer& buffer)
+    {
+        if (buffer.size() > 0)
+            co_return true;
+        peer.stream.expires_after(self.limits.idle);
+        auto [error, size] =
+            co_await peer.stream.async_read_some(buffer.prepare(first_read_size), use_result);
+        buffer.commit(size);
+        co_return !error;
+    }
+
+    static asio::awaitable<bool> serve_request(state& self, session& peer,
+                                               beast::flat_buffer& buffer)
     {
         beast_http::request_parser<beast_http::string_body> parser;
         parser.body_limit(static_cast<std::uint64_t>(self.limits.body.value()));
         parser.header_limit(static_cast<std::uint32_t>(self.limits.header.value()));
-        peer.stream.expires_after(self.limits.idle);
-        auto [error, size] =
-            co_await beast_http::async_read(peer.stream, buffer, parser, use_result);
+        const auto error = co_await read_request(self, peer, buffer, parser);
         if (error)
             co_return co_await refuse_unreadable(self, peer, error);
         self.requests.add();
-        ++self.in_progress;
-        peer.busy = true;
         const auto message = parser.release();
         auto answer = co_await handle(self, peer, message);
         answer.version(message.version());
         answer.keep_alive(message.keep_alive() && !self.closing && answer.keep_alive());
         answer.prepare_payload();
-        peer.stream.expires_after(self.limits.idle);
         if (peer.cut_answer)
             cut(answer);
+        peer.stream.expires_after(self.limits.body_time);
         auto [write_error, written] =
             co_await beast_http::async_write(peer.stream, answer, use_result);
-        peer.busy = false;
-        --self.in_progress;
+        if (write_error == beast::error::timeout)
+            self.answer_timeouts.add();
         co_return !write_error && answer.keep_alive();
     }
 
+    static asio::awaitable<error_code>
+    read_request(state& self, session& peer, beast::flat_buffer& buffer,
+                 beast_http::request_parser<beast_http::string_body>& parser)
+    {
+        peer.stream.expires_after(self.limits.header_time);
+        auto [header_error, header_size] =
+            co_await beast_http::async_read_header(peer.stream, buffer, parser, use_result);
+        if (header_error == beast::error::timeout)
+            self.header_timeouts.add();
+        if (header_error)
+            co_return header_error;
+        peer.stream.expires_after(self.limits.body_time);
+        if (beast::iequals(parser.get()[field::expect], "100-continue")) {
+            const response go_on{status::continue_, parser.get().version()};
+            co_await beast_http::async_write(peer.stream, go_on, use_result);
+        }
+        auto [body_error, body_size] =
+            co_await beast_http::async_read(peer.stream, buffer, parser, use_result);
+        if (body_error == beast::error::timeout)
+            self.body_timeouts.add();
+        co_return body_error;
+    }
+
     /** Halves the body under its whole length, and ends the connection. */
     static void cut(response& answer)
     {
@@ -247,15 +216,64 @@
                                     wrong_method ? "wrong_method" : "unknown_path",
                                     "no such resource", 0, true});
         }
-        call incoming{message, std::move(parameters), {}, monotonic_now()};
+        call incoming{message, std::move(parameters), {}, monotonic_now(), {}, {}, false};
         for (const auto& parameter : target->params())
             incoming.query[parameter.key] = parameter.value;
-        peer.stream.expires_never();
-        auto answer = co_await found(incoming);
+        auto answer = co_await run_handler(self, peer, found, incoming);
         peer.cut_answer = incoming.cut_answer;
         co_return answer;
     }
 
+    /** Runs the handler while the connection is watched for the caller's close. */
+    static asio::awaitable<response> run_handler(state& self, session& peer, const handler& found,
+                                                 call& incoming)
+    {
+        auto watch = std::make_shared<caller_watch>(caller_watch{&incoming, false});
+        incoming.abandoned = {watch, &watch->abandoned};
+        peer.stream.expires_never();
+        watch_caller(self, peer, watch);
+        std::optional<response> answer;
+        try {
+            answer = co_await found(incoming);
+        }
+        catch (const std::exception& error) {
+            self.failed_handlers.add();
+            log_event(log_level::error, "handler_failed",
+                      {{"target", incoming.message.target()}, {"error", error.what()}});
+        }
+        watch->incoming = nullptr;
+        boost::system::error_code ignored;
+        peer.stream.socket().cancel(ignored);
+        if (answer)
+            co_return std::move(*answer);
+        co_return make_problem({status::internal_server_error, "internal_error",
+                                "the request failed inside this process", 0, false});
+    }
+
+    /** Sees the end of the caller's side; bytes of a next request end the watch. */
+    static void watch_caller(state& self, session& peer, std::shared_ptr<caller_watch> watch)
+    {
+        auto& socket = peer.stream.socket();
+        socket.async_wait(tcp::socket::wait_read,
+                          [&self, &socket, watch](const boost::system::error_code& error) {
+                              if (error || watch->incoming == nullptr || !is_closed(socket))
+                                  return;
+                              watch->abandoned = true;
+                              self.abandoned_requests.add();
+                              if (watch->incoming->on_abandoned)
+                                  watch->incoming->on_abandoned();
+                          });
+    }
+
+    static bool is_closed(tcp::socket& socket)
+    {
+        char byte{};
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        const auto size = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error != asio::error::would_block && (error || size == 0);
+    }
+
     static asio::awaitable<bool> refuse_unreadable(state& self, session& peer,
                                                    const boost::system::error_code& error)
     {
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -1,71 +1,23 @@
 #pragma once
 
-#include <galenaturn/core.h>
+#include "router.h"
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
-#include <functional>
-#include <map>
 #include <memory>
-#include <string>
-#include <vector>
 
 namespace galenaturn::http {
 
-namespace beast_http = boost::beast::http;
-
-using request = beast_http::request<beast_http::string_body>;
-using response = beast_http::response<beast_http::string_body>;
-using verb = beast_http::verb;
-using status = beast_http::status;
-using field = beast_http::field;
-
-/** One request, as a handler sees it. */
-struct call {
-    const request& message;
-    /** Values of the {names} of the route's pattern, decoded. */
-    std::map<std::string, std::string> parameters;
-    /** Values of the query string, decoded. */
-    std::map<std::string, std::string> query;
-    time_point arrived;
-    /** Set by a handler to close the connection half way through its answer; for failure tests. */
-    bool cut_answer{false};
-};
-
-/** Returns the answer to one request. */
-using handler = std::function<boost::asio::awaitable<response>(call&)>;
-
-/** Which handler takes which request. */
-class router {
-public:
-    /**
-     * Adds a route. `pattern` has literal segments, {name} for one segment, and {name...} as last
-     * segment for all the rest. verb::unknown takes every method.
-     */
-    void add(verb method, const std::string& pattern, handler target);
-
-    enum class match { found, unknown_path, wrong_method };
-    /** Fills the parameters of `target_call` and `target` where a route is found. */
-    match find(verb method, const std::string& path, std::map<std::string, std::string>& parameters,
-               handler& target) const;
-
-private:
-    struct route {
-        verb method;
-        std::vector<std::string> segments;
-        handler target;
-    };
-    std::vector<route> routes_;
-};
-
 /** Bounds on what one connection may take. */
 struct server_limits {
     bytes body{std::int64_t{8} << 20};
     bytes header{std::int64_t{16} << 10};
+    /** How long a connection may stay open between requests. */
     duration idle = std::chrono::seconds{60};
+    /** How long a caller may take from the first byte of a request to the end of its header. */
+    duration header_time = std::chrono::seconds{10};
+    /** How long a caller may take for the body, and to take the answer. */
+    duration body_time = std::chrono::seconds{20};
     /** Connections beyond this are closed at once. */
     std::size_t connections{4096};
 };
@@ -93,22 +45,4 @@
     std::shared_ptr<state> state_;
 };
 
-/** Makes an answer with the given body. */
-response make_response(status code, std::string body, const std::string& content_type);
-
-/** Why a request was refused, as problem+json says it. */
-struct problem {
-    status code{status::internal_server_error};
-    /** One word from the list in docs/operators/requests.md. */
-    std::string reason;
-    std::string detail;
-    /** Seconds after which the caller may come back; 0 leaves the header out. */
-    std::int64_t retry_after_seconds{0};
-    /** Set only where the request was certainly not run. */
-    bool not_run{false};
-};
-
-/** Makes a problem+json answer with Retry-After and the header Galenaturn-Not-Run. */
-response make_problem(const problem& details);
-
 } // namespace galenaturn::http
--- /dev/null
+++ b/tests/http/httpservertest.cpp
@@ -0,0 +1,293 @@
+#include <galenaturn/http.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <stdexcept>
+
+namespace galenaturn::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+/** Ends a test whose answer never comes. */
+constexpr std::chrono::seconds longest_run{10};
+
+asio::awaitable<void> pause(std::chrono::milliseconds span)
+{
+    asio::steady_timer timer{co_await asio::this_coro::executor, span};
+    co_await timer.async_wait(use_result);
+}
+
+} // namespace
+
+class http_server_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(oversize_and_malformed_requests_get_a_typed_refusal);
+    CPPUNIT_TEST(a_slow_caller_is_cut_off_and_counted);
+    CPPUNIT_TEST(a_handler_sees_that_its_caller_is_gone);
+    CPPUNIT_TEST(a_caller_that_stays_is_not_taken_for_gone);
+    CPPUNIT_TEST(stop_cuts_off_neither_a_running_nor_a_half_read_request);
+    CPPUNIT_TEST(connections_beyond_the_limit_are_closed);
+    CPPUNIT_TEST(a_handler_that_throws_answers_500_and_leaves_nothing_in_progress);
+    CPPUNIT_TEST(a_cut_answer_is_never_whole);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** A server on a free port with a few routes. */
+    struct fixture {
+        explicit fixture(server_limits limits = {}) : target{io, routes, limits, metrics}
+        {
+            routes.add(verb::post, "/echo", [](call& incoming) -> asio::awaitable<response> {
+                co_return make_response(status::ok, incoming.message.body(), "text/plain");
+            });
+            routes.add(verb::get, "/slow", [this](call& incoming) { return slow(incoming); });
+            routes.add(verb::get, "/throw", [](call&) -> asio::awaitable<response> {
+                throw std::runtime_error{"asked to"};
+                co_return response{};
+            });
+            routes.add(verb::get, "/cut", [](call& incoming) -> asio::awaitable<response> {
+                incoming.cut_answer = true;
+                co_return make_response(status::ok, std::string(1000, 'x'), "text/plain");
+            });
+            CPPUNIT_ASSERT(target.listen({"127.0.0.1", 0}).has_value());
+        }
+
+        asio::awaitable<response> slow(call& incoming)
+        {
+            ++started;
+            const auto abandoned = incoming.abandoned;
+            incoming.on_abandoned = [this] { ++hooks; };
+            for (int step = 0; step < slow_steps && !*abandoned; ++step)
+                co_await pause(std::chrono::milliseconds{5});
+            seen_abandoned = *abandoned;
+            ++ended;
+            co_return make_response(status::ok, "whole", "text/plain");
+        }
+
+        asio::awaitable<tcp::socket> connect()
+        {
+            tcp::socket socket{io};
+            co_await socket.async_connect({asio::ip::address_v4::loopback(), target.port()},
+                                          use_result);
+            co_return std::move(socket);
+        }
+
+        /** Sends `bytes` and returns everything that comes back until the end. */
+        asio::awaitable<void> exchange(std::string bytes, std::string& received)
+        {
+            auto socket = co_await connect();
+            co_await asio::async_write(socket, asio::buffer(bytes), use_result);
+            co_await asio::async_read(socket, asio::dynamic_buffer(received), use_result);
+        }
+
+        std::string answer_to(const std::string& bytes)
+        {
+            std::string received;
+            run(exchange(bytes, received));
+            return received;
+        }
+
+        /** Runs until `work` is done. */
+        void run(asio::awaitable<void> work)
+        {
+            bool done = false;
+            asio::co_spawn(io, std::move(work),
+                           [&done](const std::exception_ptr&) { done = true; });
+            io.restart();
+            const auto last = monotonic_now() + longest_run;
+            while (!done && monotonic_now() < last)
+                io.run_one_for(std::chrono::milliseconds{100});
+            CPPUNIT_ASSERT(done);
+        }
+
+        std::uint64_t count(const std::string& name, const metric_labels& labels = {})
+        {
+            return metrics.make_counter(name, labels).value();
+        }
+
+        asio::io_context io;
+        metrics_registry metrics;
+        router routes;
+        server target;
+        int slow_steps{10};
+        int started{0};
+        int ended{0};
+        int hooks{0};
+        bool seen_abandoned{false};
+    };
+
+    static std::string post(std::size_t length, const std::string& body)
+    {
+        return "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+               std::to_string(length) + "\r\n\r\n" + body;
+    }
+
+    static std::string get(const std::string& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    }
+
+    static void assert_refused(const std::string& answer, const std::string& code,
+                               const std::string& reason)
+    {
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 " + code));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find('"' + reason + '"') != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer,
+                               answer.find("Galenaturn-Not-Run: true") != std::string::npos);
+    }
+
+    void oversize_and_malformed_requests_get_a_typed_refusal()
+    {
+        server_limits limits;
+        limits.body = bytes{100};
+        limits.header = bytes{1000};
+        fixture here{limits};
+        assert_refused(here.answer_to(post(101, std::string(101, 'x'))), "413", "body_too_large");
+        assert_refused(
+            here.answer_to("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n"), "431",
+            "malformed_request");
+        assert_refused(here.answer_to("no request at all\r\n\r\n"), "400", "malformed_request");
+        assert_refused(here.answer_to(get("/unknown")), "404", "unknown_path");
+        assert_refused(here.answer_to(get("/echo")), "405", "wrong_method");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, here.count("galenaturn_http_bad_requests_total"));
+        const auto whole = here.answer_to(post(100, std::string(100, 'x')));
+        CPPUNIT_ASSERT(whole.ends_with("\r\n\r\n" + std::string(100, 'x')));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, here.target.requests_in_progress());
+    }
+
+    void a_slow_caller_is_cut_off_and_counted()
+    {
+        server_limits limits;
+        limits.header_time = std::chrono::milliseconds{50};
+        limits.body_time = std::chrono::milliseconds{50};
+        fixture here{limits};
+        CPPUNIT_ASSERT_EQUAL(std::string{}, here.answer_to("GET /echo HTTP"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             here.count("galenaturn_http_timeouts_total", {{"part", "header"}}));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, here.answer_to(post(50, "x")));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             here.count("galenaturn_http_timeouts_total", {{"part", "body"}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, here.target.requests_in_progress());
+    }
+
+    static asio::awaitable<void> leave_early(fixture& here)
+    {
+        {
+            auto socket = co_await here.connect();
+            co_await asio::async_write(socket, asio::buffer(get("/slow")), use_result);
+            while (here.started == 0)
+                co_await pause(std::chrono::milliseconds{1});
+        }
+        while (here.ended == 0)
+            co_await pause(std::chrono::milliseconds{1});
+    }
+
+    void a_handler_sees_that_its_caller_is_gone()
+    {
+        fixture here;
+        here.slow_steps = 1000;
+        here.run(leave_early(here));
+        CPPUNIT_ASSERT(here.seen_abandoned);
+        CPPUNIT_ASSERT_EQUAL(1, here.hooks);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             here.count("galenaturn_http_requests_abandoned_total"));
+    }
+
+    void a_caller_that_stays_is_not_taken_for_gone()
+    {
+        fixture here;
+        // The bytes of a next request on the same connection are no close.
+        const auto answers = here.answer_to("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n" + get("/slow"));
+        CPPUNIT_ASSERT_EQUAL(2, here.ended);
+        CPPUNIT_ASSERT_EQUAL(0, here.hooks);
+        CPPUNIT_ASSERT(!here.seen_abandoned);
+        CPPUNIT_ASSERT(answers.ends_with("whole"));
+    }
+
+    static asio::awaitable<void> stop_in_progress(fixture& here, std::string& running,
+                                                  std::string& half_read)
+    {
+        auto first = co_await here.connect();
+        auto second = co_await here.connect();
+        co_await asio::async_write(first, asio::buffer(get("/slow")), use_result);
+        const auto whole = post(10, "0123456789");
+        const auto half = whole.size() - 5;
+        co_await asio::async_write(second, asio::buffer(whole.substr(0, half)), use_result);
+        while (here.target.requests_in_progress() < 2)
+            co_await pause(std::chrono::milliseconds{1});
+        here.target.stop();
+        co_await asio::async_write(second, asio::buffer(whole.substr(half)), use_result);
+        co_await asio::async_read(first, asio::dynamic_buffer(running), use_result);
+        co_await asio::async_read(second, asio::dynamic_buffer(half_read), use_result);
+    }
+
+    void stop_cuts_off_neither_a_running_nor_a_half_read_request()
+    {
+        fixture here;
+        std::string running;
+        std::string half_read;
+        here.run(stop_in_progress(here, running, half_read));
+        CPPUNIT_ASSERT_MESSAGE(running, running.ends_with("whole"));
+        CPPUNIT_ASSERT_MESSAGE(half_read, half_read.ends_with("0123456789"));
+    }
+
+    static asio::awaitable<void> connect_twice(fixture& here, std::string& second_received)
+    {
+        auto first = co_await here.connect();
+        co_await asio::async_write(first, asio::buffer(get("/slow")), use_result);
+        while (here.started == 0)
+            co_await pause(std::chrono::milliseconds{1});
+        co_await here.exchange(get("/slow"), second_received);
+    }
+
+    void connections_beyond_the_limit_are_closed()
+    {
+        server_limits limits;
+        limits.connections = 1;
+        fixture here{limits};
+        here.slow_steps = 40;
+        std::string received;
+        here.run(connect_twice(here, received));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, received);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             here.count("galenaturn_http_connections_refused_total"));
+    }
+
+    void a_handler_that_throws_answers_500_and_leaves_nothing_in_progress()
+    {
+        fixture here;
+        CPPUNIT_ASSERT(here.answer_to(get("/throw")).starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, here.target.requests_in_progress());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, here.count("galenaturn_http_handlers_failed_total"));
+    }
+
+    static asio::awaitable<void> fetch_cut(fixture& here, bool& whole)
+    {
+        const ip_endpoint address{"127.0.0.1", here.target.port()};
+        auto message = make_request(verb::get, "/cut");
+        const auto deadline = monotonic_now() + std::chrono::seconds{5};
+        const auto answer = co_await fetch(here.io, address, std::move(message), deadline);
+        whole = answer.has_value();
+    }
+
+    void a_cut_answer_is_never_whole()
+    {
+        fixture here;
+        bool whole = true;
+        here.run(fetch_cut(here, whole));
+        CPPUNIT_ASSERT(!whole);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace galenaturn::http
