membership: gossip with suspicion, hosted upstreams, and a byte budget

Each announcement was forwarded to every entry of the domain, which grows with upstreams times entries. Now the entry that an upstream announces itself to hosts it: it alone tells of arrival and departure, in two versioned lists, and vouches for all that it hosts with one digest in each exchange.

A lapsed upstream is now kept for its retention from the lapse on, no longer from the last announcement; the test of it counts so.

--- a/include/galenaturn/membership.h
+++ b/include/galenaturn/membership.h
@@ -3,4 +3,5 @@
 /** The membership library: gossip between our processes and the announcements it carries. */
 
 #include "libmembership/announcementtable.h"
+#include "libmembership/gossipnode.h"
 #include "libmembership/membershiperrors.h"
--- a/src/libmembership/announcementtable.cpp
+++ b/src/libmembership/announcementtable.cpp
@@ -66,12 +66,13 @@
 }
 
 announcement_outcome announcement_table::hear(const wire::upstream_announcement& announcement,
-                                              time_point heard, table_events& events)
+                                              time_point heard, time_point expires,
+                                              table_events& events)
 {
     const auto [position, inserted] = records_.try_emplace(announcement.id);
     auto& record = position->second;
     if (inserted) {
-        record = {announcement, heard, chart_.initial};
+        record = {announcement, heard, expires, chart_.initial};
         apply(record, announcement.leaving ? "leave" : "announcement", events);
         return announcement_outcome::news;
     }
@@ -85,27 +86,75 @@
     const bool news = says_other(announcement, record.last) || record.state == "lapsed";
     record.last = announcement;
     record.heard = std::max(record.heard, heard);
+    record.expires = std::max(record.expires, expires);
     if (!news)
         return announcement_outcome::refreshed;
     apply(record, announcement.leaving ? "leave" : "announcement", events);
     return announcement_outcome::news;
 }
 
-void announcement_table::refresh(const upstream_id& id, time_point heard)
+bool announcement_table::depart(const wire::upstream_announcement& last, bool lapsed,
+                                time_point heard, table_events& events)
+{
+    const auto [position, inserted] = records_.try_emplace(last.id);
+    auto& record = position->second;
+    if (inserted) {
+        record = {last, heard, heard, "lapsed"};
+        return true;
+    }
+    if (is_later(record.last, last))
+        return false;
+    record.last.life = last.life;
+    record.last.sequence = last.sequence;
+    record.heard = std::max(record.heard, heard);
+    if (!lapsed && !record.last.leaving) {
+        record.last.leaving = true;
+        apply(record, "leave", events);
+    }
+    else if (lapsed && record.state != "lapsed") {
+        apply(record, "silence", events);
+    }
+    return true;
+}
+
+void announcement_table::refresh(const upstream_id& id, time_point expires)
 {
     const auto known = records_.find(id);
     if (known != records_.end() && known->second.state != "lapsed")
-        known->second.heard = std::max(known->second.heard, heard);
+        known->second.expires = std::max(known->second.expires, expires);
+}
+
+void announcement_table::revive(const upstream_id& id, time_point expires, table_events& events)
+{
+    const auto known = records_.find(id);
+    if (known == records_.end() || known->second.state != "lapsed")
+        return;
+    known->second.expires = std::max(known->second.expires, expires);
+    apply(known->second, "announcement", events);
+}
+
+void announcement_table::set_load(const upstream_id& id, std::uint64_t sequence,
+                                  std::uint32_t busy_slots, table_events& events)
+{
+    const auto known = records_.find(id);
+    if (known == records_.end() || known->second.state != "announced" ||
+        known->second.last.sequence >= sequence)
+        return;
+    auto& record = known->second;
+    record.last.sequence = sequence;
+    if (record.last.busy_slots == busy_slots)
+        return;
+    record.last.busy_slots = busy_slots;
+    apply(record, "announcement", events);
 }
 
 void announcement_table::expire(time_point now, table_events& events)
 {
     for (auto next = records_.begin(); next != records_.end();) {
         auto& record = (next++)->second;
-        const auto silent = now - record.heard;
-        if (record.state != "lapsed" && silent > announcement_ttl)
+        if (record.state != "lapsed" && now > record.expires)
             apply(record, "silence", events);
-        else if (record.state == "lapsed" && silent > lapsed_retention)
+        else if (record.state == "lapsed" && now > record.expires + lapsed_retention)
             apply(record, "forget", events);
     }
 }
--- a/src/libmembership/announcementtable.h
+++ b/src/libmembership/announcementtable.h
@@ -19,6 +19,8 @@
 struct upstream_record {
     wire::upstream_announcement last;
     time_point heard;
+    /** The upstream lapses once this has passed without further evidence. */
+    time_point expires;
     /** State of charts/upstream.yaml. */
     std::string state;
 };
@@ -57,12 +59,23 @@
     /** Returns the names of the actions that the chart may use. */
     static std::vector<std::string> action_names();
 
-    /** Takes an announcement heard at `heard`; what changes is added to `events`. */
+    /** Takes an announcement; what changes is added to `events`. */
     announcement_outcome hear(const wire::upstream_announcement& announcement, time_point heard,
-                              table_events& events);
+                              time_point expires, table_events& events);
+    /**
+     * Takes the news that an upstream was leaving, or lapsed, at a given announcement. Returns
+     * false where a later one is known. An unknown upstream is remembered, but not published.
+     */
+    bool depart(const wire::upstream_announcement& last, bool lapsed, time_point heard,
+                table_events& events);
     /** Takes evidence that the upstream lives, without an announcement. */
-    void refresh(const upstream_id& id, time_point heard);
-    /** Lapses upstreams that were silent for announcement_ttl, forgets those long lapsed. */
+    void refresh(const upstream_id& id, time_point expires);
+    /** Takes evidence that a lapsed upstream lives after all. */
+    void revive(const upstream_id& id, time_point expires, table_events& events);
+    /** Takes the load of an upstream at a later announcement that says nothing else new. */
+    void set_load(const upstream_id& id, std::uint64_t sequence, std::uint32_t busy_slots,
+                  table_events& events);
+    /** Lapses upstreams whose evidence has expired, forgets those long lapsed. */
     void expire(time_point now, table_events& events);
 
     [[nodiscard]] const upstream_record* find(const upstream_id& id) const;
