--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -1,7 +1,9 @@
 #include "announcementservice.h"
+#include "catalogueservice.h"
 #include "entryhub.h"
 #include "gossipservice.h"
 #include "operatorservice.h"
+#include "requestservice.h"
 
 #include <galenaturn/daemon.h>
 
@@ -15,6 +17,8 @@
         services.push_back(std::make_unique<entryd::announcement_service>(shared, *gossip));
         services.push_back(
             std::make_unique<entryd::operator_service>(shared, hub, entryd::ledger_of(shared)));
+        services.push_back(std::make_unique<entryd::catalogue_service>(shared, hub));
+        services.push_back(std::make_unique<entryd::request_service>(shared, hub));
         // Last, since its start publishes to the services above.
         services.push_back(std::move(gossip));
         return services;
