--- a/include/galenaturn/route.h
+++ b/include/galenaturn/route.h
@@ -6,6 +6,7 @@
 #include "libroute/attempt.h"
 #include "libroute/ejection.h"
 #include "libroute/fairqueue.h"
+#include "libroute/keyedrequest.h"
 #include "libroute/rendezvous.h"
 #include "libroute/retrybudget.h"
 #include "libroute/routeerrors.h"
--- a/src/entryd/requestmetrics.cpp
+++ b/src/entryd/requestmetrics.cpp
@@ -14,6 +14,7 @@
 request_metrics::request_metrics(metrics_registry& metrics)
     : requests{metrics.make_counter("galenaturn_requests_total")},
       answered{metrics.make_counter("galenaturn_requests_answered_total")},
+      replayed{metrics.make_counter("galenaturn_requests_replayed_total")},
       attempts{metrics.make_counter("galenaturn_upstream_attempts_total")},
       ejections{metrics.make_counter("galenaturn_upstream_ejections_total")},
       recoveries{metrics.make_counter("galenaturn_upstream_recoveries_total")},
--- a/src/entryd/requestmetrics.h
+++ b/src/entryd/requestmetrics.h
@@ -17,6 +17,7 @@
 
     counter& requests;
     counter& answered;
+    counter& replayed;
     counter& attempts;
     counter& ejections;
     counter& recoveries;
--- a/src/entryd/requestparser.h
+++ b/src/entryd/requestparser.h
@@ -19,6 +19,8 @@
 constexpr const char* upstream_header = "Galenaturn-Upstream";
 /** Header of an upstream's refusal that says the request was not run. */
 constexpr const char* not_run_header = "Galenaturn-Not-Run";
+/** Header of an answer that was recorded for an earlier request with the same key. */
+constexpr const char* replayed_header = "Galenaturn-Replayed";
 /** Longest key that is taken. */
 constexpr std::size_t longest_key = 255;
 
--- a/src/entryd/requestservice.cpp
+++ b/src/entryd/requestservice.cpp
@@ -5,6 +5,9 @@
 #include "slotbroker.h"
 #include "upstreamclient.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <map>
 
@@ -37,10 +40,9 @@
 
 /** The request path of one entry. Coroutines hold it by shared pointer. */
 struct request_service::flow : std::enable_shared_from_this<flow> {
-    explicit flow(daemon::context& context)
-        : shared{context}, metrics{context.metrics}, upstreams{context.io,
-                                                               context.settings.body_limit,
-                                                               metrics},
+    flow(daemon::context& context, key_ledger shared_ledger)
+        : shared{context}, ledger{std::move(shared_ledger)}, metrics{context.metrics},
+          upstreams{context.io, context.settings.body_limit, metrics},
           broker{context.io, make_broker_settings(context.settings), metrics},
           id_prefix{context.settings.self.id.value() + "-" +
                     std::to_string(wall_now().time_since_epoch().count()) + "-"}
@@ -48,11 +50,14 @@
     }
 
     daemon::context& shared;
+    key_ledger ledger;
     request_metrics metrics;
     upstream_client upstreams;
     slot_broker broker;
     std::string id_prefix;
     std::uint64_t last_id{0};
+    /** Keyed requests whose end the ledger does not know yet. */
+    std::size_t completing{0};
     std::shared_ptr<const catalogue> entries;
     std::map<owner_id, route::retry_budget> owner_budgets;
     std::map<service_id, route::retry_budget> service_budgets;
@@ -69,6 +74,8 @@
         std::vector<upstream_id> tried;
         /** Whether some upstream may have started the request. */
         bool maybe_run{false};
+        /** Set while the key is reserved under this id. */
+        std::optional<request_id> reservation;
     };
 
     /** How the attempts ended: the last one's result, and the upstream that it was made at. */
@@ -108,25 +115,92 @@
             co_return self->refuse(*parsed.refused, work.id, false, {});
         work.request = std::move(parsed.request);
         work.message = make_upstream_request(incoming.message, work.request, work.id);
-        auto answer = co_await self->serve(work);
+        auto digest = work.request.key ? digest_of(incoming.message, work.request) : std::string{};
+        auto answer = co_await self->serve(work, std::move(digest));
         self->metrics.latency.record(monotonic_now() - work.request.arrived);
         co_return answer;
     }
 
-    asio::awaitable<http::response> serve(progress& work)
+    asio::awaitable<http::response> serve(progress& work, std::string digest)
+    {
+        if (work.request.key) {
+            if (auto early =
+                    broker.check(work.request.owner, work.request.service, work.request.deadline))
+                co_return refuse(early->reason, work.id, false, early->retry_after);
+            const auto reserved = co_await reserve_key(ledger, work.request, std::move(digest),
+                                                       shared.settings.self.id);
+            if (reserved.decision.step == route::key_step::replay)
+                co_return replay(work, reserved.recorded);
+            if (reserved.decision.release)
+                release_key(work, reserved.id);
+            if (reserved.decision.step == route::key_step::refuse)
+                co_return refuse(reserved.decision.refused, work.id, false, {});
+            work.reservation = reserved.id;
+        }
+        co_return co_await serve_admitted(work);
+    }
+
+    asio::awaitable<http::response> serve_admitted(progress& work)
     {
         co_await broker.acquire(work.waiter, work.request.owner, work.request.service,
                                 work.request.deadline);
-        if (work.waiter.refused)
+        if (work.waiter.refused) {
+            if (work.reservation)
+                release_key(work, *work.reservation);
             co_return refuse(*work.waiter.refused, work.id, false, work.waiter.retry_after);
+        }
         const auto result = co_await attempt(work);
-        const bool whole = result.last.outcome == attempt_outcome::answered;
+        const auto outcome = result.last.outcome;
+        const bool whole = outcome == attempt_outcome::answered;
         broker.finish(work.waiter, whole ? std::optional{result.last.took} : std::nullopt);
-        if (!whole && result.last.outcome != attempt_outcome::server_error)
-            co_return refuse(route::refusal_of(result.last.outcome), work.id, work.maybe_run, {});
+        if (work.reservation)
+            complete(work, result.last);
+        if (!whole && outcome != attempt_outcome::server_error)
+            co_return refuse(route::refusal_of(outcome), work.id, work.maybe_run, {});
         co_return pass_on(work, result);
     }
 
+    http::response replay(const progress& work, const wire::recorded_answer& recorded)
+    {
+        metrics.replayed.add();
+        auto answer = http::make_response(static_cast<http::status>(recorded.status), recorded.body,
+                                          recorded.content_type);
+        answer.set(request_id_header, work.id);
+        answer.set(replayed_header, "true");
+        return answer;
+    }
+
+    void complete(const progress& work, const attempt_result& last)
+    {
+        const auto step = route::decide_completion(last.outcome, work.maybe_run);
+        if (step == route::key_completion::release)
+            release_key(work, *work.reservation);
+        if (step != route::key_completion::record)
+            return;
+        const std::string type{last.answer[http::field::content_type]};
+        spawn_completion(make_completion(
+            work.request, *work.reservation,
+            wire::recorded_answer{last.answer.result_int(), type, last.answer.body()}));
+    }
+
+    void release_key(const progress& work, const request_id& reservation)
+    {
+        spawn_completion(make_completion(work.request, reservation, std::nullopt));
+    }
+
+    void spawn_completion(wire::complete_key body)
+    {
+        asio::co_spawn(shared.io, run_completion(shared_from_this(), std::move(body)),
+                       asio::detached);
+    }
+
+    static asio::awaitable<void> run_completion(std::shared_ptr<flow> self, wire::complete_key body)
+    {
+        ++self->completing;
+        co_await complete_key(self->ledger, std::move(body));
+        --self->completing;
+    }
+
     http::response pass_on(const progress& work, const attempts_result& result)
     {
         metrics.answered.add();
@@ -144,6 +218,8 @@
     {
         auto grant = *work.waiter.grant;
         for (;;) {
+            GN_INVARIANT(work.request.idempotent || !work.maybe_run, {"request", work.id},
+                         {"upstream", grant.target.id});
             attempts_result result;
             result.upstream = grant.target.id;
             result.last = co_await upstreams.exchange(grant.target, work.message, work.id,
@@ -193,12 +269,18 @@
 };
 
 request_service::request_service(daemon::context& shared, entry_hub& hub)
-    : flow_{std::make_shared<flow>(shared)}
+    : request_service{shared, hub, key_ledger_of(shared)}
+{
+}
+
+request_service::request_service(daemon::context& shared, entry_hub& hub, key_ledger ledger)
+    : flow_{std::make_shared<flow>(shared, std::move(ledger))}
 {
     shared.routes.add(
         http::verb::unknown, "/v1/services/{service}/{path...}",
         [self = flow_](http::call& incoming) { return flow::handle(self, incoming); });
-    shared.work_in_progress.emplace_back([self = flow_] { return self->broker.held(); });
+    shared.work_in_progress.emplace_back(
+        [self = flow_] { return self->broker.held() + self->completing; });
     hub.catalogue_changed.emplace_back([self = flow_](const catalogue_in_force& news) {
         self->entries = std::make_shared<const catalogue>(news.entries);
         self->broker.set_catalogue(news.entries);
--- a/src/entryd/requestservice.h
+++ b/src/entryd/requestservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entryhub.h"
+#include "keyedrequests.h"
 
 #include <galenaturn/daemon.h>
 
@@ -13,6 +14,8 @@
 public:
     /** Subscribes to `hub`. Both arguments outlive the service. */
     request_service(daemon::context& shared, entry_hub& hub);
+    /** The same with another ledger than that of `shared`. */
+    request_service(daemon::context& shared, entry_hub& hub, key_ledger ledger);
 
     result<void> start() override;
 
--- a/src/entryd/slotbroker.cpp
+++ b/src/entryd/slotbroker.cpp
@@ -97,6 +97,17 @@
         admission_.services[service].slots = route::pool_of(table_, service).slots;
 }
 
+std::optional<early_refusal> slot_broker::check(const owner_id& owner, const service_id& service,
+                                                time_point deadline)
+{
+    const auto refused = route::check_request(
+        admission_, {owner_numbers_.at(owner), service_numbers_.at(service), deadline},
+        monotonic_now());
+    if (!refused)
+        return {};
+    return early_refusal{*refused->refused, refused->retry_after};
+}
+
 asio::awaitable<void> slot_broker::acquire(slot_waiter& waiter, owner_id owner, service_id service,
                                            time_point deadline)
 {
--- a/src/entryd/slotbroker.h
+++ b/src/entryd/slotbroker.h
@@ -34,6 +34,12 @@
     duration retry_after{};
 };
 
+/** Why a request is not admitted, and when it may be. */
+struct early_refusal {
+    route::refusal_reason reason{};
+    duration retry_after{};
+};
+
 /** What the broker needs to know of its process. */
 struct broker_settings {
     process_id self;
@@ -52,6 +58,9 @@
     void lapse(const upstream_id& id);
     void set_entries(const std::vector<live_entry>& entries);
 
+    /** Returns why the request would be refused now, without queueing it. */
+    std::optional<early_refusal> check(const owner_id& owner, const service_id& service,
+                                       time_point deadline);
     /**
      * Waits until the request may be sent and `waiter` holds its slot, or is refused. A granted
      * request is given back with `finish`.
--- a/src/libroute/admission.cpp
+++ b/src/libroute/admission.cpp
@@ -16,6 +16,8 @@
 constexpr double mean_step = 0.05;
 /** Part of the mean time that an answer takes at the very least, as a guess. */
 constexpr double least_time_share = 0.5;
+/** Keeps the time until the next token finite for an owner whose rate is 0. */
+constexpr double least_rate = 0.001;
 constexpr duration least_retry_after = std::chrono::milliseconds{100};
 
 duration microseconds(double value)
@@ -69,6 +71,33 @@
                                     : service.limits.expected_time;
 }
 
+/** Returns the time that an answer takes at the very least, as a guess. */
+duration least_time(const service_state& service)
+{
+    return microseconds(service.mean_time_us * least_time_share);
+}
+
+/** Returns whether the request would have to wait, and there is no place left to wait in. */
+bool queue_is_full(const admission_state& state, const admission_request& request)
+{
+    const auto& service = state.services[request.service];
+    const auto& owner = state.owners[request.owner];
+    const bool idle = service.queue.waiting == 0 && can_start(state, request.service) &&
+                      owner.running < owner.limits.concurrency;
+    return !idle && service.queue.waiting >= std::max<std::int64_t>(service.limits.queue, 1);
+}
+
+/** Makes room: drops the latest request of the owner that waits with the most for its weight. */
+std::optional<ticket_number> push_out(admission_state& state, service_state& service)
+{
+    const auto longest = longest_owner(service.queue);
+    if (!longest)
+        return {};
+    --state.owners[*longest].waiting;
+    --state.held;
+    return drop_latest(service.queue, *longest).ticket;
+}
+
 /** Says which limit keeps a full queue from draining. */
 refusal_reason full_queue_reason(const service_state& service, const owner_state& owner)
 {
@@ -119,40 +148,41 @@
     return microseconds(ahead * interval / (below_share ? 1.0 : share));
 }
 
-admission_decision submit_request(admission_state& state, const admission_request& request,
-                                  time_point now)
+std::optional<admission_decision> check_request(admission_state& state,
+                                                const admission_request& request, time_point now)
 {
     auto& owner = state.owners.at(request.owner);
-    auto& service = state.services.at(request.service);
+    const auto& service = state.services.at(request.service);
     if (must_shed(state, service))
         return refuse(refusal_reason::shed, mean_time(service));
     refill(owner, now);
     if (owner.tokens < 1) {
-        const double missing = 1 - owner.tokens;
-        const double rate = std::max(owner.limits.rate, 0.001);
-        return refuse(refusal_reason::owner_rate, microseconds(missing / rate * 1e6));
+        const double rate = std::max(owner.limits.rate, least_rate);
+        return refuse(refusal_reason::owner_rate, microseconds((1 - owner.tokens) / rate * 1e6));
     }
     const auto wait = expected_wait(service, request.owner, request.deadline);
-    const auto least = microseconds(service.mean_time_us * least_time_share);
-    if (now + wait + least > request.deadline)
+    if (now + wait + least_time(service) > request.deadline)
         return refuse(refusal_reason::deadline_unreachable, wait);
+    if (queue_is_full(state, request) &&
+        !below_queue_share(service, request.owner, owner.limits.weight))
+        return refuse(full_queue_reason(service, owner), mean_time(service));
+    return {};
+}
 
+admission_decision submit_request(admission_state& state, const admission_request& request,
+                                  time_point now)
+{
+    if (const auto refused = check_request(state, request, now))
+        return *refused;
+    auto& owner = state.owners[request.owner];
+    auto& service = state.services[request.service];
     admission_decision decision;
-    const bool idle = service.queue.waiting == 0 && can_start(state, request.service) &&
-                      service.queue.running < service.limits.concurrency &&
-                      owner.running < owner.limits.concurrency;
-    if (!idle && service.queue.waiting >= std::max<std::int64_t>(service.limits.queue, 1)) {
-        if (!below_queue_share(service, request.owner, owner.limits.weight))
-            return refuse(full_queue_reason(service, owner), mean_time(service));
-        const auto longest = longest_owner(service.queue);
-        decision.pushed_out = drop_latest(service.queue, *longest).ticket;
-        --state.owners[*longest].waiting;
-        --state.held;
-    }
+    if (queue_is_full(state, request))
+        decision.pushed_out = push_out(state, service);
     owner.tokens -= 1;
     state.last_ticket = state.last_ticket.next();
     decision.ticket = state.last_ticket;
-    decision.latest_start = request.deadline - least;
+    decision.latest_start = request.deadline - least_time(service);
     flow_of(service.queue, request.owner).weight = owner.limits.weight;
     push_waiting(service.queue, request.owner,
                  {decision.ticket, request.deadline, decision.latest_start});
--- a/src/libroute/admission.h
+++ b/src/libroute/admission.h
@@ -80,6 +80,10 @@
     waiting_request request;
 };
 
+/** Returns the refusal that `submit_request` would return now, or nothing. Queues nothing. */
+std::optional<admission_decision> check_request(admission_state& state,
+                                                const admission_request& request, time_point now);
+
 /** Puts a request into its owner's queue, or refuses it. */
 admission_decision submit_request(admission_state& state, const admission_request& request,
                                   time_point now);
--- /dev/null
+++ b/src/libroute/keyedrequest.cpp
@@ -0,0 +1,40 @@
+#include "keyedrequest.h"
+
+namespace galenaturn::route {
+
+namespace {
+
+/** The ledger's reason where one key was used for two requests. */
+constexpr std::string_view mismatch_text = "the key was used for another request";
+
+} // namespace
+
+key_decision decide_reservation(const wire::command_response& response)
+{
+    using wire::command_status;
+    switch (response.status) {
+    case command_status::accepted:
+        return {key_step::send, {}, false};
+    case command_status::duplicate:
+        if (response.answer)
+            return {key_step::replay, {}, false};
+        return {key_step::refuse, refusal_reason::outcome_unknown, false};
+    case command_status::rejected:
+        if (response.reason == mismatch_text)
+            return {key_step::refuse, refusal_reason::key_mismatch, false};
+        return {key_step::refuse, refusal_reason::key_limit, false};
+    case command_status::unknown:
+        return {key_step::refuse, refusal_reason::ledger_unavailable, true};
+    default:
+        return {key_step::refuse, refusal_reason::ledger_unavailable, false};
+    }
+}
+
+key_completion decide_completion(attempt_outcome last, bool maybe_run)
+{
+    if (last == attempt_outcome::answered || last == attempt_outcome::server_error)
+        return key_completion::record;
+    return maybe_run ? key_completion::leave : key_completion::release;
+}
+
+} // namespace galenaturn::route
--- a/src/libroute/routereasons.cpp
+++ b/src/libroute/routereasons.cpp
@@ -32,6 +32,7 @@
          "the key could not be reserved: no quorum can be reached"},
         {key_mismatch, "key_mismatch", 422, true, false,
          "the key was used before for another request"},
+        {key_limit, "key_limit", 429, true, true, "too many keys are held for this owner"},
         {outcome_unknown, "outcome_unknown", 409, false, false,
          "a request with this key was sent and its outcome is not known"},
         {upstream_unreachable, "upstream_unreachable", 502, true, true,
--- a/src/libroute/routereasons.h
+++ b/src/libroute/routereasons.h
@@ -26,6 +26,7 @@
     caller_gone,
     ledger_unavailable,
     key_mismatch,
+    key_limit,
     outcome_unknown,
     upstream_unreachable,
     upstream_refused,
@@ -62,7 +63,7 @@
     std::string_view text;
 };
 
-constexpr std::size_t refusal_reason_count = 27;
+constexpr std::size_t refusal_reason_count = 28;
 constexpr std::size_t retry_reason_count = 6;
 constexpr std::size_t retry_denial_count = 4;
 
--- a/tests/route/testentry.cpp
+++ b/tests/route/testentry.cpp
@@ -66,9 +66,12 @@
     return settings;
 }
 
-test_entry::test_entry(process_settings settings) : shared{std::move(settings)}
+test_entry::test_entry(process_settings settings) : test_entry{std::move(settings), {}} {}
+
+test_entry::test_entry(process_settings settings, entryd::key_ledger ledger)
+    : shared{std::move(settings)}
 {
-    service = std::make_unique<entryd::request_service>(shared, hub);
+    service = std::make_unique<entryd::request_service>(shared, hub, std::move(ledger));
     server = std::make_unique<http::server>(shared.io, shared.routes, http::server_limits{},
                                             shared.metrics);
     peers = std::make_unique<wire::frame_server>(shared.channels, shared.frames);
--- a/tests/route/testentry.h
+++ b/tests/route/testentry.h
@@ -24,6 +24,7 @@
 /** One entry with its own listeners, in this process. */
 struct test_entry {
     explicit test_entry(process_settings settings);
+    test_entry(process_settings settings, entryd::key_ledger ledger);
     ~test_entry();
     test_entry(const test_entry&) = delete;
     test_entry& operator=(const test_entry&) = delete;
