--- a/src/entryd/gossipservice.cpp
+++ b/src/entryd/gossipservice.cpp
@@ -63,7 +63,8 @@
 announcement_outcome gossip_service::take(const wire::upstream_announcement& announcement)
 {
     membership::table_events events;
-    const auto outcome = table_->hear(announcement, monotonic_now(), events);
+    const auto now = monotonic_now();
+    const auto outcome = table_->hear(announcement, now, now + membership::announcement_ttl, events);
     outcomes_.at(outcome)->add();
     publish_events(events);
     return outcome;
