--- a/util/deployment.sh
+++ b/util/deployment.sh
@@ -1,4 +1,4 @@
-# Starts the processes of an example on loopback and stops them again. Sourced by util/demo and
+# Functions that start the processes of an example on loopback and stop them again. Sourced by util/demo and
 # util/faults; every process is known by its id, and stop_everything runs when the script ends.
 
 programs=build/release
@@ -88,8 +88,9 @@
 start_member() {
     local name=$1 role=entry
     [[ " ${control_names[*]} " == *" $name "* ]] && role=control
-    mkdir -p "$folder/data/$name"
-    "$programs/galenaturn-$role" --settings "$settings" --name "$name" \
+    mkdir -p "$folder/data/$name" "$folder/settings"
+    [ -f "$folder/settings/$name.yaml" ] || cp "$settings" "$folder/settings/$name.yaml"
+    "$programs/galenaturn-$role" --settings "$folder/settings/$name.yaml" --name "$name" \
         --data_folder "$folder/data/$name" >>"$folder/$name.log" 2>&1 &
     pids[$name]=$!
 }
@@ -105,7 +106,7 @@
         if ! grep -ql listen_failed "$folder"/*.log; then return 0; fi
         echo "a port was taken; trying others"
         stop_everything
-        rm -rf "$folder"/*.log "$folder/data"
+        rm -rf "$folder"/*.log "$folder/data" "$folder/settings"
     done
     return 1
 }
