--- a/src/entryd/operatorjson.cpp
+++ b/src/entryd/operatorjson.cpp
@@ -213,6 +213,31 @@
     return order;
 }
 
+wire::voter_change_request parse_voter_change(const std::string& body, findings& found)
+{
+    wire::voter_change_request change;
+    boost::system::error_code error;
+    const auto document = json::parse(body, error);
+    if (error || !document.is_object()) {
+        found.add({"request body", 0, 0}, "not a JSON object", "write {\"change\": \"add\", ...}");
+        return change;
+    }
+    json_reader reader{document.get_object(), found};
+    const auto kind = reader.text("change", true);
+    change.process = process_id{reader.text("process", kind == "add")};
+    change.voter = voter_id{reader.text("voter", kind != "add")};
+    reader.finish();
+    if (kind == "add")
+        change.kind = wire::voter_change_kind::add;
+    else if (kind == "promote")
+        change.kind = wire::voter_change_kind::promote;
+    else if (kind == "remove")
+        change.kind = wire::voter_change_kind::remove;
+    else
+        reader.report("change", "is '" + kind + "'", "write add, promote or remove");
+    return change;
+}
+
 bool is_resend(const start_order& order, const wire::task_record& known)
 {
     const auto& start = order.start;
--- a/src/entryd/operatorjson.h
+++ b/src/entryd/operatorjson.h
@@ -30,6 +30,8 @@
  * moment from which a relative deadline counts. Every problem goes to `found`.
  */
 start_order parse_start(const task_id& id, const std::string& body, wall_time now, findings& found);
+/** Parses {"change": "add" | "promote" | "remove", "process", "voter"}. */
+wire::voter_change_request parse_voter_change(const std::string& body, findings& found);
 /** Returns whether `order` is a resend of the start that made `known`. */
 bool is_resend(const start_order& order, const wire::task_record& known);
 
--- a/src/entryd/operatorservice.cpp
+++ b/src/entryd/operatorservice.cpp
@@ -18,10 +18,19 @@
 constexpr std::uint32_t largest_limit = 10'000;
 constexpr std::size_t longest_name = 128;
 
-constexpr std::array<const char*, 12> refusal_reasons{
-    "leaving",        "bad_version",     "version_required", "invalid_catalogue",
-    "invalid_task",   "invalid_task_id", "version_conflict", "task_conflict",
-    "ledger_refused", "not_found",       "no_quorum",        "outcome_unknown"};
+constexpr std::array<const char*, 13> refusal_reasons{"leaving",
+                                                      "bad_version",
+                                                      "version_required",
+                                                      "invalid_catalogue",
+                                                      "invalid_task",
+                                                      "invalid_task_id",
+                                                      "version_conflict",
+                                                      "task_conflict",
+                                                      "ledger_refused",
+                                                      "not_found",
+                                                      "no_quorum",
+                                                      "outcome_unknown",
+                                                      "invalid_voter_change"};
 
 std::string header(const http::call& incoming, const std::string& name)
 {
@@ -75,6 +84,37 @@
 
 } // namespace
 
+namespace {
+
+/** Finds the leader and sends it the change. Nothing is resent: a repetition is refused. */
+boost::asio::awaitable<wire::command_response>
+change_voters_at_leader(daemon::context* shared, wire::voter_change_request change,
+                        time_point deadline)
+{
+    wire::command_response response;
+    response.status = wire::command_status::unavailable;
+    response.reason = "no leader reachable";
+    wire::query_request question{wire::get_ledger_status{}, false};
+    const auto found = co_await shared->ledger.ask(std::move(question), deadline);
+    auto* leader = shared->peers.find(found.leader);
+    if (found.status != wire::query_status::found || leader == nullptr)
+        co_return response;
+    auto payload = wire::encode(change);
+    const auto reply =
+        co_await leader->call(wire::frame_kind::voter_change, std::move(payload), deadline);
+    if (!reply && reply.error() == make_error_code(wire::wire_error::not_connected))
+        co_return response;
+    response.status = wire::command_status::unknown;
+    if (!reply)
+        co_return response;
+    auto decoded = wire::decode<wire::command_response>(reply.value());
+    if (decoded)
+        response = std::move(decoded).value();
+    co_return response;
+}
+
+} // namespace
+
 operator_ledger ledger_of(daemon::context& shared)
 {
     auto* client = &shared.ledger;
@@ -84,6 +124,9 @@
             },
             [client](wire::query_request request, time_point deadline) {
                 return client->ask(std::move(request), deadline);
+            },
+            [&shared](wire::voter_change_request change, time_point deadline) {
+                return change_voters_at_leader(&shared, std::move(change), deadline);
             }};
 }
 
@@ -117,6 +160,8 @@
                [this](http::call& incoming) { return get_history(incoming); });
     routes.add(http::verb::get, "/v1/ledger",
                [this](http::call& incoming) { return get_ledger(incoming); });
+    routes.add(http::verb::post, "/v1/ledger/voters",
+               [this](http::call& incoming) { return change_voters(incoming); });
 }
 
 void operator_service::add_task_routes()
@@ -255,6 +300,23 @@
     co_return make_json(http::status::ok, ledger_json(*response.ledger));
 }
 
+operator_service::answer operator_service::change_voters(http::call& incoming)
+{
+    requests_.add();
+    findings found;
+    const auto change = parse_voter_change(incoming.message.body(), found);
+    if (!found.empty()) {
+        refusals_["invalid_voter_change"]->add();
+        co_return make_findings_problem("invalid_voter_change", found);
+    }
+    const auto response = co_await ledger_.change_voters(change, monotonic_now() + ledger_limit);
+    if (response.status == wire::command_status::accepted)
+        co_return make_json(http::status::ok, outcome_json(response));
+    if (response.status == wire::command_status::rejected)
+        co_return refuse({http::status::conflict, "ledger_refused", response.reason, 0, true});
+    co_return refuse_undecided(response);
+}
+
 operator_service::answer operator_service::put_task(http::call& incoming)
 {
     requests_.add();
--- a/src/entryd/operatorservice.h
+++ b/src/entryd/operatorservice.h
@@ -18,6 +18,9 @@
         submit;
     std::function<boost::asio::awaitable<wire::query_response>(wire::query_request, time_point)>
         ask;
+    std::function<boost::asio::awaitable<wire::command_response>(wire::voter_change_request,
+                                                                 time_point)>
+        change_voters;
 };
 
 /** Returns the ledger of `shared`, which outlives the result. */
@@ -44,6 +47,7 @@
     answer list_tasks(http::call& incoming);
     answer end_task(http::call& incoming, bool stop);
     answer get_ledger(http::call& incoming);
+    answer change_voters(http::call& incoming);
 
     http::response answer_start(const start_order& order, const wire::command_response& response,
                                 const wire::query_response& known);
--- a/src/galenaturn/arguments.cpp
+++ b/src/galenaturn/arguments.cpp
@@ -169,6 +169,11 @@
   galenaturn status                         print each process, its version in force and the ledger
   galenaturn members                        print the processes of the deployment
   galenaturn upstreams                      print the upstreams that an entry knows
+  galenaturn voter list                     print the ledger's voters and learners
+  galenaturn voter add PROCESS              take a control process that waits with an empty folder
+                                            in as a learner
+  galenaturn voter promote VOTER            give a learner that has caught up a vote
+  galenaturn voter remove VOTER             take a voter or learner out for good
 
   --entries IP:PORT,...   entries, tried in turn; default: GALENATURN_ENTRIES
   --timeout SPAN          how long to try, over all entries (default 15s)
--- a/src/galenaturn/commands.cpp
+++ b/src/galenaturn/commands.cpp
@@ -29,6 +29,10 @@
         {{"status"}, 0, show_status},
         {{"members"}, 0, show_members},
         {{"upstreams"}, 0, show_upstreams},
+        {{"voter", "list"}, 0, list_voters},
+        {{"voter", "add"}, 1, add_voter},
+        {{"voter", "promote"}, 1, promote_voter},
+        {{"voter", "remove"}, 1, remove_voter},
     };
     return all;
 }
--- a/src/galenaturn/commands.h
+++ b/src/galenaturn/commands.h
@@ -34,4 +34,10 @@
 exit_code show_members(const arguments& given, output out);
 exit_code show_upstreams(const arguments& given, output out);
 
+/** The voters of the ledger, for repairs. */
+exit_code list_voters(const arguments& given, output out);
+exit_code add_voter(const arguments& given, output out);
+exit_code promote_voter(const arguments& given, output out);
+exit_code remove_voter(const arguments& given, output out);
+
 } // namespace galenaturn::command_line
--- a/tests/product/fakeledger.cpp
+++ b/tests/product/fakeledger.cpp
@@ -15,6 +15,14 @@
             -> boost::asio::awaitable<command_response> { co_return apply(request); },
         [this](wire::query_request request, time_point) -> boost::asio::awaitable<query_response> {
             co_return answer(request);
+        },
+        [this](wire::voter_change_request change,
+               time_point) -> boost::asio::awaitable<command_response> {
+            voter_changes.push_back(change);
+            command_response response;
+            response.status = change.voter.value() == "unknown" ? command_status::rejected
+                                                                : command_status::accepted;
+            co_return response;
         }};
 }
 
--- a/tests/product/fakeledger.h
+++ b/tests/product/fakeledger.h
@@ -18,6 +18,7 @@
     std::vector<wire::catalogue_document> versions;
     std::map<task_id, wire::task_record> tasks;
     std::vector<request_id> requests;
+    std::vector<wire::voter_change_request> voter_changes;
     bool reachable{true};
 
 private:
--- a/tests/product/operatoredgetest.cpp
+++ b/tests/product/operatoredgetest.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(bad_tasks_are_refused_with_findings_and_counted);
     CPPUNIT_TEST(unknown_tasks_are_not_found);
     CPPUNIT_TEST(an_unreachable_ledger_is_told_apart_from_an_unknown_outcome);
+    CPPUNIT_TEST(voters_are_changed_by_name);
     CPPUNIT_TEST(the_command_line_ends_with_its_documented_exit_codes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +230,26 @@
         CPPUNIT_ASSERT(command_line::exit_code_of(refused) == command_line::exit_code::unavailable);
     }
 
+    void voters_are_changed_by_name()
+    {
+        using command_line::exit_code;
+        served_edge edge;
+        CPPUNIT_ASSERT(edge.run({"voter", "add", "control-1"}) == exit_code::ok);
+        CPPUNIT_ASSERT(edge.run({"voter", "promote", "v-1"}) == exit_code::ok);
+        CPPUNIT_ASSERT(edge.run({"voter", "remove", "unknown"}) == exit_code::conflict);
+        const auto& changes = edge.ledger.voter_changes;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, changes.size());
+        CPPUNIT_ASSERT(changes[0].kind == wire::voter_change_kind::add);
+        CPPUNIT_ASSERT_EQUAL(std::string{"control-1"}, changes[0].process.value());
+        CPPUNIT_ASSERT(changes[1].kind == wire::voter_change_kind::promote);
+        CPPUNIT_ASSERT_EQUAL(std::string{"v-1"}, changes[1].voter.value());
+        for (const auto* body : {"{}", R"({"change": "swap", "voter": "v"})",
+                                 R"({"change": "add"})", R"({"change": "remove"})"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                body, 422U, edge.send(http::verb::post, "/v1/ledger/voters", body).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, changes.size());
+    }
+
     void the_command_line_ends_with_its_documented_exit_codes()
     {
         using command_line::exit_code;
--- a/tests/product/referencetest.cpp
+++ b/tests/product/referencetest.cpp
@@ -27,8 +27,8 @@
 {
     std::set<std::string> found;
     const std::regex expression{pattern};
-    for (std::sregex_iterator at{text.begin(), text.end(), expression}; at != std::sregex_iterator{};
-         ++at)
+    for (std::sregex_iterator at{text.begin(), text.end(), expression};
+         at != std::sregex_iterator{}; ++at)
         found.insert((*at)[1].str());
     return found;
 }
@@ -125,8 +125,8 @@
 
     void the_commands_page_has_the_help_text()
     {
-        CPPUNIT_ASSERT(read_source("docs/operators/commands.md")
-                           .find(command_line::usage_text()) != std::string::npos);
+        CPPUNIT_ASSERT(read_source("docs/operators/commands.md").find(command_line::usage_text()) !=
+                       std::string::npos);
     }
 };
 
