daemon: entries and controls run the gossip node

The entries still forwarded each announcement and held every entry of the settings alive. A process whose wall clock was set back begins its lists anew above the earlier start.

--- a/bench/membership/gossipsimulation.h
+++ b/bench/membership/gossipsimulation.h
@@ -86,7 +86,8 @@
         stopped.running = false;
     }
 
-    void start(std::size_t index)
+    /** Starts a process whose wall clock was set back by `set_back`. */
+    void start(std::size_t index, duration set_back = {})
     {
         auto& started = processes_[index];
         started.running = true;
@@ -94,7 +95,8 @@
         settings.self = started.settings;
         for (const auto& member : processes_)
             settings.members.push_back(member.settings);
-        settings.boot = static_cast<std::uint64_t>(now_.time_since_epoch().count()) + 1;
+        settings.boot =
+            static_cast<std::uint64_t>((now_.time_since_epoch() - set_back).count()) + 1;
         started.node = std::make_unique<gossip_node>(settings, chart_, std::mt19937_64{random_()});
         started.next_tick = now_ + std::chrono::milliseconds{random_() % 100};
         gossip_effects effects;
--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -1,5 +1,6 @@
 #include "assignerservice.h"
 #include "controlhub.h"
+#include "gossipservice.h"
 #include "ledgerservice.h"
 #include "stewardservice.h"
 
@@ -14,6 +15,7 @@
         services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
         services.push_back(std::make_unique<controld::assigner_service>(shared, hub));
         services.push_back(std::make_unique<controld::steward_service>(shared, hub));
+        services.push_back(std::make_unique<controld::gossip_service>(shared));
         return services;
     });
 }
--- a/src/entryd/announcementservice.cpp
+++ b/src/entryd/announcementservice.cpp
@@ -161,12 +161,14 @@
 http::response announcement_service::list_members() const
 {
     json::array members;
-    for (const auto& member : shared_.settings.members) {
+    for (const auto& [key, member] : gossip_.members().all()) {
         json::object item;
-        item["name"] = member.id.value();
-        item["role"] = to_string(member.role);
-        item["failure_domain"] = member.domain.value();
-        item["region"] = member.region.value();
+        item["name"] = member.settings.id.value();
+        item["role"] = to_string(member.settings.role);
+        item["failure_domain"] = member.settings.domain.value();
+        item["region"] = member.settings.region.value();
+        item["status"] = to_string(member.status);
+        item["incarnation"] = member.life.value();
         members.push_back(std::move(item));
     }
     json::object body;
--- a/src/libmembership/gossipnode.cpp
+++ b/src/libmembership/gossipnode.cpp
@@ -219,6 +219,9 @@
         const bool restarted = digest.origin == from && digest.boot > peer.known[from].boot;
         if (restarted)
             peer = {};
+        // The wall clock, which numbers the starts, was set back.
+        if (digest.origin == members_.self().key)
+            upstreams_.outlive(digest.boot);
     }
     for (const auto& digest : digests)
         peer.known[digest.origin] = {digest.boot, digest.departures, digest.arrivals};
--- a/src/libmembership/upstreamdirectory.cpp
+++ b/src/libmembership/upstreamdirectory.cpp
@@ -69,6 +69,13 @@
     origins_[self_].boot = boot;
 }
 
+void upstream_directory::outlive(std::uint64_t boot)
+{
+    auto& own = origins_.at(self_);
+    if (boot > own.boot)
+        own.boot = boot + 1;
+}
+
 announcement_outcome upstream_directory::hear(const wire::upstream_announcement& announcement,
                                               time_point now, table_events& events)
 {
--- a/src/libmembership/upstreamdirectory.h
+++ b/src/libmembership/upstreamdirectory.h
@@ -30,6 +30,9 @@
     /** `boot` is later than that of any earlier start of this process. */
     upstream_directory(state_chart chart, member_key self, std::uint64_t boot);
 
+    /** Begins this process's lists anew where others hold lists of a start with that number. */
+    void outlive(std::uint64_t boot);
+
     /** Takes an announcement that an upstream made to this process. */
     announcement_outcome hear(const wire::upstream_announcement& announcement, time_point now,
                               table_events& events);
--- a/tests/membership/gossiptest.cpp
+++ b/tests/membership/gossiptest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(a_silent_upstream_lapses_everywhere);
     CPPUNIT_TEST(upstreams_survive_the_loss_of_the_entry_that_hosts_them);
     CPPUNIT_TEST(a_restarted_entry_knows_its_upstreams_within_an_interval);
+    CPPUNIT_TEST(an_entry_whose_wall_clock_was_set_back_is_believed);
     CPPUNIT_TEST(a_dead_process_is_found_and_a_reachable_one_is_never_held_dead);
     CPPUNIT_TEST(a_domain_that_was_cut_off_is_found_again);
     CPPUNIT_TEST(an_upstream_that_changes_its_entry_back_and_forth_stays_known);
@@ -83,6 +84,22 @@
         CPPUNIT_ASSERT_EQUAL(expected, simulation.announced_at(0));
     }
 
+    void an_entry_whose_wall_clock_was_set_back_is_believed()
+    {
+        gossip_simulation simulation{shape(11, 0)};
+        simulation.run_for(std::chrono::seconds{10});
+        simulation.stop(0);
+        simulation.run_for(std::chrono::seconds{1});
+        simulation.start(0, std::chrono::seconds{60});
+        simulation.stop(3);
+        simulation.run_for(std::chrono::seconds{3});
+        simulation.start(3);
+        simulation.run_for(std::chrono::seconds{5});
+        CPPUNIT_ASSERT(simulation.status_of(0, 3) == member_status::alive);
+        for (std::size_t index = 0; index < 65; index += 3)
+            CPPUNIT_ASSERT(simulation.known_everywhere(index, {"announced"}));
+    }
+
     void a_dead_process_is_found_and_a_reachable_one_is_never_held_dead()
     {
         gossip_simulation simulation{shape(6, 0.05)};
--- a/tests/product/fakeledger.cpp
+++ b/tests/product/fakeledger.cpp
@@ -34,8 +34,7 @@
             response.status = command_status::duplicate;
         return response;
     }
-    auto response =
-        std::visit([this](const auto& body) { return apply_body(body); }, request.body);
+    auto response = std::visit([this](const auto& body) { return apply_body(body); }, request.body);
     done_.emplace(request.id, response);
     return response;
 }
