--- a/src/libschedule/stewardtick.cpp
+++ b/src/libschedule/stewardtick.cpp
@@ -1,6 +1,8 @@
+#include "displacement.h"
 #include "placement.h"
 #include "steward.h"
 #include "taskchart.h"
+#include "waitreports.h"
 
 #include <algorithm>
 
@@ -10,6 +12,10 @@
 
 /** A worker that missed this share of a lease gets nothing new until it is heard again. */
 constexpr int silent_lease_share = 2;
+/** A task that runs for so long on a worker that was set aside speaks for the worker. */
+constexpr std::chrono::seconds probe_limit{30};
+/** An eviction does not wait longer for a checkpoint. */
+constexpr std::chrono::seconds checkpoint_limit{10};
 
 /** Ends the placements whose leases are over: their worker has stopped them by itself. */
 void lapse_leases(steward_state& steward, worker_entry& worker, time_point now)
@@ -31,16 +37,60 @@
     }
 }
 
+/** Evicts what was given time for a checkpoint, and everything from a worker that leaves. */
+void watch_evictions(steward_state& steward, worker_entry& worker, time_point now)
+{
+    for (const auto& id : worker.tasks) {
+        auto& task = steward.tasks.at(id);
+        if (task.state == "checkpointing" && now >= task.checkpoint_deadline)
+            apply_task_event(steward, task, "evict", now);
+        const bool stays =
+            task.state == "running" || task.state == "throttled" || task.state == "starting";
+        if (worker.leaving && stays)
+            order_eviction(steward, task, eviction_reason::worker_leaving, now);
+    }
+}
+
+bool waits(const steward_state& steward, const task_id& id)
+{
+    const auto task = steward.tasks.find(id);
+    return task != steward.tasks.end() && task->second.state == "waiting";
+}
+
+/** A probe passes by running for long enough, and is void where the task left without a verdict. */
+void watch_probe(worker_entry& worker, steward_state& steward, time_point now)
+{
+    auto& health = worker.health;
+    if (!health.quarantined || health.probe.empty())
+        return;
+    if (!worker.tasks.contains(health.probe)) {
+        health.probe = task_id{};
+        health.probe_at = now + health.probe_pause;
+        return;
+    }
+    const auto& probe = steward.tasks.at(health.probe);
+    if (!probe.seen || now < probe.started + probe_limit)
+        return;
+    health = worker_health{};
+    update_index(steward, worker);
+}
+
 void watch_workers(steward_state& steward, time_point now)
 {
     for (auto& [id, worker] : steward.workers) {
         const bool silent =
             now > worker.received_at + steward.terms.worker_lease / silent_lease_share;
-        if (silent != worker.silent) {
+        watch_probe(worker, steward, now);
+        const bool hold_over = !worker.held_for.empty() &&
+                               (now >= worker.held_until || !waits(steward, worker.held_for));
+        if (hold_over)
+            worker.held_for = task_id{};
+        if (silent != worker.silent || hold_over) {
             worker.silent = silent;
             update_index(steward, worker);
         }
         lapse_leases(steward, worker, now);
+        watch_evictions(steward, worker, now);
     }
 }
 
@@ -82,6 +132,18 @@
     return true;
 }
 
+bool order_eviction(steward_state& steward, task_entry& task, eviction_reason reason,
+                    time_point now)
+{
+    if (!apply_task_event(steward, task, "checkpoint", now))
+        return evict_task(steward, task, reason, now);
+    ++steward.counters.evictions[static_cast<std::size_t>(reason)];
+    ++task.evictions;
+    task.last_eviction = now;
+    task.checkpoint_deadline = now + checkpoint_limit;
+    return true;
+}
+
 void on_tick(steward_state& steward, time_point now)
 {
     if (steward.stewardship == epoch{})
@@ -89,6 +151,8 @@
     watch_workers(steward, now);
     settle_inherited(steward, now);
     place_waiting(steward, now);
+    settle_unplaceable(steward, now);
+    report_waits(steward, now);
     forget_dropped(steward, now);
 }
 
