membership: departures go out together and in short datagrams

A wave of departures sent one full datagram for each upstream and neighbour. Departures within 100 ms now share a datagram that carries no member updates and two digests.

--- a/src/libmembership/gossipnode.cpp
+++ b/src/libmembership/gossipnode.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds exchange_interval{500};
 /** How often a process probes a member of any domain. */
 constexpr std::chrono::milliseconds probe_interval{1000};
+/** Departures within this time go out together. */
+constexpr std::chrono::milliseconds push_interval{100};
 constexpr std::chrono::milliseconds ack_timeout{300};
 constexpr std::chrono::milliseconds indirect_timeout{1000};
 constexpr std::size_t indirect_probes = 2;
@@ -64,7 +66,9 @@
     message.kind = kind;
     message.sequence = sequence;
     message.life = members_.self().life;
-    message.members.items = members_.updates_for(to);
+    const bool brief = kind == gossip_kind::push || kind == gossip_kind::join_answer;
+    if (!brief)
+        message.members.items = members_.updates_for(to);
     if (!is_neighbour(to))
         return message;
     add_digests(message, to, now);
@@ -98,6 +102,10 @@
     // The receiver must always see how far its own lists are known here.
     auto& digests = message.origins.items;
     digests.push_back(upstreams_.digest_of(to, now));
+    if (message.kind == gossip_kind::push || message.kind == gossip_kind::join_answer) {
+        digests.push_back(upstreams_.digest_of(members_.self().key, now));
+        return;
+    }
     auto all = upstreams_.digests(now);
     std::erase_if(all, [to](const origin_digest& digest) { return digest.origin == to; });
     // Of many, each datagram takes the next ones in turn.
@@ -142,19 +150,25 @@
     const auto* before = upstreams_.table().find(announcement.id);
     const bool was_leaving = before != nullptr && before->last.leaving;
     const auto outcome = upstreams_.hear(announcement, now, effects.upstreams);
-    if (announcement.leaving && !was_leaving)
-        push_departures(now, effects);
+    push_due_ = push_due_ || (announcement.leaving && !was_leaving);
+    push_departures(now, effects);
     return outcome;
 }
 
 void gossip_node::push_departures(time_point now, gossip_effects& effects)
 {
+    if (!push_due_ || now < next_push_)
+        return;
+    next_push_ = now + push_interval;
+    push_due_ = false;
     for (const auto& [key, member] : members_.all()) {
         if (!is_neighbour(key) || member.status == member_status::dead ||
             !upstreams_.lacks_departure(key, peers_[key].known))
             continue;
-        if (routine_.share_left(now) <= probe_reserve)
+        if (routine_.share_left(now) <= probe_reserve) {
+            push_due_ = true;
             return;
+        }
         send(key, make(gossip_kind::push, key, 0, now), routine_, now, effects);
     }
 }
@@ -334,8 +348,8 @@
     upstreams_.expire(now, effects.upstreams);
     effects.members_changed = members_.expire(now) || effects.members_changed;
     check_pings(now, effects);
-    if (!effects.upstreams.lapsed.empty())
-        push_departures(now, effects);
+    push_due_ = push_due_ || !effects.upstreams.lapsed.empty();
+    push_departures(now, effects);
     if (now >= next_exchange_) {
         next_exchange_ = now + exchange_interval;
         if (const auto neighbour = next_of(neighbour_round_, true); neighbour != 0)
--- a/src/libmembership/gossipnode.h
+++ b/src/libmembership/gossipnode.h
@@ -108,6 +108,7 @@
     void answer_ack(const gossip_message& message, time_point now, gossip_effects& effects);
     void learn(member_key from, const gossip_message& message, time_point now,
                gossip_effects& effects);
+    /** Tells the neighbours of departures that they lack, at most once in push_interval. */
     void push_departures(time_point now, gossip_effects& effects);
     /** Sends what a neighbour has shown to lack, without waiting for the next exchange. */
     void push_missing(member_key to, time_point now, gossip_effects& effects);
@@ -129,6 +130,8 @@
     std::vector<member_key> member_round_;
     time_point next_exchange_;
     time_point next_probe_;
+    time_point next_push_;
+    bool push_due_{false};
     std::uint32_t last_sequence_{0};
     member_key digest_cursor_{0};
     gossip_counts counts_;
