--- /dev/null
+++ b/bench/schedule/nightly.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <galenaturn/schedule.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace galenaturn::bench {
+
+/** How tasks are placed and reacted to. */
+enum class policy {
+    services_alone,
+    first_fit,
+    best_fit,
+    without_learning,
+    without_hysteresis,
+    ours
+};
+
+/** One user's cluster for a night. */
+struct nightly_options {
+    std::string name;
+    std::size_t workers{50};
+    std::size_t workers_a_rack{8};
+    std::int64_t processors{32'000};
+    std::size_t batch_tasks{600};
+};
+
+/** What came of a night. */
+struct nightly_result {
+    double service_p99{0};
+    std::size_t deadline_misses{0};
+    std::uint64_t evictions{0};
+    double utilisation{0};
+};
+
+/**
+ * Services beside batch work in virtual time. Which pairs interfere, and what tasks really use, is
+ * hidden from the scheduler; it hears of latencies and use ten seconds late.
+ */
+class nightly_run {
+public:
+    nightly_run(const nightly_options& options, policy chosen);
+    nightly_result run();
+
+private:
+    struct real_task {
+        job_id job;
+        bool service{false};
+        double processors{0};
+        double work_left{0};
+        duration deadline{};
+    };
+    struct site {
+        wire::worker_announcement beat;
+        /** Processors that each throttled task may use. */
+        std::map<task_id, double> limits;
+        std::vector<double> latencies;
+    };
+
+    void add_services();
+    void add_batch();
+    void add_task(const task_id& id, const real_task& real, double declared, duration deadline);
+    void place_by_baseline();
+    void step();
+    double run_worker(site& at);
+    void exchange(site& at);
+    [[nodiscard]] double load() const;
+    [[nodiscard]] double hidden_effect(const job_id& service, const job_id& batch) const;
+
+    nightly_options options_;
+    policy policy_;
+    std::mt19937_64 random_{11};
+    schedule::steward_state steward_;
+    time_point now_{std::chrono::hours{1}};
+    duration elapsed_{};
+    std::vector<site> sites_;
+    std::map<task_id, real_task> real_;
+    std::vector<std::pair<duration, wire::task_record>> arrivals_;
+    std::map<std::pair<job_id, job_id>, double> effects_;
+    std::vector<double> samples_;
+    nightly_result result_;
+    double used_sum_{0};
+    std::size_t steps_{0};
+};
+
+} // namespace galenaturn::bench
--- /dev/null
+++ b/bench/schedule/recovery.cpp
@@ -0,0 +1,137 @@
+#include "measurements.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace galenaturn::bench {
+
+namespace {
+
+using namespace schedule;
+using std::chrono::milliseconds;
+
+constexpr std::size_t workers = 50;
+constexpr std::size_t workers_a_rack = 8;
+constexpr std::size_t tasks = 300;
+constexpr milliseconds step{100};
+
+/** Workers that run what they are told and send a heartbeat every second. */
+class small_domain {
+public:
+    small_domain()
+    {
+        steward_.domain = failure_domain_id{"hall-a"};
+        steward_.chart = &task_chart();
+        begin_stewardship(steward_, epoch{1}, now_);
+        for (std::size_t number = 0; number < workers; ++number) {
+            auto& beat = beats_.emplace_back();
+            beat.id = worker_id{"worker-" + std::to_string(number)};
+            beat.domain = steward_.domain;
+            beat.rack = rack_id{"rack-" + std::to_string(number / workers_a_rack)};
+            beat.life = incarnation{1};
+            beat.capacity = {millicores{32'000}, bytes{125'000}, {}};
+        }
+        for (std::size_t number = 0; number < tasks; ++number) {
+            wire::task_record record;
+            record.id = task_id{"task-" + std::to_string(number)};
+            record.demand = {millicores{4000}, bytes{4000}, {}};
+            record.task_class = work_class::watcher;
+            record.hold = std::chrono::hours{1};
+            record.phase = wire::task_phase::assigned;
+            record.domain = steward_.domain;
+            record.assignment = epoch{1};
+            on_record(steward_, record.id, &record, false, now_);
+        }
+        run(std::chrono::seconds{20});
+    }
+
+    void run(duration span)
+    {
+        for (const auto end = now_ + span; now_ < end;)
+            advance();
+    }
+
+    /** Loses one rack for good. Returns how long until all its tasks run elsewhere. */
+    duration lose_rack()
+    {
+        const auto lost_at = now_;
+        lost_ = rack_id{"rack-1"};
+        while (count_running() < tasks && now_ < lost_at + std::chrono::minutes{2})
+            advance();
+        return now_ - lost_at;
+    }
+
+    /** Returns how many tasks run, and checks that none runs twice on live workers. */
+    [[nodiscard]] std::size_t count_running() const
+    {
+        std::set<task_id> found;
+        for (const auto& beat : beats_) {
+            if (beat.rack == lost_)
+                continue;
+            for (const auto& task : beat.tasks)
+                doubled_ += found.insert(task.id).second ? 0 : 1;
+        }
+        return found.size();
+    }
+    [[nodiscard]] std::size_t doubled() const { return doubled_; }
+    [[nodiscard]] duration lease() const
+    {
+        return grantor_span(steward_.terms, steward_.terms.worker_lease);
+    }
+
+private:
+    void advance()
+    {
+        now_ += step;
+        ++steps_;
+        on_heartbeat_acknowledged(steward_, now_);
+        on_tick(steward_, now_);
+        for (std::size_t number = 0; number < beats_.size(); ++number) {
+            auto& beat = beats_[number];
+            const auto worker = steward_.workers.find(beat.id);
+            const bool due = worker == steward_.workers.end() || worker->second.due ||
+                             (steps_ + number) % 10 == 0;
+            if (beat.rack == lost_ || !due)
+                continue;
+            beat.heartbeat = beat.heartbeat.next();
+            on_announcement(steward_, beat, now_);
+            for (const auto& command : answer_worker(steward_, beat.id, now_).commands) {
+                if (command.kind == wire::worker_command_kind::start)
+                    beat.tasks.push_back({command.id,
+                                          command.assignment,
+                                          wire::worker_task_state::running,
+                                          {},
+                                          {},
+                                          {}});
+            }
+        }
+    }
+
+    steward_state steward_;
+    time_point now_{std::chrono::hours{1}};
+    std::uint64_t steps_{0};
+    std::vector<wire::worker_announcement> beats_;
+    rack_id lost_{"none"};
+    mutable std::size_t doubled_{0};
+};
+
+} // namespace
+
+void measure_recovery(figure_report& report)
+{
+    small_domain domain;
+    const auto before = domain.count_running();
+    const auto recovery = domain.lose_rack();
+    const double limit = std::chrono::duration<double>(domain.lease()).count();
+    // One heartbeat may have been on its way, and the new worker is heard at its next one.
+    constexpr double heartbeats = 2;
+    report.add("rack_lost_until_all_tasks_run", std::chrono::duration<double>(recovery).count(),
+               "s", at_most(limit + heartbeats));
+    report.add("rack_lost_tasks_lost", static_cast<double>(before - domain.count_running()),
+               "tasks", at_most(0));
+    report.add("rack_lost_tasks_doubled", static_cast<double>(domain.doubled()), "tasks",
+               at_most(0));
+}
+
+} // namespace galenaturn::bench
