--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -51,7 +51,7 @@
         const bool from_leader = std::holds_alternative<append_request>(message.body) ||
                                  std::holds_alternative<image_chunk>(message.body);
         if (from_leader)
-            send(at, message.from, append_response{});
+            send(at, message.from, append_response{false, {}, 0, at.self.life});
         return;
     }
     std::visit([&](const auto& body) { handle(at, message, body); }, message.body);
@@ -72,6 +72,7 @@
     self.faults = start.faults;
     self.chart = start.chart;
     self.random.seed(start.seed);
+    self.life = self.random();
     self.hard = std::move(start.hard);
     self.log = std::move(start.log);
     self.committed = self.log.base();
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -42,6 +42,7 @@
     bool accepts_old_terms{false};
     bool ignores_leader_promise{false};
     bool overlaps_voter_changes{false};
+    bool ignores_candidate_log{false};
 };
 
 /** What a leader knows of one follower. */
@@ -50,6 +51,7 @@
     log_index next;
     time_point last_heard;
     std::uint64_t acknowledged_round{0};
+    std::uint64_t life{0};
     std::size_t bytes_under_way{0};
     /** Part of the image that the follower has, while one is sent. */
     std::optional<std::uint64_t> image_offset;
@@ -83,7 +85,9 @@
     voter_id leader;
     time_point election_due;
     time_point votes_refused_until;
-    /** Whether a leader's commit of its own term was reached since the start. */
+    /** Differs at each start, so that messages from before it can be told. */
+    std::uint64_t life{0};
+    /** Whether a leader's commit of its own term, heard since the start, was reached. */
     bool caught_up{false};
 
     std::set<voter_id> votes;
--- a/src/libledger/replicaappend.cpp
+++ b/src/libledger/replicaappend.cpp
@@ -24,8 +24,9 @@
 void send_batch(step& at, const voter_id& follower, follower_progress& progress)
 {
     const log_index previous{progress.next.value() - 1};
-    append_request request{previous, at.self.log.term_of(previous), at.self.committed,
-                           at.self.last_round, batch_from(at.self, progress.next)};
+    append_request request{previous,          at.self.log.term_of(previous),
+                           at.self.committed, at.self.last_round,
+                           progress.life,     batch_from(at.self, progress.next)};
     for (const auto& entry : request.entries)
         progress.bytes_under_way += entry.payload.size();
     if (!request.entries.empty())
@@ -67,8 +68,9 @@
 
 void reject(step& at, const peer_message& message, const append_request& request)
 {
-    send_after_sync(at, message.from,
-                    append_response{false, agreement_hint(at.self, request), request.round});
+    send_after_sync(
+        at, message.from,
+        append_response{false, agreement_hint(at.self, request), request.round, at.self.life});
 }
 
 } // namespace
@@ -87,10 +89,11 @@
     const auto covered =
         std::max(self.log.base(), log_index{request.previous.value() + request.entries.size()});
     self.committed = std::max(self.committed, std::min(request.committed, covered));
-    if (self.committed == request.committed && self.committed >= self.log.base() &&
-        self.log.term_of(self.committed) == self.hard.current)
+    // A delayed request from before the start would name an older commit.
+    if (request.follower_life == self.life && self.committed == request.committed &&
+        self.committed >= self.log.base() && self.log.term_of(self.committed) == self.hard.current)
         self.caught_up = true;
-    send_after_sync(at, message.from, append_response{true, covered, request.round});
+    send_after_sync(at, message.from, append_response{true, covered, request.round, self.life});
     deliver_committed(at);
 }
 
@@ -101,6 +104,7 @@
     if (!self.leads || found == self.progress.end())
         return;
     auto& progress = found->second;
+    progress.life = response.life;
     note_heard(at, progress, response.round);
     if (!response.accepted) {
         const auto from = std::max(response.matched, progress.matched).next();
@@ -139,8 +143,9 @@
 
 void acknowledge_own_log(step& at)
 {
-    send_after_sync(at, at.self.self,
-                    append_response{true, at.self.log.last_index(), at.self.last_round});
+    send_after_sync(
+        at, at.self.self,
+        append_response{true, at.self.log.last_index(), at.self.last_round, at.self.life});
 }
 
 void replicate(step& at)
@@ -175,8 +180,12 @@
     if (heartbeat && !sent) {
         const log_index previous{progress.next.value() - 1};
         send(at, follower,
-             append_request{
-                 previous, self.log.term_of(previous), self.committed, self.last_round, {}});
+             append_request{previous,
+                            self.log.term_of(previous),
+                            self.committed,
+                            self.last_round,
+                            progress.life,
+                            {}});
     }
 }
 
--- a/src/libledger/replicaelection.cpp
+++ b/src/libledger/replicaelection.cpp
@@ -15,6 +15,8 @@
 /** Returns whether the candidate's log has everything that may be committed in ours. */
 bool log_suffices(const replica& self, const vote_request& request)
 {
+    if (self.faults.ignores_candidate_log)
+        return true;
     if (request.last_term != self.log.last_term())
         return request.last_term > self.log.last_term();
     return request.last_index >= self.log.last_index();
--- a/src/libledger/replicaimage.cpp
+++ b/src/libledger/replicaimage.cpp
@@ -96,7 +96,8 @@
     expect_leader(at, message.from);
     if (chunk.index <= self.committed) {
         // Already here: the leader goes on with entries.
-        send_after_sync(at, message.from, append_response{true, self.committed, chunk.round});
+        send_after_sync(at, message.from,
+                        append_response{true, self.committed, chunk.round, self.life});
         return;
     }
     auto& incoming = self.incoming_image;
@@ -110,7 +111,7 @@
         return;
     }
     install(at);
-    send_after_sync(at, message.from, append_response{true, chunk.index, chunk.round});
+    send_after_sync(at, message.from, append_response{true, chunk.index, chunk.round, self.life});
 }
 
 void handle(step& at, const peer_message& message, const image_response& response)
--- a/src/libledger/replicamessages.h
+++ b/src/libledger/replicamessages.h
@@ -41,12 +41,14 @@
     log_index committed;
     /** Number of the heartbeat round, for the leader's lease. */
     std::uint64_t round{0};
+    /** The life that the follower last named: proves that this was sent after its start. */
+    std::uint64_t follower_life{0};
     std::vector<log_entry> entries;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(previous, previous_term, committed, round, entries);
+        archive(previous, previous_term, committed, round, follower_life, entries);
     }
 };
 
@@ -55,11 +57,13 @@
     /** Accepted: synced up to here. Otherwise: the leader should try from here. */
     log_index matched;
     std::uint64_t round{0};
+    /** Differs at each start of the follower. */
+    std::uint64_t life{0};
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(accepted, matched, round);
+        archive(accepted, matched, round, life);
     }
 };
 
--- /dev/null
+++ b/tests/ledger/simulation/fakedisk.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <galenaturn/ledger.h>
+
+#include <deque>
+#include <vector>
+
+namespace galenaturn::ledger {
+
+/** What one write asks of the disk: an image, a new log, or batches for the log. */
+struct disk_write {
+    std::optional<state_image> image;
+    std::optional<log_batch> new_log;
+    std::vector<log_batch> batches;
+};
+
+/** A disk whose writes last only once synced; a crash keeps some first part of the others. */
+class fake_disk {
+public:
+    void queue(disk_write write);
+    [[nodiscard]] bool idle() const { return queued_.empty(); }
+    [[nodiscard]] bool syncing() const { return !in_flight_.empty(); }
+    /** Begins to sync all that is queued. */
+    void begin_sync();
+    void end_sync();
+    /** Loses what is not synced, except for the first `kept` parts of the sync under way. */
+    void crash(std::size_t kept);
+    /** Returns the parts of the sync under way. */
+    [[nodiscard]] std::size_t parts_in_flight() const { return in_flight_.size(); }
+
+    [[nodiscard]] const hard_state& hard() const { return hard_; }
+    [[nodiscard]] const replica_log& log() const { return log_; }
+    [[nodiscard]] const std::optional<state_image>& image() const { return image_; }
+    [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
+
+private:
+    void carry_out(const disk_write& write);
+    void carry_out(const log_batch& batch);
+
+    std::deque<disk_write> queued_;
+    std::deque<disk_write> in_flight_;
+    hard_state hard_;
+    replica_log log_;
+    std::optional<state_image> image_;
+    std::uint64_t syncs_{0};
+};
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/tests/ledger/simulation/simchecks.cpp
@@ -0,0 +1,159 @@
+#include "simulation.h"
+
+#include <algorithm>
+#include <functional>
+#include <sstream>
+
+namespace galenaturn::ledger {
+
+namespace {
+
+constexpr std::size_t longest_trace = 40;
+/** Every so many entries the whole states are compared. */
+constexpr std::uint64_t state_check_interval = 50;
+
+std::uint64_t digest_of(const std::string& bytes)
+{
+    return std::hash<std::string>{}(bytes);
+}
+
+} // namespace
+
+void simulation::require(bool held, const std::string& invariant)
+{
+    if (!held)
+        throw violation_error{invariant};
+}
+
+void simulation::note(const std::string& what)
+{
+    std::ostringstream line;
+    line << now_.time_since_epoch().count() << "us step " << result_.steps << ": " << what;
+    trace_.push_back(line.str());
+    if (trace_.size() > longest_trace)
+        trace_.erase(trace_.begin());
+}
+
+void simulation::check_leader(std::size_t at)
+{
+    const auto& node = nodes_[at];
+    ++result_.elections;
+    note(node.voter.value() + " leads term " + std::to_string(node.core->hard.current.value()));
+    const auto known = leaders_.emplace(node.core->hard.current, node.voter).first;
+    require(known->second == node.voter, "one leader a term");
+    if (committed_.empty())
+        return;
+    const auto& [index, entry] = *committed_.rbegin();
+    require(node.core->log.last_index() >= index, "a leader has all that was committed");
+    require(index < node.core->log.base() || node.core->log.term_of(index) == entry.entry_term,
+            "a leader has the entries that were committed");
+}
+
+void simulation::check_committed(std::size_t at, const log_entry& entry)
+{
+    const committed_entry committed{entry.entry_term,
+                                    digest_of(entry.payload) + static_cast<unsigned>(entry.kind)};
+    const auto known = committed_.emplace(entry.index, committed);
+    if (known.second)
+        ++result_.commits;
+    const auto& first = known.first->second;
+    require(first.entry_term == committed.entry_term && first.digest == committed.digest,
+            "logs match: " + nodes_[at].voter.value() + " committed another entry at " +
+                std::to_string(entry.index.value()));
+}
+
+void simulation::check_outcome(std::size_t at, const log_entry& entry,
+                               const wire::command_request& request,
+                               const wire::command_response& response, const applied_change& change)
+{
+    const auto& node = nodes_[at];
+    if (std::holds_alternative<wire::write_catalogue>(request.body) &&
+        response.status == wire::command_status::accepted) {
+        const auto won = winners_.emplace(response.version, request.id);
+        result_.races_won += won.second ? 1 : 0;
+        require(won.first->second == request.id, "one winner a race");
+    }
+    for (const auto& id : change.tasks) {
+        const auto task = node.state.tasks.find(id);
+        if (task == node.state.tasks.end() || task->second.phase != wire::task_phase::finished)
+            continue;
+        const auto ended = outcomes_.emplace(id, task->second.outcome);
+        require(ended.first->second == task->second.outcome, "one outcome a task");
+    }
+    // The leader answers its client now.
+    if (node.core->leads && entry.entry_term == node.core->hard.current) {
+        acknowledged_index_ = std::max(acknowledged_index_, entry.index);
+        acknowledged_version_ =
+            std::max(acknowledged_version_, catalogue_in_force(node.state).version);
+    }
+}
+
+void simulation::check_state(std::size_t at, log_index index)
+{
+    if (index.value() % state_check_interval != 0)
+        return;
+    const auto digest = digest_of(write_image(nodes_[at].state));
+    const auto known = state_digests_.emplace(index, digest).first;
+    require(known->second == digest, "state machines agree at " + std::to_string(index.value()));
+}
+
+void simulation::check_reads(std::size_t at)
+{
+    auto& node = nodes_[at];
+    if (may_read(*node.core, local_time(node))) {
+        ++result_.fresh_reads;
+        require(catalogue_in_force(node.state).version >= acknowledged_version_ &&
+                    node.core->applied >= acknowledged_index_,
+                "a read sees every write that was acknowledged: " + node.voter.value());
+    }
+    if (may_read(*node.core, local_time(node)) || node.core->caught_up) {
+        require(node.core->applied >= node.read_at,
+                "no read goes back, also after a restart: " + node.voter.value());
+        node.read_at = node.core->applied;
+    }
+}
+
+bool simulation::may_lose_disk(std::size_t at) const
+{
+    const auto fits_in = [&](const voter_set& set) {
+        std::size_t lost = 1;
+        for (const auto& voter : lost_voters_)
+            lost += set.voters.contains(voter) ? 1 : 0;
+        return !set.voters.contains(nodes_[at].voter) ||
+               lost + quorum_size(set) <= set.voters.size();
+    };
+    for (const auto& node : nodes_) {
+        if (!fits_in(node.disk.log().voters()))
+            return false;
+        if (node.alive() && !fits_in(node.core->log.voters()))
+            return false;
+    }
+    return true;
+}
+
+void simulation::check_convergence()
+{
+    const auto leaders = std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) {
+        return node.alive() && node.core->leads;
+    });
+    require(leaders == 1, "after all is healed one replica leads");
+    const auto leader = std::find_if(nodes_.begin(), nodes_.end(),
+                                     [](const auto& node) { return node.core->leads; });
+    require(leader->core->committed >= acknowledged_index_, "nothing acknowledged is lost");
+    for (const auto& node : nodes_) {
+        if (!all_members(leader->core->log.voters()).contains(node.voter))
+            continue;
+        require(node.core->applied.value() + 20 >= leader->core->applied.value(),
+                "after all is healed " + node.voter.value() + " catches up");
+    }
+}
+
+simulation_result run_simulation(const simulation_options& options)
+{
+    set_invariant_handler([](const std::string& text) { throw violation_error{text}; });
+    auto result = simulation{options}.run();
+    set_invariant_handler(nullptr);
+    return result;
+}
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/tests/ledger/simulation/simtrouble.cpp
@@ -0,0 +1,196 @@
+#include "simulation.h"
+
+#include <algorithm>
+
+namespace galenaturn::ledger {
+
+namespace {
+
+constexpr std::size_t open_requests = 12;
+constexpr std::uint64_t most_steps_to_heal = 60'000;
+constexpr std::uint64_t task_names = 40;
+
+} // namespace
+
+void simulation::act_as_client()
+{
+    const auto at = pick(nodes_.size());
+    auto& node = nodes_[at];
+    if (!node.alive())
+        return;
+    check_reads(at);
+    if (!node.core->leads)
+        return;
+    // Resends an open request now and then, under the same id.
+    if (commands_.size() >= open_requests || (!commands_.empty() && chance(300))) {
+        const auto again = pick(commands_.size());
+        std::vector<log_index> indexes;
+        take(at, propose(*node.core, local_time(node), {wire::encode(commands_[again])}, indexes));
+        if (chance(400))
+            commands_.erase(commands_.begin() + static_cast<std::ptrdiff_t>(again));
+        return;
+    }
+    wire::command_request request{request_id{"r" + std::to_string(++last_request_)},
+                                  make_command(node.state)};
+    commands_.push_back(request);
+    std::vector<std::string> batch;
+    const auto copies = 1 + pick(3);
+    for (std::uint64_t copy = 0; copy < copies; ++copy)
+        batch.push_back(wire::encode(request));
+    std::vector<log_index> indexes;
+    take(at, propose(*node.core, local_time(node), std::move(batch), indexes));
+}
+
+wire::command simulation::make_command(const ledger_state& seen)
+{
+    const task_id task{"t" + std::to_string(pick(task_names))};
+    const auto known = seen.tasks.find(task);
+    const auto assignment = known == seen.tasks.end() ? epoch{} : known->second.assignment;
+    switch (pick(8)) {
+    case 0: {
+        static const std::string document = "owners:\n"
+                                            "  - {name: o, quota: {processors: 9, memory: 9GiB}, "
+                                            "rate: 1, concurrency: 1}\n"
+                                            "jobs:\n"
+                                            "  - {name: j, owner: o, class: batch, processors: 1, "
+                                            "memory: 1GiB, hold: 1s}\n";
+        return wire::write_catalogue{catalogue_in_force(seen).version, document,
+                                     wire::content_digest(document), "operator"};
+    }
+    case 1:
+    case 2:
+        return wire::start_task{task, job_id{"j"}, wall_time{std::chrono::seconds{1}}, {}, {}};
+    case 3:
+        return wire::cancel_task{task};
+    case 4:
+    case 5: {
+        wire::assign_tasks body;
+        body.items.push_back({task, failure_domain_id{"d" + std::to_string(pick(3))}, assignment});
+        return body;
+    }
+    case 6: {
+        wire::report_tasks body;
+        const auto outcome = chance(500) ? wire::task_outcome::succeeded : wire::task_outcome::none;
+        body.items.push_back({task, assignment, outcome, chance(300), {}, "", worker_id{"w"}});
+        return body;
+    }
+    default:
+        return wire::reserve_key{
+            owner_id{"o"}, service_id{"s"}, idempotency_key{std::to_string(pick(30))},
+            "digest",      process_id{"e"}, wall_time{std::chrono::hours{1}}};
+    }
+}
+
+void simulation::make_trouble()
+{
+    const auto at = pick(nodes_.size());
+    if (!nodes_[at].alive()) {
+        note("restart " + nodes_[at].voter.value());
+        return start(at);
+    }
+    const auto kind = pick(10);
+    if (kind < 3 && options_.crashes)
+        return crash(at);
+    if (kind < 6 && options_.partitions)
+        return cut_links();
+    if (kind < 7 && options_.voter_changes)
+        return lose_disk(at);
+    if (options_.voter_changes) {
+        change_some_voter();
+        if (chance(500))
+            change_some_voter();
+    }
+}
+
+void simulation::crash(std::size_t at)
+{
+    auto& node = nodes_[at];
+    note("crash " + node.voter.value());
+    ++result_.crashes;
+    node.disk.crash(pick(node.disk.parts_in_flight() + 1));
+    node.core.reset();
+    node.waiting.clear();
+    node.released.clear();
+    ++node.life;
+}
+
+void simulation::lose_disk(std::size_t at)
+{
+    auto& node = nodes_[at];
+    if (!may_lose_disk(at))
+        return;
+    crash(at);
+    note("disk of " + node.voter.value() + " is lost");
+    ++result_.disks_lost;
+    lost_voters_.insert(node.voter);
+    node.disk = fake_disk{};
+    node.read_at = log_index{};
+    node.voter = voter_id{"v" + std::to_string(++last_voter_)};
+}
+
+void simulation::cut_links()
+{
+    const auto kind = pick(5);
+    cut_.clear();
+    if (kind == 0)
+        return note("links heal");
+    const auto at = pick(nodes_.size());
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        if (other == at)
+            continue;
+        // Both ways, one way only in either direction, or towards some.
+        if (kind == 1 || kind == 2 || (kind == 3 && chance(500)))
+            cut_.insert({at, other});
+        if (kind == 1 || kind == 4)
+            cut_.insert({other, at});
+    }
+    note("links of " + nodes_[at].voter.value() + " cut, kind " + std::to_string(kind));
+}
+
+void simulation::change_some_voter()
+{
+    for (std::size_t at = 0; at < nodes_.size(); ++at) {
+        auto& node = nodes_[at];
+        if (!node.alive() || !node.core->leads)
+            continue;
+        const auto& set = node.core->log.voters();
+        const auto& target = nodes_[pick(nodes_.size())];
+        voter_change change{voter_change_kind::add_learner, target.voter, target.process};
+        for (const auto& lost : lost_voters_) {
+            if (all_members(set).contains(lost))
+                change = {voter_change_kind::remove, lost, {}};
+        }
+        if (change.kind != voter_change_kind::remove && set.learners.contains(target.voter))
+            change.kind = voter_change_kind::promote;
+        else if (set.voters.contains(target.voter) && set.voters.size() > 3 && chance(300))
+            change.kind = voter_change_kind::remove;
+        refusal reason;
+        take(at, change_voters(*node.core, local_time(node), change, reason));
+        if (!reason.empty())
+            continue;
+        ++result_.voter_changes;
+        note("voter change " + std::to_string(static_cast<int>(change.kind)) + " of " +
+             change.voter.value() + " at " + node.voter.value());
+    }
+}
+
+void simulation::heal()
+{
+    healed_ = true;
+    cut_.clear();
+    for (std::size_t at = 0; at < nodes_.size(); ++at) {
+        if (!nodes_[at].alive())
+            start(at);
+    }
+    options_.crashes = false;
+    options_.partitions = false;
+    options_.voter_changes = false;
+    const auto until = now_ + std::chrono::seconds{20};
+    const auto most_steps = result_.steps + most_steps_to_heal;
+    while (now_ < until) {
+        step();
+        require(result_.steps < most_steps, "messages do not multiply once all is healed");
+    }
+}
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/tests/ledger/simulation/simulation.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "fakedisk.h"
+
+#include <galenaturn/ledger.h>
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace galenaturn::ledger {
+
+struct simulation_options {
+    std::uint64_t seed{0};
+    std::size_t processes{3};
+    std::uint64_t steps{20'000};
+    replica_faults faults;
+    /** Shares of messages, in thousandths. */
+    unsigned lost{20};
+    unsigned duplicated{20};
+    unsigned late{20};
+    bool crashes{true};
+    bool partitions{true};
+    bool voter_changes{true};
+};
+
+struct simulation_result {
+    /** Empty where every invariant held. */
+    std::string violation;
+    /** The last events before the violation. */
+    std::vector<std::string> trace;
+    std::uint64_t steps{0};
+    std::uint64_t commits{0};
+    std::uint64_t elections{0};
+    std::uint64_t crashes{0};
+    std::uint64_t images_installed{0};
+    std::uint64_t voter_changes{0};
+    std::uint64_t disks_lost{0};
+    std::uint64_t fresh_reads{0};
+    std::uint64_t races_won{0};
+};
+
+/** A broken invariant. */
+struct violation_error : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+/** One process with its replica, its disk and its own clock. */
+struct sim_node {
+    process_id process;
+    voter_id voter;
+    fake_disk disk;
+    std::unique_ptr<replica> core;
+    ledger_state state;
+    /** Messages for the next sync, and for the one under way. */
+    std::vector<peer_message> waiting;
+    std::vector<peer_message> released;
+    /** Counts starts; events of an earlier life are void. */
+    std::uint64_t life{0};
+    /** Thousandths by which its clock runs fast. */
+    std::int64_t clock_skew{0};
+    /** Highest index at which this process has answered a read, over all its lives. */
+    log_index read_at;
+
+    [[nodiscard]] bool alive() const { return core != nullptr; }
+};
+
+/**
+ * A group of replicas over a network that loses, delays, reorders, duplicates and cuts off, with
+ * disks that lose what is not synced and clocks of different rate. Everything follows from the
+ * seed.
+ */
+class simulation {
+public:
+    explicit simulation(const simulation_options& options);
+
+    /** Runs all steps, then heals everything and checks that the group still works. */
+    simulation_result run();
+
+private:
+    enum class event_kind : std::uint8_t { tick, deliver, synced, client, trouble, crash };
+    struct event {
+        time_point when;
+        std::uint64_t order{0};
+        event_kind kind{event_kind::tick};
+        std::size_t node{0};
+        std::uint64_t life{0};
+        peer_message message;
+        std::size_t sender{0};
+
+        bool operator<(const event& other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    // simulation.cpp: time, network, disks.
+    void form();
+    void start(std::size_t at);
+    void schedule(event_kind kind, std::size_t node, duration delay);
+    void step();
+    void carry_out(const event& next);
+    void take(std::size_t at, effects done);
+    void apply(std::size_t at, const log_entry& entry);
+    void flush(std::size_t at);
+    void release(std::size_t at);
+    void post(std::size_t from, const peer_message& message);
+    void shorten_log(std::size_t at);
+    [[nodiscard]] time_point local_time(const sim_node& node) const;
+    [[nodiscard]] std::size_t node_of(const voter_id& voter) const;
+    std::uint64_t pick(std::uint64_t bound) { return random_() % bound; }
+    bool chance(unsigned thousandths) { return pick(1000) < thousandths; }
+
+    // simtrouble.cpp: what clients do and what fails.
+    void act_as_client();
+    wire::command make_command(const ledger_state& seen);
+    void make_trouble();
+    void crash(std::size_t at);
+    void lose_disk(std::size_t at);
+    void cut_links();
+    void change_some_voter();
+    void heal();
+
+    // simchecks.cpp: the invariants.
+    void check_leader(std::size_t at);
+    void check_committed(std::size_t at, const log_entry& entry);
+    void check_outcome(std::size_t at, const log_entry& entry, const wire::command_request& request,
+                       const wire::command_response& response, const applied_change& change);
+    void check_state(std::size_t at, log_index index);
+    void check_reads(std::size_t at);
+    [[nodiscard]] bool may_lose_disk(std::size_t at) const;
+    void check_convergence();
+    void require(bool held, const std::string& invariant);
+    void note(const std::string& what);
+
+    simulation_options options_;
+    state_chart chart_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::uint64_t next_order_{0};
+    std::priority_queue<event> events_;
+    std::vector<sim_node> nodes_;
+    std::set<std::pair<std::size_t, std::size_t>> cut_;
+    std::set<voter_id> lost_voters_;
+    /** Requests that a client may still resend. */
+    std::vector<wire::command_request> commands_;
+    std::uint64_t last_request_{0};
+    std::uint64_t last_voter_{0};
+    bool healed_{false};
+
+    std::map<term, voter_id> leaders_;
+    struct committed_entry {
+        term entry_term;
+        std::uint64_t digest{0};
+    };
+    std::map<log_index, committed_entry> committed_;
+    std::map<log_index, std::uint64_t> state_digests_;
+    std::map<catalogue_version, request_id> winners_;
+    std::map<task_id, wire::task_outcome> outcomes_;
+    catalogue_version acknowledged_version_;
+    log_index acknowledged_index_;
+
+    std::vector<std::string> trace_;
+    simulation_result result_;
+};
+
+/** Returns the whole log that a replica holds, as the start of a new log file. */
+log_batch present_log(const replica& core);
+/** Runs one simulation; broken invariants of the code itself are violations too. */
+simulation_result run_simulation(const simulation_options& options);
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/tests/ledger/soak/soakledger.cpp
@@ -0,0 +1,76 @@
+#include "../simulation/simulation.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_int64(seconds, 60, "How long to run");
+DEFINE_uint64(seed, 1, "Seed of the first run; later runs count on from it");
+DEFINE_uint64(steps, 40000, "Steps of one run");
+DEFINE_uint64(fault, 0, "Number of a seeded bug, 0 for none");
+
+namespace {
+
+using namespace galenaturn;
+
+ledger::replica_faults fault_of(std::uint64_t number)
+{
+    ledger::replica_faults faults;
+    faults.votes_twice = number == 1;
+    faults.acknowledges_before_sync = number == 2;
+    faults.commits_earlier_terms = number == 3;
+    faults.skips_quorum_check = number == 4;
+    faults.accepts_old_terms = number == 5;
+    faults.ignores_leader_promise = number == 6;
+    faults.overlaps_voter_changes = number == 7;
+    faults.ignores_candidate_log = number == 8;
+    return faults;
+}
+
+void print_failure(const ledger::simulation_options& options,
+                   const ledger::simulation_result& result)
+{
+    std::cout << "FAILED seed=" << options.seed << " processes=" << options.processes
+              << " steps=" << result.steps << ": " << result.violation << '\n';
+    for (const auto& line : result.trace)
+        std::cout << "  " << line << '\n';
+}
+
+} // namespace
+
+/** Runs simulations of the ledger, seed after seed. Prints the first seed that breaks an invariant.
+ */
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    init_log(log_level::fatal);
+    ledger::simulation_options options;
+    options.steps = FLAGS_steps;
+    options.faults = fault_of(FLAGS_fault);
+    const auto deadline = monotonic_now() + std::chrono::seconds{FLAGS_seconds};
+    ledger::simulation_result sum;
+    std::uint64_t runs = 0;
+    for (options.seed = FLAGS_seed; monotonic_now() < deadline; ++options.seed, ++runs) {
+        options.processes = options.seed % 3 == 0 ? 5 : 3 + options.seed % 2;
+        const auto result = ledger::run_simulation(options);
+        if (!result.violation.empty()) {
+            print_failure(options, result);
+            return 1;
+        }
+        sum.steps += result.steps;
+        sum.commits += result.commits;
+        sum.elections += result.elections;
+        sum.crashes += result.crashes;
+        sum.images_installed += result.images_installed;
+        sum.voter_changes += result.voter_changes;
+        sum.disks_lost += result.disks_lost;
+        sum.fresh_reads += result.fresh_reads;
+        sum.races_won += result.races_won;
+    }
+    std::cout << "ok runs=" << runs << " steps=" << sum.steps << " commits=" << sum.commits
+              << " elections=" << sum.elections << " crashes=" << sum.crashes
+              << " images_installed=" << sum.images_installed
+              << " voter_changes=" << sum.voter_changes << " disks_lost=" << sum.disks_lost
+              << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.races_won << '\n';
+    return 0;
+}
