membership: hosted upstreams catch up from the budget of joins

After a start of everything at once, at a tenth of the datagrams lost, entries still lacked arrivals after 30 s: these waited for what probes leave of the routine budget, and pushes were answered with pushes. A neighbour that an ack shows to lack hosted upstreams now gets them like one that has just started, while half of that budget is left, and only acks are answered with what is missing.

--- a/src/libmembership/gossipnode.cpp
+++ b/src/libmembership/gossipnode.cpp
@@ -27,6 +27,10 @@
 constexpr double probe_reserve = 0.1;
 /** Arrivals are sent only while this share of the budget is left. */
 constexpr double departure_reserve = 0.4;
+/** Share of the budget of joins that is kept for processes that start. */
+constexpr double join_reserve = 0.5;
+/** Datagrams of hosted upstreams that one neighbour gets at once after an exchange. */
+constexpr std::size_t most_catch_up = 8;
 /** Loads are sent only while this share of the budget is left. */
 constexpr double load_reserve = 0.7;
 constexpr std::size_t most_load_bytes = 240;
@@ -189,8 +193,8 @@
         ping_for(from, message, now, effects);
     else if (message.kind == gossip_kind::join)
         answer_join(from, now, effects);
-    const bool answered = message.kind == gossip_kind::ping || message.kind == gossip_kind::join;
-    if (!answered && !message.origins.items.empty())
+    // A push is not: its few digests say nothing of what else the sender lacks.
+    if (message.kind == gossip_kind::ack)
         push_missing(from, now, effects);
 }
 
@@ -198,6 +202,11 @@
 {
     if (!is_neighbour(to))
         return;
+    // A neighbour that lacks much of what is hosted here gets it like one that has just started.
+    for (std::size_t count = 0; count < most_catch_up && upstreams_.lacks_own(peers_[to].known) &&
+                                joins_.share_left(now) > join_reserve;
+         ++count)
+        send(to, make(gossip_kind::join_answer, to, 0, now), joins_, now, effects);
     const auto left = routine_.share_left(now);
     const auto& known = peers_[to].known;
     const bool due = (left > probe_reserve && upstreams_.lacks_departure(to, known)) ||
