entryd: announcements reach the upstream's own domain; workers find any control

Cause: a balancer hands an upstream to an entry of any domain; that entry then hosted it, and the entries of its own domain never heard of it (util/demo: 'both entries of each domain know its upstream' failed for both users). A worker whose domain had lost its control process was refused. Change: an entry passes such an announcement on over its peer link and hosts it only where no entry of that domain answers; worker heartbeats go to the control of the domain, then of its region, then of any other. Conclusion: an upstream need not know which entries are near.

--- a/src/entryd/announcementservice.cpp
+++ b/src/entryd/announcementservice.cpp
@@ -15,6 +15,8 @@
 
 /** Longer than the steward holds a heartbeat open. */
 constexpr std::chrono::seconds steward_timeout{2};
+/** Shorter than an announcement interval, so that a silent entry delays one announcement. */
+constexpr std::chrono::milliseconds pass_on_timeout{400};
 constexpr std::int64_t steward_retry_seconds = 1;
 constexpr std::int64_t leaving_retry_seconds = 1;
 
@@ -30,15 +32,15 @@
 
 announcement_service::announcement_service(daemon::context& shared, gossip_service& gossip)
     : shared_{shared}, gossip_{gossip}, workers_forwarded_{shared.metrics.make_counter(
-                                            "galenaturn_worker_announcements_forwarded_total")}
+                                            "galenaturn_worker_announcements_forwarded_total")},
+      upstreams_passed_on_{
+          shared.metrics.make_counter("galenaturn_upstream_announcements_passed_on_total")}
 {
     for (const auto& reason : refusal_reasons)
         refusals_[reason] = &shared.metrics.make_counter("galenaturn_announcements_refused_total",
                                                          {{"reason", reason}});
     shared.routes.add(http::verb::put, "/v1/upstreams/{id}",
-                      [this](http::call& incoming) -> boost::asio::awaitable<http::response> {
-                          co_return take_upstream(incoming);
-                      });
+                      [this](http::call& incoming) { return take_upstream(incoming); });
     shared.routes.add(http::verb::put, "/v1/workers/{id}",
                       [this](http::call& incoming) { return take_worker(incoming); });
     shared.routes.add(http::verb::get, "/v1/upstreams",
@@ -49,6 +51,11 @@
                       [this](http::call&) -> boost::asio::awaitable<http::response> {
                           co_return list_members();
                       });
+    shared.frames.on(
+        wire::frame_kind::upstream_announcement,
+        [this](const wire::hello&, const wire::frame& received, const wire::reply_function& reply) {
+            take_passed_on(received, reply);
+        });
 }
 
 result<void> announcement_service::start()
@@ -56,21 +63,50 @@
     return success();
 }
 
-http::response announcement_service::take_upstream(const http::call& incoming)
+boost::asio::awaitable<http::response> announcement_service::take_upstream(http::call& incoming)
 {
     if (!shared_.accepting)
-        return refuse_leaving();
+        co_return refuse_leaving();
     const auto parsed = http::parse_upstream_announcement(
         incoming.message.body(), upstream_id{incoming.parameters.at("id")});
     if (!parsed.problems.empty())
-        return refuse_malformed(parsed.problems);
+        co_return refuse_malformed(parsed.problems);
     if (!is_known(parsed.message.domain))
-        return refuse_unknown_domain(parsed.message.domain);
-    const auto outcome = gossip_.hear(parsed.message);
+        co_return refuse_unknown_domain(parsed.message.domain);
     json::object body;
-    body["outcome"] = to_string(outcome);
+    body["outcome"] = co_await hear(parsed.message);
     body["announcement_interval_ms"] = membership::announcement_interval.count();
-    return json_response(body);
+    co_return json_response(body);
+}
+
+boost::asio::awaitable<std::string>
+announcement_service::hear(wire::upstream_announcement announcement)
+{
+    if (announcement.domain == shared_.settings.self.domain)
+        co_return to_string(gossip_.hear(announcement));
+    const auto payload = wire::encode(announcement);
+    for (const auto& member : shared_.settings.members) {
+        auto* link = shared_.peers.find(member.id);
+        if (member.role != process_role::entry || member.domain != announcement.domain ||
+            link == nullptr || !link->connected())
+            continue;
+        const auto reply = co_await link->call(wire::frame_kind::upstream_announcement, payload,
+                                               monotonic_now() + pass_on_timeout);
+        if (!reply)
+            continue;
+        upstreams_passed_on_.add();
+        co_return reply.value();
+    }
+    co_return to_string(gossip_.hear(announcement));
+}
+
+void announcement_service::take_passed_on(const wire::frame& received,
+                                          const wire::reply_function& reply)
+{
+    const auto announcement = wire::decode<wire::upstream_announcement>(received.payload);
+    if (!announcement || !shared_.accepting)
+        return;
+    reply(to_string(gossip_.hear(announcement.value())));
 }
 
 boost::asio::awaitable<http::response> announcement_service::take_worker(http::call& incoming)
@@ -83,19 +119,20 @@
         co_return refuse_malformed(parsed.problems);
     if (!is_known(parsed.message.domain))
         co_return refuse_unknown_domain(parsed.message.domain);
-    auto* steward = find_steward(parsed.message.domain);
+    const auto payload = wire::encode(parsed.message);
     bool not_run = true;
-    if (steward != nullptr) {
+    for (auto* control : find_controls(parsed.message.domain)) {
         workers_forwarded_.add();
-        const auto reply = co_await steward->call(wire::frame_kind::worker_announcement,
-                                                  wire::encode(parsed.message),
-                                                  incoming.arrived + steward_timeout);
+        const auto reply = co_await control->call(wire::frame_kind::worker_announcement, payload,
+                                                  monotonic_now() + steward_timeout);
         const auto answer = reply ? wire::decode<wire::worker_answer>(reply.value())
                                   : result<wire::worker_answer>{reply.error()};
-        not_run = !reply && reply.error() == make_error_code(wire::wire_error::not_connected);
         if (answer)
             co_return http::make_response(http::status::ok, http::to_json(answer.value()),
                                           "application/json");
+        not_run &= !reply && reply.error() == make_error_code(wire::wire_error::not_connected);
+        if (!not_run)
+            break;
     }
     refusals_.at("steward_unreachable")->add();
     co_return http::make_problem({http::status::service_unavailable, "steward_unreachable",
@@ -133,13 +170,26 @@
                        [&domain](const auto& member) { return member.domain == domain; });
 }
 
-wire::peer_link* announcement_service::find_steward(const failure_domain_id& domain)
+std::vector<wire::peer_link*> announcement_service::find_controls(const failure_domain_id& domain)
 {
+    region_id region;
+    for (const auto& member : shared_.settings.members) {
+        if (member.domain == domain)
+            region = member.region;
+    }
+    std::vector<wire::peer_link*> own;
+    std::vector<wire::peer_link*> near;
+    std::vector<wire::peer_link*> far;
     for (const auto& member : shared_.settings.members) {
-        if (member.role == process_role::control && member.domain == domain)
-            return shared_.peers.find(member.id);
+        auto* link = shared_.peers.find(member.id);
+        if (member.role != process_role::control || link == nullptr || !link->connected())
+            continue;
+        auto& group = member.domain == domain ? own : member.region == region ? near : far;
+        group.push_back(link);
     }
-    return nullptr;
+    own.insert(own.end(), near.begin(), near.end());
+    own.insert(own.end(), far.begin(), far.end());
+    return own;
 }
 
 http::response announcement_service::list_upstreams() const
--- a/src/libwire/frame.h
+++ b/src/libwire/frame.h
@@ -31,6 +31,8 @@
     steward_heartbeat = 21,
     /** steward: load of a domain's workers for the assigner. */
     domain_load = 22,
+    /** An upstream's announcement, passed on to an entry of the upstream's domain. */
+    upstream_announcement = 23,
     /** route: borrow slots of an upstream from its home entry, and give them back. */
     slot_request = 30,
     slot_return = 31,
--- a/tests/ledger/simulation/simtrouble.cpp
+++ b/tests/ledger/simulation/simtrouble.cpp
@@ -65,7 +65,8 @@
     case 4:
     case 5: {
         wire::assign_tasks body;
-        body.items.push_back({task, failure_domain_id{"d" + std::to_string(pick(3))}, assignment, {}});
+        body.items.push_back(
+            {task, failure_domain_id{"d" + std::to_string(pick(3))}, assignment, {}});
         return body;
     }
     case 6: {
