route: exact slots lent between entries, fair queueing over time, measurements

Change: home entries lend slots over slot_request/slot_return; start-time fair queueing with a short catch-up; a caller that goes away ends its request; retries look for another upstream elsewhere too.

--- /dev/null
+++ b/bench/route/decisioncost.cpp
@@ -0,0 +1,155 @@
+#include "routebench.h"
+#include "virtualcluster.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+std::size_t allocations = 0;
+
+} // namespace
+
+void* operator new(std::size_t size)
+{
+    ++allocations;
+    void* memory = std::malloc(size); // NOLINT: the counting operator new of this program
+    if (memory == nullptr)
+        throw std::bad_alloc{};
+    return memory;
+}
+
+void operator delete(void* memory) noexcept
+{
+    std::free(memory); // NOLINT
+}
+
+void operator delete(void* memory, std::size_t /*size*/) noexcept
+{
+    std::free(memory); // NOLINT
+}
+
+namespace galenaturn::bench {
+
+namespace {
+
+constexpr std::uint32_t owners = 150;
+constexpr int warm_up = 20'000;
+constexpr int decisions = 200'000;
+constexpr int repetitions = 7;
+
+/** One entry's state with every slot but a few taken, as under load. */
+struct entry_state {
+    route::admission_state admission;
+    route::upstream_table table;
+    std::vector<route::upstream_index> taken;
+    std::vector<std::uint32_t> running;
+    std::mt19937_64 random{7}; // NOLINT: the same run every time
+    time_point now{std::chrono::hours{1}};
+
+    explicit entry_state(std::uint32_t upstreams)
+    {
+        for (std::uint32_t number = 0; number < upstreams; ++number)
+            add_upstream(number);
+        admission.held_limit = 1'000'000;
+        admission.services.resize(1);
+        admission.services[0].limits = {work_class::interactive, 1'000'000, 10'000,
+                                        std::chrono::milliseconds{50}};
+        admission.services[0].slots = upstreams * 8;
+        for (std::uint32_t owner = 0; owner < owners; ++owner) {
+            admission.owners.emplace_back();
+            admission.owners.back().limits = {1.0 + owner % 7, 1e9, 1'000'000};
+        }
+        const auto held = upstreams * 8 * 4 / 5;
+        taken.reserve(held + 1);
+        running.reserve(held + 1);
+        for (std::uint32_t number = 0; number < held; ++number)
+            start();
+    }
+
+    void add_upstream(std::uint32_t number)
+    {
+        wire::upstream_announcement news;
+        news.id = upstream_id{"runner-" + std::to_string(number)};
+        news.life = incarnation{1};
+        news.sequence = 1;
+        news.slots = 8;
+        news.connections = 64;
+        route::announce_upstream(table, 0, news);
+        route::set_home(table, number, true);
+        route::withhold_slots(table, number, 0);
+    }
+
+    /** Admits one request, starts the next that is due and gives it a slot. */
+    void start()
+    {
+        const auto owner = static_cast<std::uint32_t>(random() % owners);
+        route::submit_request(admission, {owner, 0, now + std::chrono::seconds{10}}, now);
+        const auto place = route::choose_upstream(table, 0, {});
+        const auto started = route::start_next(admission, 0);
+        route::take_slot(table, *place);
+        taken.push_back(*place);
+        running.push_back(started->owner);
+    }
+
+    /** Ends a request that runs. */
+    void finish()
+    {
+        const auto chosen = random() % taken.size();
+        constexpr auto took = std::chrono::milliseconds{50};
+        route::record_attempt(table, taken[chosen], false, took, now);
+        route::return_slot(table, taken[chosen]);
+        route::finish_request(admission, 0, running[chosen], took);
+        taken[chosen] = taken.back();
+        running[chosen] = running.back();
+        taken.pop_back();
+        running.pop_back();
+    }
+
+    void run(int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            now += std::chrono::microseconds{100};
+            start();
+            finish();
+        }
+    }
+};
+
+/** Returns the nanoseconds that one request's decisions take, the least of several runs. */
+double cost(entry_state& state)
+{
+    double best = 1e12;
+    for (int repetition = 0; repetition < repetitions; ++repetition) {
+        const auto begin = std::chrono::steady_clock::now();
+        state.run(decisions);
+        const auto took = std::chrono::steady_clock::now() - begin;
+        const auto nanoseconds = std::chrono::duration<double, std::nano>(took).count();
+        best = std::min(best, nanoseconds / decisions);
+    }
+    return best;
+}
+
+} // namespace
+
+void measure_decision_cost(figure_report& report, bool quick)
+{
+    entry_state small{65};
+    entry_state large{2900};
+    small.run(warm_up);
+    large.run(warm_up);
+    const auto before = allocations;
+    large.run(decisions);
+    report.add("allocations_per_decision", static_cast<double>(allocations - before) / decisions,
+               "count", at_most(0));
+    if (quick)
+        return;
+    const double small_cost = cost(small);
+    const double large_cost = cost(large);
+    report.add("decision_65_upstreams", small_cost, "ns");
+    report.add("decision_2900_upstreams", large_cost, "ns", {}, std::to_string(small_cost));
+    report.add("decision_growth_65_to_2900", large_cost / small_cost, "ratio", at_most(4));
+}
+
+} // namespace galenaturn::bench
--- /dev/null
+++ b/bench/route/fairnessbench.cpp
@@ -0,0 +1,174 @@
+#include "routebench.h"
+#include "virtualcluster.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace galenaturn::bench {
+
+namespace {
+
+constexpr std::uint32_t owner_count = 150;
+constexpr std::uint32_t largest = 0;
+/** The largest owner weighs as much as all the others together. */
+constexpr double largest_weight = owner_count - 1;
+constexpr std::uint32_t slot_count = 520;
+constexpr duration mean_time = std::chrono::milliseconds{50};
+constexpr duration warm_up = std::chrono::seconds{3};
+constexpr duration run_time = std::chrono::seconds{30};
+constexpr duration time_limit = std::chrono::seconds{2};
+
+/** What one side got. */
+struct side_result {
+    std::vector<duration> latencies;
+    std::uint64_t offered{0};
+    std::uint64_t answered{0};
+};
+
+/** One pool of slots, shared by the largest owner and the small ones. */
+struct shared_pool {
+    struct pending {
+        time_point arrived;
+        duration takes{};
+    };
+
+    virtual_clock clock;
+    route::admission_state admission;
+    std::mt19937_64 random{17}; // NOLINT: the same run every time
+    service_times times{mean_time};
+    std::unordered_map<std::uint64_t, pending> waiting;
+    std::uint32_t busy{0};
+    time_point measured_from;
+    time_point until;
+    side_result large;
+    side_result small;
+    duration work_done{};
+
+    shared_pool()
+    {
+        admission.held_limit = 1'000'000;
+        admission.services.emplace_back();
+        admission.services[0].limits = {work_class::interactive, 1'000'000, 1'000, mean_time};
+        admission.services[0].slots = slot_count;
+        admission.owners.resize(owner_count);
+        for (auto& owner : admission.owners)
+            owner.limits = {1.0, 1e9, 1'000'000};
+        admission.owners[largest].limits.weight = largest_weight;
+        measured_from = clock.now() + warm_up;
+        until = measured_from + run_time;
+    }
+
+    side_result& side_of(std::uint32_t owner) { return owner == largest ? large : small; }
+
+    /** Offers `load` of all slots, spread over the owners of one side. */
+    void offer(double load, bool by_largest)
+    {
+        if (load <= 0)
+            return;
+        const double rate = load * slot_count / std::chrono::duration<double>(mean_time).count();
+        const auto next = clock.now() + arrival_gap(rate, random);
+        if (next > until)
+            return;
+        clock.at(next, [this, load, by_largest] {
+            const auto small_owner = 1 + static_cast<std::uint32_t>(random() % (owner_count - 1));
+            arrive(by_largest ? largest : small_owner);
+            offer(load, by_largest);
+        });
+    }
+
+    void arrive(std::uint32_t owner)
+    {
+        const auto now = clock.now();
+        const auto takes = times.draw(random);
+        side_of(owner).offered += now >= measured_from ? 1 : 0;
+        const auto decision = route::submit_request(admission, {owner, 0, now + time_limit}, now);
+        if (decision.pushed_out)
+            waiting.erase(decision.pushed_out->value());
+        if (decision.refused)
+            return;
+        waiting.emplace(decision.ticket.value(), pending{now, takes});
+        dispatch();
+    }
+
+    void dispatch()
+    {
+        while (busy < slot_count) {
+            const auto started = route::start_next(admission, 0);
+            if (!started)
+                return;
+            const auto found = waiting.find(started->request.ticket.value());
+            const auto request = found->second;
+            waiting.erase(found);
+            ++busy;
+            clock.after(request.takes,
+                        [this, owner = started->owner, request] { end(owner, request); });
+        }
+    }
+
+    void end(std::uint32_t owner, const pending& request)
+    {
+        --busy;
+        route::finish_request(admission, 0, owner, request.takes);
+        const auto now = clock.now();
+        if (now >= measured_from && now <= until)
+            work_done += request.takes;
+        if (request.arrived >= measured_from) {
+            side_of(owner).latencies.push_back(now - request.arrived);
+            ++side_of(owner).answered;
+        }
+        dispatch();
+    }
+
+    void run(double large_load, double small_load)
+    {
+        offer(large_load, true);
+        offer(small_load, false);
+        clock.run();
+    }
+
+    /** Returns the part of all slot time that was used. */
+    [[nodiscard]] double used() const
+    {
+        return std::chrono::duration<double>(work_done) /
+               (std::chrono::duration<double>(run_time) * slot_count);
+    }
+};
+
+constexpr double fair_half = 0.5;
+/** The well-behaved side offers a little less than its share, the other ten times its own. */
+constexpr double modest_load = 0.45;
+constexpr double excessive_load = 10 * fair_half;
+
+void compare(figure_report& report, const std::string& name, bool small_is_modest)
+{
+    shared_pool alone;
+    alone.run(small_is_modest ? 0 : modest_load, small_is_modest ? modest_load : 0);
+    shared_pool together;
+    together.run(small_is_modest ? excessive_load : modest_load,
+                 small_is_modest ? modest_load : excessive_load);
+    auto& quiet = small_is_modest ? alone.small : alone.large;
+    auto& pressed = small_is_modest ? together.small : together.large;
+    const auto& greedy = small_is_modest ? together.large : together.small;
+    const auto before = percentile(quiet.latencies, 0.99);
+    const auto after = percentile(pressed.latencies, 0.99);
+    report.add("fair_p99_of_" + name, std::chrono::duration<double>(after) / before, "ratio",
+               at_most(1.2));
+    report.add("fair_throughput_of_" + name,
+               static_cast<double>(pressed.answered) / static_cast<double>(pressed.offered),
+               "share", at_least(0.95));
+    const double rest = (1 - modest_load) * slot_count * 1e6 / 50'000 *
+                        std::chrono::duration<double>(run_time).count();
+    report.add("fair_rest_used_beside_" + name, static_cast<double>(greedy.answered) / rest,
+               "share", at_least(0.95));
+    report.add("fair_slots_used_beside_" + name, together.used(), "share", at_least(0.95));
+}
+
+} // namespace
+
+void measure_fairness(figure_report& report)
+{
+    compare(report, "small_owners", true);
+    compare(report, "largest_owner", false);
+}
+
+} // namespace galenaturn::bench
--- /dev/null
+++ b/bench/route/routebench.cpp
@@ -0,0 +1,19 @@
+#include "routebench.h"
+
+#include <galenaturn/core.h>
+
+#include <string_view>
+
+/** Runs every measurement of the request path; with --quick those that no clock can change. */
+int main(int argc, char** argv)
+{
+    using namespace galenaturn;
+    init_log(log_level::fatal);
+    const bool quick = argc > 1 && std::string_view{argv[1]} == "--quick";
+    bench::figure_report report;
+    bench::measure_decision_cost(report, quick);
+    bench::measure_tail(report);
+    bench::measure_fairness(report);
+    bench::measure_failures(report);
+    return report.exit_code();
+}
--- a/src/entryd/requestservice.cpp
+++ b/src/entryd/requestservice.cpp
@@ -3,6 +3,7 @@
 #include "requestmetrics.h"
 #include "requestparser.h"
 #include "slotbroker.h"
+#include "slotexchange.h"
 #include "upstreamclient.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -44,6 +45,7 @@
         : shared{context}, ledger{std::move(shared_ledger)}, metrics{context.metrics},
           upstreams{context.io, context.settings.body_limit, metrics},
           broker{context.io, make_broker_settings(context.settings), metrics},
+          exchange{std::make_shared<slot_exchange>(context, broker, metrics)},
           id_prefix{context.settings.self.id.value() + "-" +
                     std::to_string(wall_now().time_since_epoch().count()) + "-"}
     {
@@ -54,6 +56,7 @@
     request_metrics metrics;
     upstream_client upstreams;
     slot_broker broker;
+    std::shared_ptr<slot_exchange> exchange;
     std::string id_prefix;
     std::uint64_t last_id{0};
     /** Keyed requests whose end the ledger does not know yet. */
@@ -76,6 +79,7 @@
         bool maybe_run{false};
         /** Set while the key is reserved under this id. */
         std::optional<request_id> reservation;
+        bool caller_gone{false};
     };
 
     /** How the attempts ended: the last one's result, and the upstream that it was made at. */
@@ -115,6 +119,7 @@
             co_return self->refuse(*parsed.refused, work.id, false, {});
         work.request = std::move(parsed.request);
         work.message = make_upstream_request(incoming.message, work.request, work.id);
+        incoming.abandoned = [self = self.get(), &work] { self->abandon(work); };
         auto digest = work.request.key ? digest_of(incoming.message, work.request) : std::string{};
         auto answer = co_await self->serve(work, std::move(digest));
         self->metrics.latency.record(monotonic_now() - work.request.arrived);
@@ -222,49 +227,87 @@
                          {"upstream", grant.target.id});
             attempts_result result;
             result.upstream = grant.target.id;
-            result.last = co_await upstreams.exchange(grant.target, work.message, work.id,
-                                                      work.request.deadline,
+            const auto deadline = std::min(work.request.deadline, grant.until);
+            result.last = co_await upstreams.exchange(grant.target, work.message, work.id, deadline,
                                                       !work.request.idempotent, &work.exchange);
+            if (work.caller_gone)
+                result.last.outcome = attempt_outcome::cancelled;
             const auto outcome = result.last.outcome;
             work.tried.push_back(grant.target.id);
             work.maybe_run |= !route::certainly_not_run(outcome);
-            broker.settle(grant, outcome, result.last.took);
+            settle(grant, outcome, result.last.took);
             if (outcome == attempt_outcome::answered) {
                 route::earn_retry(owner_budgets[work.request.owner]);
                 route::earn_retry(service_budgets[work.request.service]);
                 co_return result;
             }
-            auto next = plan_retry(work, outcome);
+            auto next = co_await plan_retry(work, outcome);
             if (!next)
                 co_return result;
             grant = *next;
         }
     }
 
+    void settle(const slot_grant& grant, attempt_outcome outcome, duration took)
+    {
+        if (grant.borrowed())
+            exchange->give_back(grant, outcome, took);
+        else
+            broker.settle(grant, outcome, took);
+    }
+
+    /** Returns why a safe retry is not to be made, or nothing where it may be. */
+    std::optional<route::retry_denial> denial_of(const progress& work)
+    {
+        if (work.tried.size() >= most_attempts)
+            return route::retry_denial::attempts;
+        if (monotonic_now() >= work.request.deadline)
+            return route::retry_denial::deadline;
+        if (!route::can_spend_retry(service_budgets[work.request.service],
+                                    owner_budgets[work.request.owner]))
+            return route::retry_denial::budget;
+        return {};
+    }
+
     /** Returns the slot for another attempt, or nothing where there is to be none. */
-    std::optional<slot_grant> plan_retry(const progress& work, attempt_outcome outcome)
+    asio::awaitable<std::optional<slot_grant>> plan_retry(progress& work, attempt_outcome outcome)
     {
         const auto reason = route::safe_retry(outcome, work.request.idempotent);
         if (!reason)
-            return {};
-        const auto deny = [&](route::retry_denial denial) {
-            metrics.retry_denied(denial);
-            return std::nullopt;
-        };
-        if (work.tried.size() >= most_attempts)
-            return deny(route::retry_denial::attempts);
-        if (monotonic_now() >= work.request.deadline)
-            return deny(route::retry_denial::deadline);
-        auto& service_budget = service_budgets[work.request.service];
-        auto& owner_budget = owner_budgets[work.request.owner];
-        if (!route::can_spend_retry(service_budget, owner_budget))
-            return deny(route::retry_denial::budget);
-        auto grant = broker.acquire_other(work.waiter.service, work.tried);
-        if (!grant)
-            return deny(route::retry_denial::no_other_upstream);
-        route::spend_retry(service_budget, owner_budget);
+            co_return std::nullopt;
+        auto denial = denial_of(work);
+        std::optional<slot_grant> grant;
+        if (!denial) {
+            // Spent before any wait, so that concurrent failures cannot spend the same retry.
+            route::spend_retry(service_budgets[work.request.service],
+                               owner_budgets[work.request.owner]);
+            grant = broker.acquire_other(work.waiter.service, work.tried);
+            if (!grant)
+                grant = co_await exchange->borrow(work.request.service, work.tried);
+            if (!grant) {
+                route::refund_retry(service_budgets[work.request.service],
+                                    owner_budgets[work.request.owner]);
+                denial = route::retry_denial::no_other_upstream;
+            }
+        }
+        if (denial) {
+            metrics.retry_denied(*denial);
+            co_return std::nullopt;
+        }
         metrics.retried(*reason);
-        return grant;
+        co_return grant;
+    }
+
+    /** Ends what is done for a caller that has closed its connection. */
+    void abandon(progress& work)
+    {
+        // The outcome of a keyed request is wanted by a resend even where this caller has gone.
+        if (work.reservation || work.caller_gone)
+            return;
+        work.caller_gone = true;
+        broker.cancel(work.waiter);
+        if (work.exchange.cancel)
+            work.exchange.cancel();
     }
 };
 
@@ -291,6 +334,7 @@
             if (news.leaving)
                 self->upstreams.forget(news.id);
         });
+    flow_->exchange->start();
     hub.upstream_lapsed.emplace_back([self = flow_](const upstream_id& id) {
         self->broker.lapse(id);
         self->upstreams.forget(id);
--- a/src/entryd/slotbroker.cpp
+++ b/src/entryd/slotbroker.cpp
@@ -26,8 +26,11 @@
 {
     const auto next = static_cast<std::uint32_t>(admission_.services.size());
     const auto [place, added] = service_numbers_.try_emplace(id, next);
-    if (added)
+    if (added) {
         admission_.services.emplace_back();
+        service_names_.push_back(id);
+        timeouts_.emplace_back();
+    }
     return place->second;
 }
 
@@ -41,7 +44,9 @@
         admission_.owners[place->second].limits = {owner.weight, owner.rate, owner.concurrency};
     }
     for (const auto& [id, service] : entries.services) {
-        auto& limits = admission_.services[service_number(id)].limits;
+        const auto number = service_number(id);
+        timeouts_[number] = service.timeout;
+        auto& limits = admission_.services[number].limits;
         limits = {service.shed_class, service.concurrency, service.queue,
                   service.latency_objective};
     }
@@ -94,7 +99,7 @@
 void slot_broker::refresh_capacity()
 {
     for (std::uint32_t service = 0; service < admission_.services.size(); ++service)
-        admission_.services[service].slots = route::pool_of(table_, service).slots;
+        admission_.services[service].slots = route::known_slots(table_, service);
 }
 
 std::optional<early_refusal> slot_broker::check(const owner_id& owner, const service_id& service,
@@ -114,7 +119,7 @@
     waiter.owner = owner_numbers_.at(owner);
     waiter.service = service_numbers_.at(service);
     const auto now = monotonic_now();
-    if (!route::has_upstream(table_, waiter.service)) {
+    if (!route::has_upstream(table_, waiter.service) && !(elsewhere_ && elsewhere_())) {
         waiter.refused = route::refusal_reason::no_upstream;
         co_return;
     }
@@ -167,9 +172,16 @@
 {
     route::take_slot(table_, place);
     const auto& upstream = table_.records[place];
-    return {{upstream.id, upstream.life, upstream.address,
-             route::idle_connection_limit(upstream.slots, upstream.connections, settings_.entries)},
-            place};
+    slot_grant grant;
+    grant.target = {upstream.id, upstream.life, upstream.address,
+                    idle_limit(upstream.slots, upstream.connections)};
+    grant.place = place;
+    return grant;
+}
+
+std::size_t slot_broker::idle_limit(std::uint32_t slots, std::uint32_t connections) const
+{
+    return route::idle_connection_limit(slots, connections, settings_.entries);
 }
 
 void slot_broker::dispatch(std::uint32_t service)
@@ -185,6 +197,9 @@
         waiter.grant = grant_at(*place);
         waiter.wake.cancel();
     }
+    if (admission_.services[service].queue.waiting > 0 && route::can_start(admission_, service) &&
+        shortage_)
+        shortage_(service);
     update_gauges();
 }
 
@@ -208,24 +223,85 @@
     return grant_at(*place);
 }
 
+std::optional<slot_grant> slot_broker::lend(const service_id& service,
+                                            const std::vector<upstream_id>& excluded)
+{
+    const auto number = service_numbers_.find(service);
+    if (number == service_numbers_.end() || waiting(number->second) > 0)
+        return {};
+    return acquire_other(number->second, excluded);
+}
+
+bool slot_broker::offer(std::uint32_t service, const slot_grant& grant)
+{
+    const auto started = route::start_next(admission_, service);
+    if (!started)
+        return false;
+    auto& waiter = *waiters_.at(started->request.ticket.value());
+    waiter.grant = grant;
+    waiter.wake.cancel();
+    update_gauges();
+    return true;
+}
+
+void slot_broker::give_up(const service_id& service)
+{
+    const auto number = service_numbers_.find(service);
+    if (number == service_numbers_.end() || has_upstreams(service))
+        return;
+    for (auto& [ticket, waiter] : waiters_) {
+        if (waiter->service != number->second || waiter->grant || waiter->refused)
+            continue;
+        route::cancel_request(admission_, waiter->service, waiter->owner, waiter->ticket);
+        waiter->refused = route::refusal_reason::no_upstream;
+        waiter->wake.cancel();
+    }
+}
+
+bool slot_broker::has_upstreams(const service_id& service) const
+{
+    const auto number = service_numbers_.find(service);
+    return number != service_numbers_.end() && route::known_slots(table_, number->second) > 0;
+}
+
+std::size_t slot_broker::waiting(std::uint32_t service) const
+{
+    return static_cast<std::size_t>(admission_.services.at(service).queue.waiting);
+}
+
+const service_id& slot_broker::service_name(std::uint32_t service) const
+{
+    return service_names_.at(service);
+}
+
+duration slot_broker::longest_request(const service_id& service) const
+{
+    return timeouts_.at(service_numbers_.at(service));
+}
+
 void slot_broker::settle(const slot_grant& grant, route::attempt_outcome outcome, duration took)
+{
+    if (outcome != route::attempt_outcome::cancelled)
+        record(grant, outcome, took);
+    route::return_slot(table_, grant.place);
+    dispatch(table_.records[grant.place].service);
+}
+
+void slot_broker::record(const slot_grant& grant, route::attempt_outcome outcome, duration took)
 {
     const auto change = route::record_attempt(
         table_, grant.place, route::counts_as_failure(outcome), took, monotonic_now());
-    route::return_slot(table_, grant.place);
     if (change == route::health_change::ejected) {
         metrics_.ejections.add();
         log_event(log_level::warning, "upstream_ejected",
                   {{"upstream", grant.target.id},
                    {"ejections", table_.records[grant.place].health.ejections}});
-        refresh_capacity();
         schedule_probe(grant.place);
     }
     if (change == route::health_change::recovered) {
         metrics_.recoveries.add();
         log_event(log_level::info, "upstream_recovered", {{"upstream", grant.target.id}});
     }
-    dispatch(table_.records[grant.place].service);
 }
 
 void slot_broker::schedule_probe(route::upstream_index place)
@@ -234,10 +310,8 @@
     timer->expires_at(table_.records[place].health.until);
     timer->async_wait([this, place, timer](const boost::system::error_code& error) {
         const auto service = table_.records[place].service;
-        if (error || route::end_ejections(table_, service, monotonic_now()) == 0)
-            return;
-        refresh_capacity();
-        dispatch(service);
+        if (!error && route::end_ejections(table_, service, monotonic_now()) > 0)
+            dispatch(service);
     });
 }
 
--- a/src/entryd/slotbroker.h
+++ b/src/entryd/slotbroker.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +20,12 @@
     upstream_target target;
     /** Place in this entry's table; no_upstream where another entry lent the slot. */
     route::upstream_index place{route::no_upstream};
+    /** For a borrowed slot: who lent it, under which number, and until when it may be used. */
+    process_id lender;
+    std::uint64_t loan{0};
+    time_point until{time_point::max()};
+
+    [[nodiscard]] bool borrowed() const { return place == route::no_upstream; }
 };
 
 /** A request that waits for its slot, owned by the coroutine that waits. */
@@ -77,6 +84,24 @@
     /** Ends a granted request. `took` is the time of its answer, if it got one. */
     void finish(const slot_waiter& waiter, std::optional<duration> took);
 
+    /** Sets what is done when requests wait and no slot is free here. */
+    void on_shortage(std::function<void(std::uint32_t)> action) { shortage_ = std::move(action); }
+    /** Sets what says whether slots may be had elsewhere. */
+    void ask_before_giving_up(std::function<bool()> question) { elsewhere_ = std::move(question); }
+    /** Hands a slot out to another entry; requests that wait here go first. */
+    std::optional<slot_grant> lend(const service_id& service,
+                                   const std::vector<upstream_id>& excluded);
+    /** Gives a borrowed slot to the next waiting request. Returns false where none waits. */
+    bool offer(std::uint32_t service, const slot_grant& grant);
+    /** Refuses what waits for a service that has no upstream anywhere. */
+    void give_up(const service_id& service);
+    [[nodiscard]] bool has_upstreams(const service_id& service) const;
+    [[nodiscard]] std::size_t waiting(std::uint32_t service) const;
+    [[nodiscard]] const service_id& service_name(std::uint32_t service) const;
+    /** Returns the longest time that one request of the service can take. */
+    [[nodiscard]] duration longest_request(const service_id& service) const;
+    [[nodiscard]] std::size_t idle_limit(std::uint32_t slots, std::uint32_t connections) const;
+
     /** Returns the requests that wait or run. */
     [[nodiscard]] std::size_t held() const;
     [[nodiscard]] const route::upstream_table& table() const { return table_; }
@@ -90,6 +115,7 @@
     void update_gauges();
     void refuse_waiter(route::ticket_number ticket, route::refusal_reason reason);
     std::uint32_t service_number(const service_id& id);
+    void record(const slot_grant& grant, route::attempt_outcome outcome, duration took);
     void schedule_probe(route::upstream_index place);
 
     boost::asio::io_context& io_;
@@ -101,6 +127,11 @@
     std::unordered_map<owner_id, std::uint32_t> owner_numbers_;
     std::unordered_map<service_id, std::uint32_t> service_numbers_;
     std::unordered_map<std::uint64_t, slot_waiter*> waiters_;
+    /** By service number. */
+    std::vector<service_id> service_names_;
+    std::vector<duration> timeouts_;
+    std::function<void(std::uint32_t)> shortage_;
+    std::function<bool()> elsewhere_;
 };
 
 } // namespace galenaturn::entryd
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -247,15 +247,38 @@
                                     wrong_method ? "wrong_method" : "unknown_path",
                                     "no such resource", 0, true});
         }
-        call incoming{message, std::move(parameters), {}, monotonic_now()};
+        call incoming{message, std::move(parameters), {}, monotonic_now(), false, {}};
         for (const auto& parameter : target->params())
             incoming.query[parameter.key] = parameter.value;
         peer.stream.expires_never();
+        const auto watched = std::make_shared<call*>(&incoming);
+        watch_caller(peer, watched);
         auto answer = co_await found(incoming);
+        *watched = nullptr;
+        boost::system::error_code ignored;
+        peer.stream.socket().cancel(ignored);
         peer.cut_answer = incoming.cut_answer;
         co_return answer;
     }
 
+    /** Calls `abandoned` of the call, for as long as it is set, when the caller closes. */
+    static void watch_caller(session& peer, std::shared_ptr<call*> watched)
+    {
+        peer.stream.socket().async_wait(
+            tcp::socket::wait_read, [&peer, watched](const boost::system::error_code& error) {
+                if (error || *watched == nullptr)
+                    return;
+                char byte = 0;
+                boost::system::error_code peeked;
+                peer.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                                             peeked);
+                // Bytes here are the next request, which waits for its turn.
+                const bool closed = peeked && peeked != asio::error::would_block;
+                if (closed && (*watched)->abandoned)
+                    (*watched)->abandoned();
+            });
+    }
+
     static asio::awaitable<bool> refuse_unreadable(state& self, session& peer,
                                                    const boost::system::error_code& error)
     {
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -33,6 +33,8 @@
     time_point arrived;
     /** Set by a handler to close the connection half way through its answer; for failure tests. */
     bool cut_answer{false};
+    /** Set by a handler that wants to know when the caller closes its connection meanwhile. */
+    std::function<void()> abandoned;
 };
 
 /** Returns the answer to one request. */
--- a/src/libroute/admission.cpp
+++ b/src/libroute/admission.cpp
@@ -87,15 +87,12 @@
     return !idle && service.queue.waiting >= std::max<std::int64_t>(service.limits.queue, 1);
 }
 
-/** Makes room: drops the latest request of the owner that waits with the most for its weight. */
-std::optional<ticket_number> push_out(admission_state& state, service_state& service)
+/** Takes the latest request of `owner` off the full queue. */
+ticket_number push_out(admission_state& state, service_state& service, std::uint32_t owner)
 {
-    const auto longest = longest_owner(service.queue);
-    if (!longest)
-        return {};
-    --state.owners[*longest].waiting;
+    --state.owners[owner].waiting;
     --state.held;
-    return drop_latest(service.queue, *longest).ticket;
+    return drop_latest(service.queue, owner).ticket;
 }
 
 /** Says which limit keeps a full queue from draining. */
@@ -108,16 +105,6 @@
     return refusal_reason::queue_full;
 }
 
-/** Returns whether the owner waits with less than its weighted part of a full queue. */
-bool below_queue_share(const service_state& service, std::uint32_t number, double weight)
-{
-    const auto& queue = service.queue;
-    const bool known = number < queue.flows.size() && !queue.flows[number].waiting.empty();
-    const double waiting = known ? static_cast<double>(queue.flows[number].waiting.size()) : 0.0;
-    const double weights = active_weight(queue) + (known ? 0.0 : weight);
-    return waiting + 1 <= static_cast<double>(service.limits.queue) * weight / weights;
-}
-
 } // namespace
 
 duration expected_wait(const service_state& service, std::uint32_t owner, time_point deadline)
@@ -164,7 +151,7 @@
     if (now + wait + least_time(service) > request.deadline)
         return refuse(refusal_reason::deadline_unreachable, wait);
     if (queue_is_full(state, request) &&
-        !below_queue_share(service, request.owner, owner.limits.weight))
+        !owner_to_drop(service.queue, request.owner, owner.limits.weight))
         return refuse(full_queue_reason(service, owner), mean_time(service));
     return {};
 }
@@ -178,7 +165,8 @@
     auto& service = state.services[request.service];
     admission_decision decision;
     if (queue_is_full(state, request))
-        decision.pushed_out = push_out(state, service);
+        decision.pushed_out = push_out(
+            state, service, *owner_to_drop(service.queue, request.owner, owner.limits.weight));
     owner.tokens -= 1;
     state.last_ticket = state.last_ticket.next();
     decision.ticket = state.last_ticket;
@@ -210,7 +198,7 @@
         return {};
     ++state.owners[*owner].running;
     --state.owners[*owner].waiting;
-    return admission_start{*owner, start_waiting(item.queue, *owner)};
+    return admission_start{*owner, start_waiting(item.queue, *owner, item.mean_time_us)};
 }
 
 void finish_request(admission_state& state, std::uint32_t service, std::uint32_t owner,
@@ -222,6 +210,7 @@
     --state.held;
     if (!took)
         return;
+    record_time(item.queue, owner, *took);
     const auto sample = static_cast<double>(took->count());
     if (item.mean_time_us <= 0)
         item.mean_time_us = sample;
--- a/src/libroute/attempt.cpp
+++ b/src/libroute/attempt.cpp
@@ -47,6 +47,8 @@
         return refusal_reason::answer_mismatched;
     case attempt_outcome::answer_too_large:
         return refusal_reason::answer_too_large;
+    case attempt_outcome::cancelled:
+        return refusal_reason::caller_gone;
     default:
         return refusal_reason::upstream_failed;
     }
--- a/src/libroute/attempt.h
+++ b/src/libroute/attempt.h
@@ -24,6 +24,8 @@
     answer_malformed,
     answer_mismatched,
     answer_too_large,
+    /** We ended it ourselves: the caller has gone. Says nothing about the upstream. */
+    cancelled,
 };
 
 /** Returns whether it is certain that the upstream did not start the request. */
@@ -35,7 +37,8 @@
 /** Returns whether the outcome speaks against the upstream's health. */
 constexpr bool counts_as_failure(attempt_outcome outcome)
 {
-    return outcome != attempt_outcome::answered && outcome != attempt_outcome::not_run;
+    return outcome != attempt_outcome::answered && outcome != attempt_outcome::not_run &&
+           outcome != attempt_outcome::cancelled;
 }
 
 /**
--- a/src/libroute/fairqueue.cpp
+++ b/src/libroute/fairqueue.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+/** Bounds on what one request counts, so that a few odd times do not decide over an owner. */
+constexpr double least_cost = 0.25;
+constexpr double largest_cost = 4;
+constexpr double mean_step = 0.02;
+/** Requests, per unit of weight, by which an owner that was below its share may catch up. */
+constexpr double catch_up = 4;
+
 void deactivate_if_empty(fair_queue& queue, std::uint32_t owner)
 {
     if (!queue.flows[owner].waiting.empty())
@@ -15,6 +22,14 @@
     queue.active.pop_back();
 }
 
+/** Returns the slot time of one of the owner's requests in relation to the service's mean. */
+double expected_cost(const owner_flow& flow, double mean_time_us)
+{
+    if (flow.mean_time_us <= 0 || mean_time_us <= 0)
+        return 1;
+    return std::clamp(flow.mean_time_us / mean_time_us, least_cost, largest_cost);
+}
+
 } // namespace
 
 owner_flow& flow_of(fair_queue& queue, std::uint32_t owner)
@@ -27,8 +42,10 @@
 void push_waiting(fair_queue& queue, std::uint32_t owner, const waiting_request& request)
 {
     auto& flow = flow_of(queue, owner);
-    if (flow.waiting.empty())
+    if (flow.waiting.empty()) {
         queue.active.push_back(owner);
+        flow.due = std::max(flow.due, queue.virtual_time - catch_up);
+    }
     const auto place = std::lower_bound(
         flow.waiting.begin(), flow.waiting.end(), request.deadline,
         [](const waiting_request& item, time_point deadline) { return item.deadline > deadline; });
@@ -57,9 +74,11 @@
     return sum;
 }
 
-waiting_request start_waiting(fair_queue& queue, std::uint32_t owner)
+waiting_request start_waiting(fair_queue& queue, std::uint32_t owner, double mean_time_us)
 {
     auto& flow = queue.flows[owner];
+    queue.virtual_time = std::max(queue.virtual_time, flow.due);
+    flow.due += expected_cost(flow, mean_time_us) / flow.weight;
     const auto request = flow.waiting.back();
     flow.waiting.pop_back();
     --queue.waiting;
@@ -77,16 +96,26 @@
     --queue.running;
 }
 
-std::optional<std::uint32_t> longest_owner(const fair_queue& queue)
+void record_time(fair_queue& queue, std::uint32_t owner, duration took)
+{
+    auto& flow = queue.flows.at(owner);
+    const auto sample = static_cast<double>(took.count());
+    flow.mean_time_us += flow.mean_time_us <= 0 ? sample : mean_step * (sample - flow.mean_time_us);
+}
+
+std::optional<std::uint32_t> owner_to_drop(const fair_queue& queue, std::uint32_t owner,
+                                           double weight)
 {
+    const bool known = owner < queue.flows.size();
+    const double waiting = known ? static_cast<double>(queue.flows[owner].waiting.size()) : 0.0;
+    double most = (waiting + 1) / weight;
     std::optional<std::uint32_t> longest;
-    double most = 0;
-    for (const auto owner : queue.active) {
-        const auto& flow = queue.flows[owner];
+    for (const auto number : queue.active) {
+        const auto& flow = queue.flows[number];
         const double load = static_cast<double>(flow.waiting.size()) / flow.weight;
-        if (load > most) {
+        if (number != owner && load > most) {
             most = load;
-            longest = owner;
+            longest = number;
         }
     }
     return longest;
--- a/src/libroute/fairqueue.h
+++ b/src/libroute/fairqueue.h
@@ -23,13 +23,19 @@
 struct owner_flow {
     double weight{1};
     std::int64_t running{0};
+    /** Virtual time at which the next request of this owner is due. */
+    double due{0};
+    /** Moving mean of the time of this owner's requests. */
+    double mean_time_us{0};
     /** Ordered by deadline, the earliest last, so that it is taken off at the end. */
     std::vector<waiting_request> waiting;
 };
 
 /**
- * The requests of one service at one entry, by owner. A freed slot goes to the owner with the least
- * running in relation to its weight: weighted max-min fairness that leaves no slot idle.
+ * The requests of one service at one entry, by owner, under start-time fair queueing: each start
+ * moves its owner's due time on by the request's expected share of slot time over the owner's
+ * weight, and the owner with the earliest due time goes next. That is weighted max-min over time,
+ * leaves no slot idle, and lets an owner that used less than its share catch up by a short burst.
  */
 struct fair_queue {
     /** Indexed by the owner's number. */
@@ -38,6 +44,8 @@
     std::vector<std::uint32_t> active;
     std::int64_t waiting{0};
     std::int64_t running{0};
+    /** Due time of the request that was started last. */
+    double virtual_time{0};
 };
 
 /** Returns the flow of an owner, made where it is missing. */
@@ -69,23 +77,32 @@
         }
         const auto& flow = queue.flows[owner];
         const auto& leader = queue.flows[*best];
-        const double load = static_cast<double>(flow.running) * leader.weight;
-        const double least = static_cast<double>(leader.running) * flow.weight;
         const bool earlier = flow.waiting.back().deadline < leader.waiting.back().deadline;
-        if (load < least || (load == least && earlier))
+        if (flow.due < leader.due || (flow.due == leader.due && earlier))
             best = owner;
     }
     return best;
 }
 
-/** Takes the earliest request of `owner` off the queue and counts it as running. */
-waiting_request start_waiting(fair_queue& queue, std::uint32_t owner);
+/**
+ * Takes the earliest request of `owner` off the queue and counts it as running. `mean_time_us` is
+ * that of the whole service.
+ */
+waiting_request start_waiting(fair_queue& queue, std::uint32_t owner, double mean_time_us);
+
+/** Takes the time of one of the owner's answers into its mean. */
+void record_time(fair_queue& queue, std::uint32_t owner, duration took);
 
 /** Counts one running request of `owner` less. */
 void finish_running(fair_queue& queue, std::uint32_t owner);
 
-/** Returns the owner that waits with the most requests in relation to its weight. */
-std::optional<std::uint32_t> longest_owner(const fair_queue& queue);
+/**
+ * Returns the owner that is to give up a place in a full queue to a request of `owner`: the one
+ * that waits with the most requests for its weight, where that is more than `owner` would then
+ * wait with. Nothing where `owner` has its part of the places.
+ */
+std::optional<std::uint32_t> owner_to_drop(const fair_queue& queue, std::uint32_t owner,
+                                           double weight);
 
 /** Removes and returns the request of `owner` with the latest deadline. */
 waiting_request drop_latest(fair_queue& queue, std::uint32_t owner);
--- a/src/libroute/retrybudget.h
+++ b/src/libroute/retrybudget.h
@@ -38,4 +38,11 @@
     owner.tokens -= 1;
 }
 
+/** Gives a spent retry back that was not made after all. */
+inline void refund_retry(retry_budget& service, retry_budget& owner)
+{
+    service.tokens += 1;
+    owner.tokens += 1;
+}
+
 } // namespace galenaturn::route
--- a/src/libroute/upstreamtable.cpp
+++ b/src/libroute/upstreamtable.cpp
@@ -246,7 +246,11 @@
 void return_slot(upstream_table& table, upstream_index place)
 {
     GN_INVARIANT(table.records.at(place).handed_out > 0, {"upstream", table.records[place].id});
-    update(table, place, [](upstream_record& upstream) { --upstream.handed_out; });
+    update(table, place, [](upstream_record& upstream) {
+        // A probe that came back without a verdict makes room for another one.
+        if (--upstream.handed_out == 0)
+            upstream.health.probe_in_progress = false;
+    });
 }
 
 health_change record_attempt(upstream_table& table, upstream_index place, bool failed,
@@ -294,4 +298,17 @@
     return service < table.pools.size() && table.pools[service].slots > 0;
 }
 
+std::int64_t known_slots(const upstream_table& table, std::uint32_t service)
+{
+    std::int64_t slots = 0;
+    if (service >= table.pools.size())
+        return slots;
+    for (const auto place : table.pools[service].members) {
+        const auto& upstream = table.records[place];
+        if (upstream.present && !upstream.leaving)
+            slots += upstream.slots;
+    }
+    return slots;
+}
+
 } // namespace galenaturn::route
--- a/src/libroute/upstreamtable.h
+++ b/src/libroute/upstreamtable.h
@@ -112,4 +112,7 @@
 /** Returns whether the service has an upstream here that takes new work, busy or not. */
 bool has_upstream(const upstream_table& table, std::uint32_t service);
 
+/** Returns the slots of all upstreams of the service that are known here, at home or not. */
+std::int64_t known_slots(const upstream_table& table, std::uint32_t service);
+
 } // namespace galenaturn::route
