--- a/src/entryd/operatorservice.h
+++ b/src/entryd/operatorservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entryhub.h"
+#include "operatorjson.h"
 
 #include <galenaturn/daemon.h>
 
@@ -17,6 +18,9 @@
         submit;
     std::function<boost::asio::awaitable<wire::query_response>(wire::query_request, time_point)>
         ask;
+    std::function<boost::asio::awaitable<wire::command_response>(wire::voter_change_request,
+                                                                 time_point)>
+        change_voters;
 };
 
 /** Returns the ledger of `shared`, which outlives the result. */
@@ -43,7 +47,10 @@
     answer list_tasks(http::call& incoming);
     answer end_task(http::call& incoming, bool stop);
     answer get_ledger(http::call& incoming);
+    answer change_voters(http::call& incoming);
 
+    http::response answer_start(const start_order& order, const wire::command_response& response,
+                                const wire::query_response& known);
     http::response answer_task(const wire::query_response& response, const task_id& id,
                                http::status code);
     http::response refuse(const http::problem& details);
--- a/src/entryd/requestservice.cpp
+++ b/src/entryd/requestservice.cpp
@@ -119,7 +119,7 @@
             co_return self->refuse(*parsed.refused, work.id, false, {});
         work.request = std::move(parsed.request);
         work.message = make_upstream_request(incoming.message, work.request, work.id);
-        incoming.abandoned = [self = self.get(), &work] { self->abandon(work); };
+        incoming.on_abandoned = [self = self.get(), &work] { self->abandon(work); };
         auto digest = work.request.key ? digest_of(incoming.message, work.request) : std::string{};
         auto answer = co_await self->serve(work, std::move(digest));
         self->metrics.latency.record(monotonic_now() - work.request.arrived);
--- a/src/galenaturn/statuscommands.cpp
+++ b/src/galenaturn/statuscommands.cpp
@@ -74,6 +74,7 @@
     table rows{columns};
     for (const auto& item : list_at(parse_answer(answer.body), key)) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const auto& column : columns)
             row.push_back(text_at(item, column));
         rows.add(std::move(row));
@@ -109,7 +110,7 @@
 exit_code show_members(const arguments& given, output out)
 {
     return show_list(given, out, "/v1/members", "members",
-                     {"name", "role", "failure_domain", "state", "incarnation"});
+                     {"name", "role", "failure_domain", "region"});
 }
 
 exit_code show_upstreams(const arguments& given, output out)
--- a/src/libledger/applycatalogue.cpp
+++ b/src/libledger/applycatalogue.cpp
@@ -33,9 +33,10 @@
     history.erase(history.begin(), oldest);
 }
 
-void remember(ledger_state& state, const request_id& id, const wire::command_response& outcome)
+void remember(ledger_state& state, const request_id& id, const std::string& digest,
+              const wire::command_response& outcome)
 {
-    state.writes.push_back({id, outcome});
+    state.writes.push_back({id, digest, outcome});
     if (state.writes.size() > bounds.most_writes)
         state.writes.pop_front();
 }
@@ -71,10 +72,13 @@
     const auto& writes = at.state.writes;
     const auto first = std::find_if(writes.begin(), writes.end(),
                                     [&](const auto& record) { return record.id == at.id; });
+    if (first != writes.end() && first->digest != body.digest)
+        return make_response(command_status::rejected,
+                             "the request id was used for another document");
     if (first != writes.end())
         return first->outcome;
     auto outcome = write(at, body);
-    remember(at.state, at.id, outcome);
+    remember(at.state, at.id, body.digest, outcome);
     return outcome;
 }
 
