--- /dev/null
+++ b/tests/route/admissiontest.cpp
@@ -0,0 +1,254 @@
+#include <galenaturn/route.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace galenaturn::route {
+
+/** Admission without any clock: order, limits, refusals. */
+class admission_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(admission_test);
+    CPPUNIT_TEST(slots_go_to_owners_by_weight);
+    CPPUNIT_TEST(an_owner_that_comes_back_goes_first);
+    CPPUNIT_TEST(within_an_owner_the_earliest_deadline_goes_first);
+    CPPUNIT_TEST(an_owner_at_its_concurrency_keeps_nobody_else_waiting);
+    CPPUNIT_TEST(a_full_queue_makes_room_for_who_waits_with_less);
+    CPPUNIT_TEST(what_cannot_be_answered_in_time_is_refused_on_arrival);
+    CPPUNIT_TEST(watchers_are_shed_before_batch_and_interactive_last);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr time_point start_{std::chrono::hours{1}};
+    admission_state state_;
+
+public:
+    void setUp() override
+    {
+        state_ = {};
+        state_.held_limit = 1000;
+        state_.owners.resize(2);
+        state_.owners[0].limits = {3.0, 1e6, 100};
+        state_.owners[1].limits = {1.0, 1e6, 100};
+        state_.services.resize(1);
+        state_.services[0].limits = {work_class::interactive, 100, 60,
+                                     std::chrono::milliseconds{10}};
+    }
+
+private:
+    admission_decision submit(std::uint32_t owner, duration timeout = std::chrono::seconds{10})
+    {
+        return submit_request(state_, {owner, 0, start_ + timeout}, start_);
+    }
+
+    void slots_go_to_owners_by_weight()
+    {
+        for (int number = 0; number < 24; ++number) {
+            submit(0);
+            submit(1);
+        }
+        std::array<int, 2> started{};
+        for (int number = 0; number < 24; ++number)
+            ++started.at(start_next(state_, 0)->owner);
+        CPPUNIT_ASSERT_EQUAL(18, started[0]);
+        CPPUNIT_ASSERT_EQUAL(6, started[1]);
+    }
+
+    void an_owner_that_comes_back_goes_first()
+    {
+        for (int number = 0; number < 30; ++number)
+            submit(0);
+        for (int number = 0; number < 20; ++number)
+            start_next(state_, 0);
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(1U, start_next(state_, 0)->owner);
+    }
+
+    void within_an_owner_the_earliest_deadline_goes_first()
+    {
+        submit(0, std::chrono::seconds{3});
+        const auto urgent = submit(0, std::chrono::seconds{1});
+        submit(0, std::chrono::seconds{2});
+        CPPUNIT_ASSERT(urgent.ticket == start_next(state_, 0)->request.ticket);
+    }
+
+    void an_owner_at_its_concurrency_keeps_nobody_else_waiting()
+    {
+        state_.owners[0].limits.concurrency = 1;
+        submit(0);
+        submit(0);
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(0U, start_next(state_, 0)->owner);
+        CPPUNIT_ASSERT_EQUAL(1U, start_next(state_, 0)->owner);
+        CPPUNIT_ASSERT(!start_next(state_, 0));
+        finish_request(state_, 0, 0, std::chrono::milliseconds{5});
+        CPPUNIT_ASSERT_EQUAL(0U, start_next(state_, 0)->owner);
+    }
+
+    void a_full_queue_makes_room_for_who_waits_with_less()
+    {
+        admission_decision last;
+        for (int number = 0; number < 60; ++number)
+            last = submit(0);
+        CPPUNIT_ASSERT(submit(0).refused == refusal_reason::queue_full);
+        const auto small = submit(1);
+        CPPUNIT_ASSERT(!small.refused);
+        CPPUNIT_ASSERT(small.pushed_out.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{60}, state_.services[0].queue.waiting);
+    }
+
+    void what_cannot_be_answered_in_time_is_refused_on_arrival()
+    {
+        state_.services[0].slots = 1;
+        state_.services[0].mean_time_us = 100'000;
+        // The ninth waits 900 ms and takes at least 50 ms; the tenth is past its second.
+        for (int number = 0; number < 9; ++number)
+            CPPUNIT_ASSERT(!submit(0, std::chrono::seconds{1}).refused);
+        const auto hopeless = submit(0, std::chrono::seconds{1});
+        CPPUNIT_ASSERT(hopeless.refused == refusal_reason::deadline_unreachable);
+        CPPUNIT_ASSERT(hopeless.retry_after > duration::zero());
+        CPPUNIT_ASSERT(!submit(0, std::chrono::seconds{2}).refused);
+    }
+
+    bool admits(work_class shed_class)
+    {
+        state_.services[0].limits.shed_class = shed_class;
+        return !check_request(state_, {0, 0, start_ + std::chrono::seconds{1}}, start_);
+    }
+
+    void watchers_are_shed_before_batch_and_interactive_last()
+    {
+        state_.held = 700;
+        CPPUNIT_ASSERT(!admits(work_class::watcher));
+        CPPUNIT_ASSERT(admits(work_class::batch));
+        state_.held = 900;
+        CPPUNIT_ASSERT(!admits(work_class::batch));
+        CPPUNIT_ASSERT(admits(work_class::interactive));
+        state_.held = 1000;
+        CPPUNIT_ASSERT(!admits(work_class::interactive));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_test);
+
+/** The table of upstreams: slots, homes, ejection. */
+class upstream_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(upstream_table_test);
+    CPPUNIT_TEST(a_seeded_run_never_hands_out_too_much);
+    CPPUNIT_TEST(a_new_home_waits_for_what_the_old_one_handed_out);
+    CPPUNIT_TEST(late_announcements_change_nothing);
+    CPPUNIT_TEST(ejection_is_capped_and_ends_by_probes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static wire::upstream_announcement news(int number, std::uint64_t sequence,
+                                            std::uint32_t busy = 0)
+    {
+        wire::upstream_announcement announcement;
+        announcement.id = upstream_id{"runner-" + std::to_string(number)};
+        announcement.life = incarnation{1};
+        announcement.sequence = sequence;
+        announcement.slots = 4;
+        announcement.connections = 8;
+        announcement.busy_slots = busy;
+        return announcement;
+    }
+
+    static upstream_table make_table(int upstreams)
+    {
+        upstream_table table;
+        for (int number = 0; number < upstreams; ++number) {
+            announce_upstream(table, 0, news(number, 1));
+            set_home(table, static_cast<upstream_index>(number), true);
+            withhold_slots(table, static_cast<upstream_index>(number), 0);
+        }
+        return table;
+    }
+
+    /** Leaves, lapses, homes that move and answers that fail, in a seeded order. */
+    void a_seeded_run_never_hands_out_too_much()
+    {
+        std::mt19937_64 random{23}; // NOLINT: a fixed seed gives the same verdict every time
+        auto table = make_table(6);
+        std::vector<upstream_index> taken;
+        time_point now{std::chrono::hours{1}};
+        std::size_t most_taken = 0;
+        for (std::uint64_t step = 2; step < 20'000; ++step) {
+            now += std::chrono::milliseconds{10};
+            const auto number = static_cast<int>(random() % 6);
+            const auto place = static_cast<upstream_index>(number);
+            const auto action = random() % 40;
+            if (action == 0)
+                lapse_upstream(table, table.records[place].id);
+            else if (action == 1)
+                set_home(table, place, random() % 4 != 0);
+            else if (action < 6)
+                announce_upstream(table, 0, news(number, step, table.records[place].handed_out));
+            else if (action < 24) {
+                if (const auto chosen = choose_upstream(table, 0, {})) {
+                    CPPUNIT_ASSERT(table.records[*chosen].present && table.records[*chosen].home);
+                    take_slot(table, *chosen);
+                    taken.push_back(*chosen);
+                }
+            }
+            else if (!taken.empty()) {
+                record_attempt(table, taken.back(), random() % 5 == 0, std::chrono::milliseconds{9},
+                               now);
+                return_slot(table, taken.back());
+                taken.pop_back();
+            }
+            end_ejections(table, 0, now);
+            most_taken = std::max(most_taken, taken.size());
+            for (const auto& record : table.records)
+                CPPUNIT_ASSERT(record.handed_out <= record.slots);
+        }
+        CPPUNIT_ASSERT(most_taken > 8);
+    }
+
+    void a_new_home_waits_for_what_the_old_one_handed_out()
+    {
+        upstream_table table;
+        announce_upstream(table, 0, news(0, 1));
+        set_home(table, 0, true);
+        CPPUNIT_ASSERT(!choose_upstream(table, 0, {}));
+        announce_upstream(table, 0, news(0, 2, 3));
+        CPPUNIT_ASSERT_EQUAL(1U, free_slots(table.records[0]));
+        announce_upstream(table, 0, news(0, 3, 0));
+        CPPUNIT_ASSERT_EQUAL(4U, free_slots(table.records[0]));
+    }
+
+    void late_announcements_change_nothing()
+    {
+        auto table = make_table(1);
+        auto leaving = news(0, 5);
+        leaving.leaving = true;
+        CPPUNIT_ASSERT(announce_upstream(table, 0, leaving));
+        CPPUNIT_ASSERT(!announce_upstream(table, 0, news(0, 4)));
+        CPPUNIT_ASSERT(!announce_upstream(table, 0, leaving));
+        CPPUNIT_ASSERT(!choose_upstream(table, 0, {}));
+    }
+
+    void ejection_is_capped_and_ends_by_probes()
+    {
+        auto table = make_table(10);
+        time_point now{std::chrono::hours{1}};
+        for (upstream_index place = 0; place < 10; ++place) {
+            for (int failure = 0; failure < 5; ++failure)
+                record_attempt(table, place, true, {}, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(3U, table.pools[0].ejected);
+        now += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, end_ejections(table, 0, now));
+        CPPUNIT_ASSERT_EQUAL(1U, free_slots(table.records[0]));
+        take_slot(table, 0);
+        CPPUNIT_ASSERT_EQUAL(0U, free_slots(table.records[0]));
+        for (int probe = 0; probe < 3; ++probe)
+            record_attempt(table, 0, false, std::chrono::milliseconds{1}, now);
+        return_slot(table, 0);
+        CPPUNIT_ASSERT_EQUAL(4U, free_slots(table.records[0]));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_table_test);
+
+} // namespace galenaturn::route
