--- a/tests/core/cataloguetest.cpp
+++ b/tests/core/cataloguetest.cpp
@@ -22,7 +22,8 @@
 void check_has(const std::string& text, const std::vector<std::string>& expected)
 {
     for (const auto& part : expected)
-        CPPUNIT_ASSERT_MESSAGE(part + "\nin:\n" + text, text.find(part) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(std::string{part}.append(" in: ").append(text),
+                               text.find(part) != std::string::npos);
 }
 
 } // namespace
--- a/tests/core/settingstest.cpp
+++ b/tests/core/settingstest.cpp
@@ -12,7 +12,8 @@
     std::size_t from = 0;
     for (const auto& part : expected) {
         const auto at = text.find(part, from);
-        CPPUNIT_ASSERT_MESSAGE("missing: " + part + "\nin:\n" + text, at != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(std::string{part}.append(" in: ").append(text),
+                               at != std::string::npos);
         from = at;
     }
 }
