schedule: react to a service's own latency, try unknown pairs one at a time, faster placement

Cause: a noisy neighbour stayed for its whole run while the service kept its objective, and each worker tried each unknown pair. Placement looked tasks up once for each neighbour of a candidate. Change: batch work is throttled from 1.2 times the latency alone on, restored where the model expects at most 1.12 times, evicted only above the objective; an unknown pair is tried on one worker at a time.

--- a/src/libschedule/interference.cpp
+++ b/src/libschedule/interference.cpp
@@ -11,7 +11,7 @@
 /** A service that is alone is taken to stay well below its objective. */
 constexpr pair_effect alone_prior{0.6, 0.01, {}};
 /** An unknown neighbour that uses a whole worker is taken to add this much. */
-constexpr pair_effect pair_prior{0.6, 0.5, {}};
+constexpr pair_effect pair_prior{0.4, 0.5, {}};
 constexpr double measurement_variance = 0.01;
 /** Variance that a belief gains in a second, so that old measurements count less. */
 constexpr double variance_a_second = 0.0002;
@@ -48,7 +48,7 @@
         mean += effect.mean * other.share;
         variance += effect.variance * other.share * other.share;
     }
-    return {mean, std::sqrt(variance)};
+    return {mean, std::sqrt(variance), alone.mean};
 }
 
 void learn_latency(interference_model& model, const job_id& service,
--- a/src/libschedule/interference.h
+++ b/src/libschedule/interference.h
@@ -36,6 +36,8 @@
 struct latency_estimate {
     double mean{0};
     double deviation{0};
+    /** The part of the mean that the service has alone. */
+    double alone{0};
 };
 
 /** Returns the effect of `job` on `service` as believed at `now`: beliefs decay with age. */
--- a/src/libschedule/placement.cpp
+++ b/src/libschedule/placement.cpp
@@ -29,13 +29,13 @@
 /** Cost of each worker failure that is not yet enough to set the worker aside. */
 constexpr double worker_failure_cost = 1.0;
 constexpr double latency_cost = 4.0;
-/** Expected latency in relation to the objective, from which on it costs. */
-constexpr double free_latency = 0.7;
+/** Batch work beside a service may be expected to raise its latency to this multiple. */
+constexpr double most_slowdown = 1.12;
 /** Batch work goes beside a service only where even a bad guess keeps the objective... */
 constexpr double highest_latency = 1.0;
 /** ...unless it is late. */
-constexpr double highest_latency_when_late = 1.15;
-constexpr std::chrono::minutes late_after{10};
+constexpr double highest_latency_when_late = 1.1;
+constexpr std::chrono::minutes late_after{30};
 
 double share(std::int64_t part, std::int64_t whole)
 {
@@ -59,18 +59,17 @@
 }
 
 /** Tasks of one job go to different racks, and to different workers in a rack. */
-double spread_score(const steward_state& steward, const worker_entry& worker,
+double spread_score(const std::vector<std::uint32_t>* racks, const worker_entry& worker,
                     const task_entry& task)
 {
     if (task.record.task_class == work_class::batch)
         return 0;
-    const auto rack = steward.job_racks.find({task.record.job, worker.rack});
-    double cost =
-        rack == steward.job_racks.end() ? 0.0 : rack_cost * static_cast<double>(rack->second);
-    for (const auto& id : worker.tasks) {
-        if (steward.tasks.at(id).record.job == task.record.job)
-            cost += same_worker_cost;
-    }
+    double cost = 0;
+    if (racks != nullptr && worker.rack_number < racks->size())
+        cost += rack_cost * static_cast<double>((*racks)[worker.rack_number]);
+    const auto same = worker.jobs.find(task.record.job);
+    if (same != worker.jobs.end())
+        cost += same_worker_cost * same->second;
     return cost;
 }
 
@@ -78,16 +77,21 @@
 std::optional<double> latency_score(const steward_state& steward, const worker_entry& worker,
                                     const task_entry& task, time_point now)
 {
+    const bool service = task.record.task_class == work_class::interactive;
+    if (!service && worker.services == 0)
+        return 0.0;
     const auto worst = worst_latency(steward, worker, task, now);
     const auto pessimistic = worst.mean + worst.deviation;
-    const bool service = task.record.task_class == work_class::interactive;
     const bool late = now > task.waiting_since + late_after;
     const auto limit = late ? highest_latency_when_late : highest_latency;
     const bool measured_slow = worker.latency_ratio > limit && !worker.history.empty();
-    const bool has_service = worst.mean > 0;
-    if (!service && !task.record.urgent && has_service && (pessimistic > limit || measured_slow))
+    // Only what is known to slow it: an unknown pair may be tried, on one worker at a time.
+    const bool slows = worst.mean - worst.deviation > most_slowdown * worst.alone && !late;
+    if (!service && !task.record.urgent &&
+        (slows || pessimistic > limit || measured_slow ||
+         trial_elsewhere(steward, worker, task, now)))
         return {};
-    return latency_cost * std::max(0.0, pessimistic - free_latency);
+    return latency_cost * std::max(0.0, pessimistic - worst.alone);
 }
 
 std::size_t search_start(const task_entry& task)
@@ -141,16 +145,18 @@
     std::vector<std::size_t> slots;
     slots.reserve(candidate_limit);
     steward.index.search(task.reserved, search_start(task), candidate_limit, slots);
+    const auto job_racks = steward.job_racks.find(task.record.job);
+    const auto* racks = job_racks == steward.job_racks.end() ? nullptr : &job_racks->second;
     placement_choice choice;
     double least = std::numeric_limits<double>::max();
     for (const auto slot : slots) {
-        auto& worker = steward.workers.at(steward.slots[slot]);
+        auto& worker = *steward.slots[slot];
         const auto latency = latency_score(steward, worker, task, now);
         if (!latency) {
             choice.refused = wait_reason::would_slow_service;
             continue;
         }
-        double cost = *latency + packing_score(worker, task) + spread_score(steward, worker, task) +
+        double cost = *latency + packing_score(worker, task) + spread_score(racks, worker, task) +
                       worker_failure_cost * worker.health.failures;
         if (task.failed_on.contains(worker.id))
             cost += failed_here_cost;
@@ -184,6 +190,7 @@
     GN_INVARIANT(apply_task_event(steward, task, "place", now), {"task", task.record.id},
                  {"state", task.state});
     ++steward.counters.placements;
+    begin_trials(steward, worker, task, now);
     if (worker.health.quarantined)
         worker.health.probe = task.record.id;
     if (worker.held_for == task.record.id) {
--- a/src/libschedule/reactions.cpp
+++ b/src/libschedule/reactions.cpp
@@ -17,14 +17,24 @@
 /** In relation to the objective: above is too slow, below leaves room for more. */
 constexpr double too_slow = 1.0;
 constexpr double comfortable = 0.8;
+/** Batch work is throttled where a service takes this multiple of its latency alone... */
+constexpr double most_slowdown = 1.2;
+/** ...and restored where it is expected to take no more than this. */
+constexpr double restored_slowdown = 1.12;
 /** One slow measurement may be chance. */
 constexpr std::uint32_t samples_before_reaction = 2;
 constexpr std::uint32_t samples_before_restoring = 6;
-constexpr std::int64_t throttle_percent = 40;
+constexpr double throttle_factor = 0.4;
+/** Throttled work keeps at least this part of what it uses. */
+constexpr double least_part = 0.15;
 /** A task is not evicted again so soon, unless nothing else is left. */
 constexpr minutes eviction_guard{10};
 constexpr double guarded_cost = 1e6;
 constexpr std::uint32_t most_guarded_evictions = 2;
+/** Above this the effect of one job on another counts as unknown. */
+constexpr double unknown_variance = 0.3;
+/** Long enough for late measurements to tell. */
+constexpr seconds trial_length{30};
 
 bool is_batch(const task_entry& task)
 {
@@ -36,6 +46,22 @@
     return task.record.task_class == work_class::interactive;
 }
 
+double full_use(const steward_state& steward, const task_entry& task)
+{
+    return static_cast<double>(
+        expected_processors(steward.sizes, task.record.job, task.record.demand.processors).value());
+}
+
+/** Returns what the slowest of the services takes alone, in relation to its objective. */
+double latency_alone(const steward_state& steward, const std::vector<job_id>& services,
+                     time_point now)
+{
+    double alone = 0;
+    for (const auto& service : services)
+        alone = std::max(alone, effect_of(steward.interference, service, job_id{}, now).mean);
+    return alone;
+}
+
 double processor_share(const steward_state& steward, const worker_entry& worker,
                        const task_entry& task)
 {
@@ -79,7 +105,11 @@
         auto& task = steward.tasks.at(id);
         const bool ran_then =
             std::find(then.tasks.begin(), then.tasks.end(), id) != then.tasks.end();
-        const bool can_act = task.state == "running" || task.state == "throttled";
+        const bool can_act =
+            task.state == "running" ||
+            (task.state == "throttled" &&
+             (worker.latency_ratio > too_slow || static_cast<double>(task.throttled_to.value()) >
+                                                     least_part * full_use(steward, task)));
         if (!is_batch(task) || !ran_then || !can_act || task.record.urgent)
             continue;
         double harm = 0;
@@ -102,9 +132,11 @@
     if (culprit == nullptr)
         return;
     worker.last_reaction = now;
-    if (culprit->state == "running") {
-        culprit->throttled_to =
-            millicores{culprit->reserved.processors.value() * throttle_percent / 100};
+    const bool throttled = culprit->state == "throttled";
+    if (!throttled || worker.latency_ratio <= too_slow) {
+        const double from = throttled ? static_cast<double>(culprit->throttled_to.value())
+                                      : full_use(steward, *culprit);
+        culprit->throttled_to = millicores{static_cast<std::int64_t>(from * throttle_factor)};
         apply_task_event(steward, *culprit, "throttle", now);
         ++steward.counters.throttles;
         return;
@@ -112,19 +144,71 @@
     order_eviction(steward, *culprit, eviction_reason::service_tail, now);
 }
 
+/** Whether the services are expected to bear the task at its full speed. */
+bool may_restore(const steward_state& steward, const worker_entry& worker, const task_entry& task,
+                 time_point now)
+{
+    const auto& services = worker.measured_occupancy.services;
+    const auto more = (full_use(steward, task) - static_cast<double>(task.throttled_to.value())) /
+                      static_cast<double>(worker.capacity.processors.value());
+    double rise = 0;
+    for (const auto& service : services)
+        rise = std::max(rise,
+                        more * effect_of(steward.interference, service, task.record.job, now).mean);
+    const auto alone = latency_alone(steward, services, now);
+    return worker.latency_ratio + rise <= std::min(too_slow, restored_slowdown * alone);
+}
+
 void restore_one(steward_state& steward, worker_entry& worker, time_point now)
 {
     for (const auto& id : worker.tasks) {
         auto& task = steward.tasks.at(id);
-        if (!apply_task_event(steward, task, "unthrottle", now))
+        if (task.state != "throttled" || !may_restore(steward, worker, task, now))
             continue;
+        apply_task_event(steward, task, "unthrottle", now);
         worker.last_reaction = now;
         return;
     }
 }
 
+/** Returns the pairs of the worker's services with the task whose effect is not yet known. */
+std::vector<std::pair<job_id, job_id>> unknown_pairs(const steward_state& steward,
+                                                     const worker_entry& worker,
+                                                     const task_entry& task, time_point now)
+{
+    std::vector<std::pair<job_id, job_id>> pairs;
+    if (is_service(task) || worker.services == 0 || !steward.interference.learning)
+        return pairs;
+    for (const auto& id : worker.tasks) {
+        const auto& other = steward.tasks.at(id);
+        if (is_service(other) &&
+            effect_of(steward.interference, other.record.job, task.record.job, now).variance >
+                unknown_variance)
+            pairs.emplace_back(other.record.job, task.record.job);
+    }
+    return pairs;
+}
+
 } // namespace
 
+bool trial_elsewhere(const steward_state& steward, const worker_entry& worker,
+                     const task_entry& task, time_point now)
+{
+    for (const auto& pair : unknown_pairs(steward, worker, task, now)) {
+        const auto trial = steward.trials.find(pair);
+        if (trial != steward.trials.end() && now < trial->second)
+            return true;
+    }
+    return false;
+}
+
+void begin_trials(steward_state& steward, const worker_entry& worker, const task_entry& task,
+                  time_point now)
+{
+    for (const auto& pair : unknown_pairs(steward, worker, task, now))
+        steward.trials[pair] = now + trial_length;
+}
+
 double eviction_cost(const task_entry& task, time_point now)
 {
     const auto since = std::max(task.started, task.last_checkpoint);
@@ -181,7 +265,9 @@
     // What was measured before the last reaction says nothing of its effect.
     if (measured_at <= worker.last_reaction && steward.hysteresis)
         return;
-    worker.high_samples = ratio > too_slow ? worker.high_samples + 1 : 0;
+    const auto alone = latency_alone(steward, then->services, now);
+    const bool high = ratio > std::min(too_slow, most_slowdown * alone);
+    worker.high_samples = high ? worker.high_samples + 1 : 0;
     worker.low_samples = ratio < comfortable ? worker.low_samples + 1 : 0;
     react_to_latency(steward, worker, now);
 }
--- a/src/libschedule/reactions.h
+++ b/src/libschedule/reactions.h
@@ -20,6 +20,13 @@
  * to its objective if `extra` were placed there too; 0 where there is no service. */
 latency_estimate worst_latency(const steward_state& steward, const worker_entry& worker,
                                const task_entry& extra, time_point now);
+/** Whether an effect of the task on a service of the worker is unknown and is being tried on
+ * another worker. */
+bool trial_elsewhere(const steward_state& steward, const worker_entry& worker,
+                     const task_entry& task, time_point now);
+/** Begins to try the unknown effects of the task on the worker's services. */
+void begin_trials(steward_state& steward, const worker_entry& worker, const task_entry& task,
+                  time_point now);
 /** Returns what evicting the task now would lose, in processor seconds. */
 double eviction_cost(const task_entry& task, time_point now);
 /** Whether the task was evicted so often lately that others go first. */
--- a/src/libschedule/steward.cpp
+++ b/src/libschedule/steward.cpp
@@ -90,6 +90,8 @@
     steward.workers.clear();
     steward.slots.clear();
     steward.job_racks.clear();
+    steward.racks.clear();
+    steward.trials.clear();
     steward.ended_drops.clear();
     steward.index = capacity_index{};
     steward.queue.clear();
--- a/src/libschedule/stewardstate.h
+++ b/src/libschedule/stewardstate.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -68,8 +69,8 @@
     /** State of charts/task.yaml. */
     std::string state;
     worker_id worker;
-    /** The rack that its reservation is counted for. */
-    rack_id rack;
+    /** Number of the rack that its reservation is counted for. */
+    std::size_t rack{0};
     /** Epoch of the last placement; no older report counts. */
     epoch placement;
     std::uint32_t placements{0};
@@ -149,6 +150,7 @@
 struct worker_entry {
     worker_id id;
     rack_id rack;
+    std::size_t rack_number{0};
     incarnation life;
     heartbeat_number heartbeat;
     time_point received_at;
@@ -156,6 +158,9 @@
     /** Everything granted and not yet known to have ended. */
     resources reserved;
     std::set<task_id> tasks;
+    /** How many of them belong to a job, and how many are services. */
+    std::map<job_id, std::uint32_t> jobs;
+    std::uint32_t services{0};
     /** Tasks of the last announcement with their epochs. */
     std::map<task_id, epoch> listed;
     /** Listed tasks that the worker must stop: not ours, or of an old epoch. */
@@ -226,13 +231,18 @@
     job_sizes sizes;
     std::map<job_id, job_evidence> evidence;
 
-    std::map<task_id, task_entry> tasks;
+    std::unordered_map<task_id, task_entry> tasks;
     std::map<worker_id, worker_entry> workers;
-    std::vector<worker_id> slots;
+    /** The workers by their slots in the index; entries of `workers` never move. */
+    std::vector<worker_entry*> slots;
     /** Workers kept for one task, or set aside. */
     std::vector<worker_id> special_workers;
     /** How many tasks of a job are on a rack. */
-    std::map<std::pair<job_id, rack_id>, std::uint32_t> job_racks;
+    std::unordered_map<job_id, std::vector<std::uint32_t>> job_racks;
+    /** Numbers of the racks, from 0. */
+    std::map<rack_id, std::size_t> racks;
+    /** Unknown pairs that are tried on one worker at a time, and until when. */
+    std::map<std::pair<job_id, job_id>, time_point> trials;
     capacity_index index;
     std::set<queue_key> queue;
     /** Set when a waiting task may now fit. */
--- a/src/libschedule/taskchart.cpp
+++ b/src/libschedule/taskchart.cpp
@@ -12,6 +12,11 @@
     return found == step.steward.workers.end() ? nullptr : &found->second;
 }
 
+bool is_service(const task_entry& task)
+{
+    return task.record.task_class == work_class::interactive;
+}
+
 void wake_worker(task_step& step)
 {
     if (auto* worker = worker_of(step))
@@ -26,8 +31,12 @@
     worker->reserved += step.task.reserved;
     GN_INVARIANT(worker->tasks.insert(step.task.record.id).second, {"task", step.task.record.id},
                  {"worker", worker->id});
-    step.task.rack = worker->rack;
-    ++step.steward.job_racks[{step.task.record.job, worker->rack}];
+    step.task.rack = worker->rack_number;
+    ++worker->jobs[step.task.record.job];
+    worker->services += is_service(step.task) ? 1 : 0;
+    auto& racks = step.steward.job_racks[step.task.record.job];
+    racks.resize(std::max(racks.size(), step.task.rack + 1));
+    ++racks[step.task.rack];
     step.task.waits_for = wait_reason::none;
     step.task.started = step.now;
     worker->due = true;
@@ -41,7 +50,10 @@
     GN_INVARIANT(worker != nullptr, {"task", step.task.record.id});
     GN_INVARIANT(worker->tasks.erase(step.task.record.id) == 1, {"task", step.task.record.id});
     worker->reserved -= step.task.reserved;
-    --step.steward.job_racks[{step.task.record.job, step.task.rack}];
+    if (--worker->jobs[step.task.record.job] == 0)
+        worker->jobs.erase(step.task.record.job);
+    worker->services -= is_service(step.task) ? 1 : 0;
+    --step.steward.job_racks[step.task.record.job][step.task.rack];
     GN_INVARIANT(fits({}, worker->reserved), {"worker", worker->id});
     step.task.throttled_to = {};
     step.task.restore_speed = false;
--- a/src/libschedule/workerreports.cpp
+++ b/src/libschedule/workerreports.cpp
@@ -24,7 +24,7 @@
     if (added) {
         found->second.id = id;
         found->second.slot = steward.slots.size();
-        steward.slots.push_back(id);
+        steward.slots.push_back(&found->second);
     }
     return found->second;
 }
@@ -176,6 +176,8 @@
     worker.heartbeat = announced.heartbeat;
     worker.received_at = now;
     worker.rack = announced.rack;
+    worker.rack_number =
+        steward.racks.try_emplace(announced.rack, steward.racks.size()).first->second;
     worker.capacity = announced.capacity;
     auto& largest = steward.largest_capacity;
     largest.processors = std::max(largest.processors, worker.capacity.processors);
