--- a/tests/product/fakeledger.cpp
+++ b/tests/product/fakeledger.cpp
@@ -15,6 +15,14 @@
             -> boost::asio::awaitable<command_response> { co_return apply(request); },
         [this](wire::query_request request, time_point) -> boost::asio::awaitable<query_response> {
             co_return answer(request);
+        },
+        [this](wire::voter_change_request change,
+               time_point) -> boost::asio::awaitable<command_response> {
+            voter_changes.push_back(change);
+            command_response response;
+            response.status = change.voter.value() == "unknown" ? command_status::rejected
+                                                                : command_status::accepted;
+            co_return response;
         }};
 }
 
@@ -59,8 +67,9 @@
     command_response response;
     const auto known = tasks.find(start.id);
     if (known != tasks.end()) {
-        response.status =
-            known->second.job == start.job ? command_status::duplicate : command_status::conflict;
+        const bool same =
+            known->second.job == start.job && known->second.deadline == start.deadline;
+        response.status = same ? command_status::duplicate : command_status::rejected;
         return response;
     }
     if (start.job.value() == "unknown") {
