--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -114,7 +114,7 @@
          * Only for a task taken from another domain: that domain's stewardship. The item changes
          * nothing once a later one was granted, since that steward goes on with its tasks.
          */
-        epoch from_stewardship;
+        epoch from_stewardship{};
 
         template <class Archive>
         void serialize(Archive& archive)
