--- /dev/null
+++ b/bench/ledger/virtualgroup.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <galenaturn/ledger.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace galenaturn::bench {
+
+/** Replicas in virtual time: links of one latency and loss, disks whose sync takes a fixed time. */
+class virtual_group {
+public:
+    struct options {
+        std::size_t voters{3};
+        duration latency{std::chrono::microseconds{1500}};
+        duration sync{std::chrono::milliseconds{1}};
+        double loss{0};
+        std::uint64_t seed{1};
+    };
+    struct counts {
+        std::uint64_t syncs{0};
+        std::uint64_t commits{0};
+        /** Between voters, with frame headers. */
+        std::uint64_t messages{0};
+        std::uint64_t bytes_sent{0};
+        /** To the first follower alone. */
+        std::uint64_t follower_bytes{0};
+    };
+
+    explicit virtual_group(const options& wanted);
+
+    void run_for(duration span);
+    /** Proposes at the leader; commands gather while its disk is busy. */
+    void propose(std::string command);
+    /** Returns the index of the leader, or the number of voters where there is none. */
+    [[nodiscard]] std::size_t leader() const;
+    [[nodiscard]] const ledger::replica& core(std::size_t at) const { return *nodes_[at].core; }
+    [[nodiscard]] time_point now() const { return now_; }
+    [[nodiscard]] const counts& counted() const { return counts_; }
+    void reset_counts() { counts_ = {}; }
+    /** Called for each entry that a voter applies. */
+    std::function<void(std::size_t voter, const ledger::log_entry&)> applied;
+
+private:
+    struct node {
+        std::unique_ptr<ledger::replica> core;
+        std::vector<ledger::peer_message> waiting;
+        std::vector<std::string> queued;
+        bool dirty{false};
+        bool syncing{false};
+    };
+    struct event {
+        time_point when;
+        std::uint64_t order{0};
+        std::function<void()> action;
+        bool operator<(const event& other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    void at(duration delay, std::function<void()> action);
+    void tick_later(std::size_t voter);
+    void take(std::size_t voter, ledger::effects done);
+    void flush(std::size_t voter);
+    void send(std::size_t from, const ledger::peer_message& message);
+
+    options options_;
+    state_chart chart_;
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours{1}};
+    std::uint64_t order_{0};
+    std::priority_queue<event> events_;
+    std::vector<node> nodes_;
+    std::map<voter_id, std::size_t> places_;
+    counts counts_;
+};
+
+} // namespace galenaturn::bench
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -62,6 +62,7 @@
         process.ledger = status();
     });
     add_frames();
+    add_routes();
 }
 
 result<void> ledger_service::start()
@@ -99,6 +100,48 @@
     });
 }
 
+void ledger_service::add_routes()
+{
+    const std::array<std::pair<const char*, wire::voter_change_kind>, 3> changes{{
+        {"add", wire::voter_change_kind::add},
+        {"promote", wire::voter_change_kind::promote},
+        {"remove", wire::voter_change_kind::remove},
+    }};
+    for (const auto& [name, kind] : changes) {
+        const auto route = std::string{"/v1/ledger/members/{id}/"} + name;
+        shared_.routes.add(http::verb::post, route, [this, kind = kind](http::call& incoming) {
+            return answer_change(this, kind, incoming.parameters["id"]);
+        });
+    }
+}
+
+asio::awaitable<http::response> ledger_service::answer_change(ledger_service* self,
+                                                              wire::voter_change_kind kind,
+                                                              std::string member)
+{
+    // A voter id names its process before the first point of its own part; both are taken.
+    const auto& controls = self->shared_.settings.members;
+    const bool names_process =
+        std::any_of(controls.begin(), controls.end(),
+                    [&](const auto& known) { return known.id.value() == member; });
+    wire::voter_change_request request;
+    request.kind = kind;
+    if (names_process)
+        request.process = process_id{member};
+    else
+        request.voter = voter_id{member};
+    const auto response = self->change_voters(request);
+    if (response.status == command_status::accepted)
+        co_return http::make_response(http::status::accepted, response.reason + "\n",
+                                      "text/plain; charset=utf-8");
+    if (response.status == command_status::not_leader)
+        co_return http::make_problem({http::status::service_unavailable, "not_leader",
+                                      "ask '" + response.leader.value() + "', which leads", 1,
+                                      true});
+    co_return http::make_problem(
+        {http::status::conflict, "change_refused", response.reason, 0, true});
+}
+
 process_id ledger_service::leader() const
 {
     if (!runner_.running() || runner_.state().leader.empty())
@@ -268,23 +311,41 @@
     return status;
 }
 
+std::vector<voter_id> ledger_service::voters_meant(const wire::voter_change_request& request) const
+{
+    if (!request.voter.empty())
+        return {request.voter};
+    std::vector<voter_id> found;
+    const auto& set = runner_.state().log.voters();
+    if (request.kind == wire::voter_change_kind::add) {
+        const auto newcomer = runner_.newcomer_of(request.process);
+        return newcomer.empty() ? found : std::vector<voter_id>{newcomer};
+    }
+    const bool promotes = request.kind == wire::voter_change_kind::promote;
+    for (const auto& [voter, process] : promotes ? set.learners : ledger::all_members(set)) {
+        if (process == request.process)
+            found.push_back(voter);
+    }
+    return found;
+}
+
 wire::command_response ledger_service::change_voters(const wire::voter_change_request& request)
 {
     if (!runner_.running() || !runner_.state().leads)
         return refuse(command_status::not_leader, "this voter does not lead");
-    ledger::voter_change change;
-    change.kind = static_cast<ledger::voter_change_kind>(request.kind);
-    change.voter = request.voter;
-    change.process = request.process;
-    if (change.kind == ledger::voter_change_kind::add_learner && change.voter.empty())
-        change.voter = runner_.newcomer_of(request.process);
-    if (change.voter.empty())
+    const auto meant = voters_meant(request);
+    if (meant.empty())
+        return refuse(command_status::rejected, "process '" + request.process.value() +
+                                                    "' has no such voter, learner or newcomer");
+    if (meant.size() > 1)
         return refuse(command_status::rejected,
-                      "process '" + request.process.value() + "' does not wait to be added");
-    auto reason = runner_.change_voters(change);
+                      "process '" + request.process.value() + "' has several; name the voter: '" +
+                          meant[0].value() + "' or '" + meant[1].value() + "'");
+    auto reason = runner_.change_voters(
+        {static_cast<ledger::voter_change_kind>(request.kind), meant.front(), request.process});
     log_event(
         log_level::info, "ledger_voter_change",
-        {{"kind", static_cast<int>(request.kind)}, {"voter", change.voter}, {"refused", reason}});
+        {{"kind", static_cast<int>(request.kind)}, {"voter", meant.front()}, {"refused", reason}});
     if (!reason.empty())
         return refuse(command_status::rejected, std::move(reason));
     return refuse(command_status::accepted, "the change is under way");
--- a/src/controld/ledgerservice.h
+++ b/src/controld/ledgerservice.h
@@ -42,6 +42,11 @@
     void expire_later();
     wire::query_response ask(const wire::query_request& request) const;
     wire::ledger_status status() const;
+    static boost::asio::awaitable<http::response>
+    answer_change(ledger_service* self, wire::voter_change_kind kind, std::string member);
+    /** Returns the voters that a request names by its process or by itself. */
+    [[nodiscard]] std::vector<voter_id>
+    voters_meant(const wire::voter_change_request& request) const;
     wire::command_response change_voters(const wire::voter_change_request& request);
     wire::command_response refuse(wire::command_status status, std::string reason) const;
     process_id leader() const;
--- a/src/entryd/catalogueservice.cpp
+++ b/src/entryd/catalogueservice.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /** Well below the time in which a version must be in force, so that lost polls do not matter. */
-constexpr duration poll_interval = std::chrono::seconds{3};
+constexpr duration poll_interval = std::chrono::seconds{2};
 /** At a start nothing is in force yet. */
 constexpr duration first_poll_interval = std::chrono::milliseconds{200};
 constexpr duration answer_limit = std::chrono::seconds{2};
--- /dev/null
+++ b/tests/ledger/replicatest.cpp
@@ -0,0 +1,161 @@
+#include <galenaturn/ledger.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::ledger {
+
+/** Replicas driven message by message. */
+class replica_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(replica_test);
+    CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_count);
+    CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_read_and_steps_down);
+    CPPUNIT_TEST(a_replica_that_returns_from_isolation_disturbs_no_leader);
+    CPPUNIT_TEST(changes_of_the_voters_are_refused_plainly);
+    CPPUNIT_TEST(only_the_lowest_process_forms_a_ledger_and_only_when_all_are_empty);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        findings found;
+        chart_ = load_chart(std::string{GALENATURN_SOURCE_DIR} + "/charts", "replica",
+                            replica_actions(), found);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, found.text());
+        for (const auto* name : {"a", "b", "c"})
+            voters_.voters.emplace(voter_id{name}, process_id{name});
+    }
+
+private:
+    state_chart chart_;
+    voter_set voters_;
+    time_point now_{std::chrono::hours{1}};
+
+    replica make(const std::string& name, replica_faults faults = {}, bool with_old_entry = false)
+    {
+        replica_start start;
+        start.self = voter_id{name};
+        start.hard = hard_state{term{1}, voter_id{}};
+        start.log.append(first_batch(voters_).entries.front());
+        if (with_old_entry)
+            start.log.append({term{1}, log_index{2}, entry_kind::command, "old"});
+        start.faults = faults;
+        start.chart = &chart_;
+        start.seed = 1;
+        return make_replica(std::move(start), now_);
+    }
+
+    effects from(replica& self, const std::string& sender, term sender_term, message_body body)
+    {
+        return receive(self, now_, {voter_id{sender}, self.self, sender_term, std::move(body)});
+    }
+
+    /** Makes `self` the leader of term 2 with the vote of b. */
+    effects elect(replica& self)
+    {
+        now_ += std::chrono::seconds{3};
+        tick(self, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, self.role);
+        from(self, "b", term{1}, vote_response{true, term{2}, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"candidate"}, self.role);
+        from(self, "a", term{2}, vote_response{false, term{2}, true});
+        return from(self, "b", term{2}, vote_response{false, term{2}, true});
+    }
+
+    void acknowledge(replica& self, const std::string& sender, std::uint64_t index)
+    {
+        from(self, sender, self.hard.current,
+             append_response{true, log_index{index}, self.last_round, 1});
+    }
+
+    void an_entry_of_an_earlier_term_is_not_committed_by_count()
+    {
+        for (const bool faulty : {false, true}) {
+            replica_faults faults;
+            faults.commits_earlier_terms = faulty;
+            auto leader = make("a", faults, true);
+            elect(leader);
+            acknowledge(leader, "a", 3);
+            acknowledge(leader, "b", 2);
+            CPPUNIT_ASSERT_EQUAL(log_index{faulty ? 2U : 0U}, leader.committed);
+            acknowledge(leader, "b", 3);
+            CPPUNIT_ASSERT_EQUAL(log_index{3}, leader.committed);
+        }
+    }
+
+    void a_leader_without_a_quorum_serves_no_read_and_steps_down()
+    {
+        auto leader = make("a");
+        elect(leader);
+        CPPUNIT_ASSERT(!may_read(leader, now_));
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        CPPUNIT_ASSERT(may_read(leader, now_));
+        now_ += leader.options.lease;
+        CPPUNIT_ASSERT(!may_read(leader, now_));
+        now_ += leader.options.election_timeout;
+        const auto done = tick(leader, now_);
+        CPPUNIT_ASSERT(done.role_changed && !leader.leads);
+    }
+
+    void a_replica_that_returns_from_isolation_disturbs_no_leader()
+    {
+        auto isolated = make("c");
+        for (int round = 0; round < 100; ++round) {
+            now_ += std::chrono::seconds{3};
+            tick(isolated, now_);
+        }
+        CPPUNIT_ASSERT_EQUAL(term{1}, isolated.hard.current);
+        auto leader = make("a");
+        elect(leader);
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        const auto done =
+            from(leader, "c", term{1}, vote_request{false, term{9}, log_index{9}, term{9}});
+        CPPUNIT_ASSERT(leader.leads && done.messages.empty() && done.after_sync.empty());
+        CPPUNIT_ASSERT_EQUAL(term{2}, leader.hard.current);
+    }
+
+    void changes_of_the_voters_are_refused_plainly()
+    {
+        auto leader = make("a");
+        elect(leader);
+        refusal reason;
+        const voter_change add{voter_change_kind::add_learner, voter_id{"d"}, process_id{"d"}};
+        change_voters(leader, now_, add, reason);
+        CPPUNIT_ASSERT(reason.find("own term") != std::string::npos);
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        change_voters(leader, now_, {voter_change_kind::remove, voter_id{"x"}, {}}, reason);
+        CPPUNIT_ASSERT_EQUAL(std::string{"'x' is not a member"}, reason);
+        change_voters(leader, now_, add, reason);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, reason);
+        change_voters(leader, now_, add, reason);
+        CPPUNIT_ASSERT(reason.find("under way") != std::string::npos);
+        acknowledge(leader, "a", 3);
+        acknowledge(leader, "b", 3);
+        change_voters(leader, now_, {voter_change_kind::promote, voter_id{"d"}, {}}, reason);
+        CPPUNIT_ASSERT(reason.find("not caught up") != std::string::npos);
+        // Only a answers any more: without b two voters would be left, of which one answers.
+        now_ += 2 * leader.options.election_timeout;
+        change_voters(leader, now_, {voter_change_kind::remove, voter_id{"b"}, {}}, reason);
+        CPPUNIT_ASSERT(reason.find("would leave no quorum") != std::string::npos);
+    }
+
+    void only_the_lowest_process_forms_a_ledger_and_only_when_all_are_empty()
+    {
+        formation state{process_id{"a"}, voter_id{"a1"}, {process_id{"a"}, process_id{"b"}}, {}};
+        CPPUNIT_ASSERT(!first_voters(state, now_));
+        state.others[process_id{"b"}] = {{process_id{"b"}, voter_id{"b1"}, false}, now_};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first_voters(state, now_)->voters.size());
+        CPPUNIT_ASSERT(!first_voters(state, now_ + formation_message_ttl));
+        state.others[process_id{"b"}].last.has_log = true;
+        CPPUNIT_ASSERT(!first_voters(state, now_));
+        formation second{process_id{"b"}, voter_id{"b1"}, {process_id{"a"}, process_id{"b"}}, {}};
+        second.others[process_id{"a"}] = {{process_id{"a"}, voter_id{"a1"}, false}, now_};
+        CPPUNIT_ASSERT(!first_voters(second, now_));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
+
+} // namespace galenaturn::ledger
--- a/tests/ledger/simulation/simtrouble.cpp
+++ b/tests/ledger/simulation/simtrouble.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t open_requests = 12;
 constexpr std::uint64_t most_steps_to_heal = 60'000;
+constexpr std::uint64_t longest_cut_us = 6'000'000;
 constexpr std::uint64_t task_names = 40;
 
 } // namespace
@@ -65,7 +66,8 @@
     case 4:
     case 5: {
         wire::assign_tasks body;
-        body.items.push_back({task, failure_domain_id{"d" + std::to_string(pick(3))}, assignment});
+        body.items.push_back(
+            {task, failure_domain_id{"d" + std::to_string(pick(3))}, assignment, {}});
         return body;
     }
     case 6: {
@@ -130,11 +132,18 @@
 
 void simulation::cut_links()
 {
+    if (now_ < cut_until_)
+        return;
     const auto kind = pick(5);
     cut_.clear();
     if (kind == 0)
         return note("links heal");
-    const auto at = pick(nodes_.size());
+    auto at = pick(nodes_.size());
+    for (std::size_t leader = 0; leader < nodes_.size() && chance(700); ++leader) {
+        if (nodes_[leader].alive() && nodes_[leader].core->leads)
+            at = leader;
+    }
+    cut_until_ = now_ + duration{pick(longest_cut_us)};
     for (std::size_t other = 0; other < nodes_.size(); ++other) {
         if (other == at)
             continue;
--- a/tests/ledger/simulation/simulation.cpp
+++ b/tests/ledger/simulation/simulation.cpp
@@ -13,8 +13,9 @@
 constexpr duration shortest_sync = std::chrono::microseconds{500};
 constexpr std::uint64_t sync_spread_us = 12'000;
 constexpr duration shortest_flight = std::chrono::microseconds{700};
-constexpr std::uint64_t flight_spread_us = 6'000;
 constexpr std::uint64_t longest_young_life_us = 40'000;
+constexpr unsigned kept_by_cut_link = 800;
+constexpr duration resend_interval = std::chrono::milliseconds{300};
 constexpr std::uint64_t late_spread_us = 3'000'000;
 /** Largest difference of a clock's rate, in thousandths; the lease allows for twice this. */
 constexpr std::int64_t largest_skew = 25;
@@ -152,7 +153,13 @@
         return;
     if (next.kind == event_kind::deliver) {
         if (!cut_.contains({next.sender, next.node}))
-            take(next.node, receive(*node.core, local_time(node), next.message));
+            return take(next.node, receive(*node.core, local_time(node), next.message));
+        // A cut link keeps some messages until it heals, as a transport that resends does.
+        if (chance(kept_by_cut_link)) {
+            auto kept = next;
+            kept.when += resend_interval;
+            events_.push(std::move(kept));
+        }
         return;
     }
     if (next.kind == event_kind::crash) {
@@ -253,7 +260,9 @@
         event next;
         next.when = now_;
         if (!own)
-            next.when += shortest_flight + duration{pick(flight_spread_us)};
+            next.when +=
+                shortest_flight +
+                duration{pick(static_cast<std::uint64_t>(options_.longest_flight.count()))};
         if (!own && !healed_ && chance(options_.late))
             next.when += duration{pick(late_spread_us)};
         next.order = ++next_order_;
@@ -282,6 +291,16 @@
     node.disk.queue(std::move(write));
 }
 
+simulation_options options_of(std::uint64_t seed)
+{
+    simulation_options options;
+    options.seed = seed;
+    options.processes = seed % 3 == 0 ? 5 : 3 + seed % 2;
+    if (seed % 4 == 0)
+        options.longest_flight = std::chrono::milliseconds{150};
+    return options;
+}
+
 log_batch present_log(const replica& core)
 {
     const auto& log = core.log;
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -20,10 +20,12 @@
     std::size_t processes{3};
     std::uint64_t steps{20'000};
     replica_faults faults;
+    /** Slow links make candidates of one term more frequent. */
+    duration longest_flight{std::chrono::milliseconds{7}};
     /** Shares of messages, in thousandths. */
     unsigned lost{20};
     unsigned duplicated{20};
-    unsigned late{20};
+    unsigned late{40};
     bool crashes{true};
     bool partitions{true};
     bool voter_changes{true};
@@ -146,6 +148,7 @@
     std::priority_queue<event> events_;
     std::vector<sim_node> nodes_;
     std::set<std::pair<std::size_t, std::size_t>> cut_;
+    time_point cut_until_;
     std::set<voter_id> lost_voters_;
     /** Requests that a client may still resend. */
     std::vector<wire::command_request> commands_;
@@ -171,6 +174,8 @@
 
 /** Returns the whole log that a replica holds, as the start of a new log file. */
 log_batch present_log(const replica& core);
+/** Returns the options that belong to a seed: 3 to 5 processes, each fourth run over slow links. */
+simulation_options options_of(std::uint64_t seed);
 /** Runs one simulation; broken invariants of the code itself are violations too. */
 simulation_result run_simulation(const simulation_options& options);
 
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -15,14 +15,6 @@
     CPPUNIT_TEST(voting_for_a_shorter_log_is_caught);
     CPPUNIT_TEST_SUITE_END();
 
-    static simulation_options options_of(std::uint64_t seed)
-    {
-        simulation_options options;
-        options.seed = seed;
-        options.processes = seed % 3 == 0 ? 5 : 3 + seed % 2;
-        return options;
-    }
-
     static std::string text_of(const simulation_options& options, const simulation_result& result)
     {
         std::string text = "seed " + std::to_string(options.seed) + ": " + result.violation;
--- a/tests/ledger/soak/soakledger.cpp
+++ b/tests/ledger/soak/soakledger.cpp
@@ -44,14 +44,13 @@
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     init_log(log_level::fatal);
-    ledger::simulation_options options;
-    options.steps = FLAGS_steps;
-    options.faults = fault_of(FLAGS_fault);
     const auto deadline = monotonic_now() + std::chrono::seconds{FLAGS_seconds};
     ledger::simulation_result sum;
     std::uint64_t runs = 0;
-    for (options.seed = FLAGS_seed; monotonic_now() < deadline; ++options.seed, ++runs) {
-        options.processes = options.seed % 3 == 0 ? 5 : 3 + options.seed % 2;
+    for (auto seed = FLAGS_seed; monotonic_now() < deadline; ++seed, ++runs) {
+        auto options = ledger::options_of(seed);
+        options.steps = FLAGS_steps;
+        options.faults = fault_of(FLAGS_fault);
         const auto result = ledger::run_simulation(options);
         if (!result.violation.empty()) {
             print_failure(options, result);
--- a/tests/ledger/statemachinetest.cpp
+++ b/tests/ledger/statemachinetest.cpp
@@ -53,7 +53,7 @@
                           std::uint64_t expected)
     {
         wire::assign_tasks body;
-        body.items.push_back({task_id{task}, failure_domain_id{domain}, epoch{expected}});
+        body.items.push_back({task_id{task}, failure_domain_id{domain}, epoch{expected}, {}});
         return run("assign", body).status;
     }
 
