--- a/bench/route/decisioncost.cpp
+++ b/bench/route/decisioncost.cpp
@@ -56,7 +56,7 @@
         admission.services.resize(1);
         admission.services[0].limits = {work_class::interactive, 1'000'000, 10'000,
                                         std::chrono::milliseconds{50}};
-        admission.services[0].slots = upstreams * 8;
+        admission.services[0].slots = std::int64_t{upstreams} * 8;
         for (std::uint32_t owner = 0; owner < owners; ++owner) {
             admission.owners.emplace_back();
             admission.owners.back().limits = {1.0 + owner % 7, 1e9, 1'000'000};
--- a/tests/route/admissiontest.cpp
+++ b/tests/route/admissiontest.cpp
@@ -20,7 +20,7 @@
     CPPUNIT_TEST(watchers_are_shed_before_batch_and_interactive_last);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr time_point start_{std::chrono::hours{1}};
+    static constexpr time_point start{std::chrono::hours{1}};
     admission_state state_;
 
 public:
@@ -39,7 +39,7 @@
 private:
     admission_decision submit(std::uint32_t owner, duration timeout = std::chrono::seconds{10})
     {
-        return submit_request(state_, {owner, 0, start_ + timeout}, start_);
+        return submit_request(state_, {owner, 0, start + timeout}, start);
     }
 
     void slots_go_to_owners_by_weight()
@@ -114,7 +114,7 @@
     bool admits(work_class shed_class)
     {
         state_.services[0].limits.shed_class = shed_class;
-        return !check_request(state_, {0, 0, start_ + std::chrono::seconds{1}}, start_);
+        return !check_request(state_, {0, 0, start + std::chrono::seconds{1}}, start);
     }
 
     void watchers_are_shed_before_batch_and_interactive_last()
