controld: orders reach a worker after its steward was stopped for a while

The worker then had two heartbeats under way. Each new one displaced the one that the steward held open, whose answer lost its commands since the steward counted from the newer; the answer made the worker send the next. No order ever reached the worker: no stop of what it had finished, no start of the new placement. Ruled out: lost reports (the ledger took all), the hold (acknowledged), the number of the stewardship (renumbered), quarantine. Change: a displaced heartbeat gets the commands too (its lease counts from the earlier one and only ends earlier); what a worker must forget is told at once; the stand-in asks again only after the answer to its latest heartbeat. Conclusion: a steward that was stopped and goes on serves its workers again.

--- a/src/controld/stewardservice.cpp
+++ b/src/controld/stewardservice.cpp
@@ -213,11 +213,11 @@
 void steward_service::answer(const worker_id& worker, const held_answer& held, time_point now)
 {
     auto answer = schedule::answer_worker(steward_, worker, now);
-    // A lease counts from the heartbeat that the worker is answered for.
-    if (answer.heartbeat != held.heartbeat) {
-        answer.heartbeat = held.heartbeat;
+    // Counted from an earlier heartbeat than the steward counts from, a lease only ends earlier.
+    // A higher number is that of the worker's life before a restart.
+    if (held.heartbeat > answer.heartbeat)
         answer.commands.clear();
-    }
+    answer.heartbeat = held.heartbeat;
     held.reply(wire::encode(answer));
 }
 
--- a/src/libschedule/workerreports.cpp
+++ b/src/libschedule/workerreports.cpp
@@ -196,6 +196,8 @@
     // After a restart of the worker, what its earlier life ran ends with its lease at the latest.
     if (same_life)
         end_missing(steward, worker, now);
+    // What the worker must stop or forget is told at once, not when the long poll ends.
+    worker.due = !worker.strays.empty();
     take_latency(steward, worker, announced.service_latency, announced.usage_age, now);
     note_occupancy(steward, worker, now);
     update_index(steward, worker);
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -126,7 +126,9 @@
             tasks_.apply(parsed.message, sent, monotonic_now());
             write_journal();
         }
-        wake_.cancel();
+        // A late answer to an earlier heartbeat asks for no further one.
+        if (number == announcement_.heartbeat)
+            wake_.cancel();
     }
 
     asio::awaitable<void> advance()
--- a/tests/schedule/servicetest.cpp
+++ b/tests/schedule/servicetest.cpp
@@ -46,6 +46,11 @@
             listener(change);
     }
 
+    process_id steward_of(const std::string& domain)
+    {
+        return state_.stewardships[failure_domain_id{domain}].steward;
+    }
+
     const wire::task_record& task(const std::string& name) { return state_.tasks[task_id{name}]; }
 
 private:
@@ -100,6 +105,7 @@
 class service_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(service_test);
     CPPUNIT_TEST(a_task_goes_from_the_ledger_to_a_worker_and_back);
+    CPPUNIT_TEST(orders_reach_a_worker_that_has_two_heartbeats_under_way);
     CPPUNIT_TEST_SUITE_END();
 
     void a_task_goes_from_the_ledger_to_a_worker_and_back()
@@ -150,6 +156,49 @@
         CPPUNIT_ASSERT(shared.metrics.text().find("galenaturn_evictions_total") !=
                        std::string::npos);
     }
+
+    /** Each answer is followed by another heartbeat, as after the steward was stopped for a while.
+     */
+    void orders_reach_a_worker_that_has_two_heartbeats_under_way()
+    {
+        daemon::context shared{make_settings()};
+        control_hub hub;
+        fake_ledger ledger{hub};
+        assigner_service assigner{shared, hub};
+        steward_service steward{shared, hub};
+        CPPUNIT_ASSERT(assigner.start());
+        CPPUNIT_ASSERT(steward.start());
+        while (ledger.steward_of("hall-a").empty())
+            shared.io.run_one();
+
+        wire::worker_announcement announced;
+        announced.id = worker_id{"w1"};
+        announced.domain = failure_domain_id{"hall-a"};
+        announced.life = incarnation{1};
+        announced.capacity = {millicores{4000}, bytes{100'000}, {}};
+        wire::worker_task forgotten;
+        forgotten.id = task_id{"unknown-to-the-steward"};
+        forgotten.assignment = epoch{1};
+        forgotten.state = wire::worker_task_state::succeeded;
+        announced.tasks = {forgotten};
+        bool stopped = false;
+        const std::function<void()> beat = [&] {
+            announced.heartbeat = announced.heartbeat.next();
+            wire::frame sent{wire::frame_kind::worker_announcement, 0, wire::encode(announced)};
+            shared.frames.dispatch(shared.channels.self, std::move(sent), [&](std::string reply) {
+                const auto answer = wire::decode<wire::worker_answer>(reply);
+                for (const auto& command : answer.value().commands)
+                    stopped |= command.kind == wire::worker_command_kind::stop;
+                boost::asio::post(shared.io, beat);
+            });
+        };
+        beat();
+        beat();
+        constexpr std::uint64_t most_heartbeats = 2000;
+        while (!stopped && announced.heartbeat.value() < most_heartbeats)
+            shared.io.run_one();
+        CPPUNIT_ASSERT(stopped);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(service_test);
