--- a/src/libledger/statemachine.cpp
+++ b/src/libledger/statemachine.cpp
@@ -28,11 +28,11 @@
 {
     wire::query_response response;
     response.status = wire::query_status::found;
-    for (auto version = state.catalogue_history.rbegin(); version != state.catalogue_history.rend();
-         ++version) {
-        if (body.limit != 0 && response.documents.size() >= body.limit)
-            break;
-        auto entry = *version;
+    const auto& history = state.catalogue_history;
+    const auto wanted = body.limit == 0 ? history.size() : std::size_t{body.limit};
+    // The latest first.
+    for (auto left = history.size(); left > 0 && response.documents.size() < wanted; --left) {
+        auto entry = history[left - 1];
         entry.document.clear();
         response.documents.push_back(std::move(entry));
     }
