controld: a heartbeat is held open for 1.8 s

Cause: with 13 tasks a worker, heartbeat and answer are 4877 bytes as JSON; at one a second a node spent 4877 bytes/s on control, bound 4096, and the stand-in sent two a second. Change: the steward holds a heartbeat for 1.8 s where it has no orders (the worker lease stays 6 s), entries wait 2.8 s for it, the stand-in sends the next on the answer, on the end of a task, or after 2.2 s; bench_http measures it. Conclusion: control traffic of a worker keeps within 4 KB/s at the target.

--- a/bench/http/httpbench.cpp
+++ b/bench/http/httpbench.cpp
@@ -16,6 +16,7 @@
 
 #include <ctime>
 #include <memory>
+#include <sstream>
 #include <string_view>
 #include <vector>
 
@@ -105,6 +106,40 @@
     return static_cast<double>(after - before) / count;
 }
 
+constexpr int tasks_per_worker = 13;
+/** The steward holds each heartbeat open for 1.8 s where it has no orders. */
+constexpr double heartbeats_per_second = 1 / 1.8;
+constexpr double node_bytes_per_second = 4096;
+
+/** Returns the bytes of one heartbeat and its answer, headers included, with `tasks` tasks. */
+double heartbeat_bytes(int tasks)
+{
+    wire::worker_announcement announced;
+    announced.id = worker_id{"wellington-hall-worker-017"};
+    announced.domain = failure_domain_id{"wellington-hall"};
+    announced.rack = rack_id{"wellington-hall-rack-03"};
+    announced.capacity = {millicores{32'000}, bytes{125LL << 30}, accelerator_count{2}};
+    wire::worker_answer answer;
+    for (int number = 0; number < tasks; ++number) {
+        wire::worker_task task;
+        task.id = task_id{"ensemble-2026-03-04-member-" + std::to_string(100 + number)};
+        task.assignment = epoch{std::uint64_t{1} << 36};
+        task.state = wire::worker_task_state::running;
+        announced.tasks.push_back(task);
+        wire::worker_command command;
+        command.id = task.id;
+        command.assignment = task.assignment;
+        answer.commands.push_back(command);
+    }
+    const auto sent =
+        make_request(verb::put, "/v1/workers/" + announced.id.value(), to_json(announced));
+    auto received = make_response(status::ok, to_json(answer), "application/json");
+    received.prepare_payload();
+    std::ostringstream text;
+    text << sent << received;
+    return static_cast<double>(text.str().size());
+}
+
 } // namespace
 
 } // namespace galenaturn::http
@@ -122,6 +157,12 @@
     }
     report.add("connections_of_an_entry_at_target", largest * http::connections_per_entry, "bytes",
                bench::at_most(http::memory_limit_bytes));
+    for (const int tasks : {0, http::tasks_per_worker, 4 * http::tasks_per_worker})
+        report.add("worker_heartbeat_and_answer_" + std::to_string(tasks) + "_tasks",
+                   http::heartbeat_bytes(tasks), "bytes");
+    report.add("worker_control_traffic_at_target",
+               http::heartbeat_bytes(http::tasks_per_worker) * http::heartbeats_per_second,
+               "bytes/s", bench::at_most(http::node_bytes_per_second));
     if (!quick) {
         for (const std::size_t size : {std::size_t{100}, std::size_t{1'600}, std::size_t{25'600}})
             report.add("request_of_" + std::to_string(size) + "_bytes",
--- a/src/controld/stewardservice.cpp
+++ b/src/controld/stewardservice.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds heartbeat_interval{500};
 constexpr std::chrono::seconds heartbeat_limit{2};
 /** How long a worker's heartbeat is held open while there are no commands. */
-constexpr std::chrono::seconds answer_hold{1};
+constexpr std::chrono::milliseconds answer_hold{1800};
 constexpr std::size_t report_batch = 1000;
 constexpr std::chrono::seconds report_limit{2};
 constexpr std::chrono::milliseconds report_retry{200};
--- a/src/entryd/announcementservice.cpp
+++ b/src/entryd/announcementservice.cpp
@@ -14,7 +14,7 @@
 namespace json = boost::json;
 
 /** Longer than the steward holds a heartbeat open. */
-constexpr std::chrono::seconds steward_timeout{2};
+constexpr std::chrono::milliseconds steward_timeout{2800};
 /** Shorter than an announcement interval, so that a silent entry delays one announcement. */
 constexpr std::chrono::milliseconds pass_on_timeout{400};
 constexpr std::int64_t steward_retry_seconds = 1;
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -35,9 +35,9 @@
 namespace {
 
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::chrono::milliseconds heartbeat_interval{500};
+constexpr std::chrono::milliseconds heartbeat_interval{2200};
 constexpr std::chrono::milliseconds shortest_heartbeat_gap{50};
-constexpr std::chrono::milliseconds heartbeat_timeout{2500};
+constexpr std::chrono::milliseconds heartbeat_timeout{3200};
 constexpr std::chrono::milliseconds advance_interval{10};
 /** Usage is reported this late, as on the platform. */
 constexpr std::chrono::milliseconds usage_lag{1000};
