--- /dev/null
+++ b/src/libwire/peerlink.cpp
@@ -0,0 +1,174 @@
+#include "connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace galenaturn::wire {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds longest_reconnect_delay{1000};
+
+} // namespace
+
+struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
+    struct pending_call {
+        explicit pending_call(asio::io_context& io) : timer{io} {}
+        asio::steady_timer timer;
+        result<std::string> reply{make_error_code(wire_error::timed_out)};
+    };
+
+    state(channel_context& shared_context, const ip_endpoint& peer_address,
+          failure_domain_id peer_domain)
+        : context{shared_context}, address{peer_address}, domain{std::move(peer_domain)},
+          delay{shared_context.io}
+    {
+    }
+
+    channel_context& context;
+    ip_endpoint address;
+    failure_domain_id domain;
+    asio::steady_timer delay;
+    std::shared_ptr<connection> current;
+    std::map<std::uint64_t, std::shared_ptr<pending_call>> pending;
+    std::uint64_t last_correlation{0};
+    bool closed{false};
+
+    static asio::awaitable<void> run(std::shared_ptr<state> self)
+    {
+        auto wait = shortest_reconnect_delay;
+        while (!self->closed) {
+            if (!self->context.refuses(self->domain) && co_await connect(*self)) {
+                wait = shortest_reconnect_delay;
+                co_await read_replies(*self);
+            }
+            self->disconnect();
+            if (self->closed)
+                co_return;
+            self->context.counters.reconnects.add();
+            self->delay.expires_after(wait);
+            co_await self->delay.async_wait(use_result);
+            wait = std::min(wait * 2, longest_reconnect_delay);
+        }
+    }
+
+    static asio::awaitable<bool> connect(state& self)
+    {
+        tcp::socket socket{self.context.io};
+        asio::steady_timer limit{self.context.io, longest_reconnect_delay};
+        limit.async_wait([&socket](const boost::system::error_code& error) {
+            boost::system::error_code ignored;
+            if (!error)
+                socket.close(ignored);
+        });
+        auto [error] = co_await socket.async_connect(to_tcp(self.address), use_result);
+        limit.cancel();
+        if (error || self.closed || !socket.is_open())
+            co_return false;
+        self.current = std::make_shared<connection>(std::move(socket), self.context.counters);
+        self.current->start_writing();
+        self.current->send({frame_kind::hello, 0, encode(self.context.self)});
+        co_return true;
+    }
+
+    static asio::awaitable<void> read_replies(state& self)
+    {
+        while (!self.closed) {
+            const auto active = self.current;
+            auto received = co_await active->receive();
+            if (!received)
+                co_return;
+            if (self.context.refuses(self.domain)) {
+                self.context.counters.frames_refused.add();
+                continue;
+            }
+            const auto call = self.pending.find(received.value().correlation);
+            if (call == self.pending.end())
+                continue;
+            call->second->reply = std::move(received).value().payload;
+            call->second->timer.cancel();
+            self.pending.erase(call);
+        }
+    }
+
+    /** Sends unless the domain is refused; a refused frame is lost without a sign. */
+    bool send(frame outgoing)
+    {
+        if (!context.refuses(domain))
+            return current->send(outgoing);
+        context.counters.frames_refused.add();
+        return true;
+    }
+
+    void disconnect()
+    {
+        if (current)
+            current->close();
+        current.reset();
+        for (auto& [correlation, call] : pending)
+            call->timer.cancel();
+        pending.clear();
+    }
+};
+
+peer_link::peer_link(channel_context& context, const ip_endpoint& address,
+                     const failure_domain_id& domain)
+    : state_{std::make_shared<state>(context, address, domain)}
+{
+}
+
+peer_link::~peer_link()
+{
+    close();
+}
+
+void peer_link::start()
+{
+    asio::co_spawn(state_->context.io, state::run(state_), asio::detached);
+}
+
+void peer_link::close()
+{
+    state_->closed = true;
+    state_->delay.cancel();
+    state_->disconnect();
+}
+
+bool peer_link::connected() const
+{
+    return state_->current != nullptr;
+}
+
+bool peer_link::send(frame_kind kind, std::string payload)
+{
+    if (!state_->current) {
+        state_->context.counters.frames_dropped.add();
+        return false;
+    }
+    return state_->send({kind, 0, std::move(payload)});
+}
+
+asio::awaitable<result<std::string>> peer_link::call(frame_kind kind, std::string payload,
+                                                     time_point deadline)
+{
+    const auto self = state_;
+    if (!self->current)
+        co_return make_error_code(wire_error::not_connected);
+    const auto correlation = ++self->last_correlation;
+    if (!self->send({kind, correlation, std::move(payload)}))
+        co_return make_error_code(wire_error::not_connected);
+    const auto call = std::make_shared<state::pending_call>(self->context.io);
+    self->pending.emplace(correlation, call);
+    call->timer.expires_at(deadline);
+    co_await call->timer.async_wait(use_result);
+    self->pending.erase(correlation);
+    co_return std::move(call->reply);
+}
+
+} // namespace galenaturn::wire
