--- a/src/libroute/upstreamtable.cpp
+++ b/src/libroute/upstreamtable.cpp
@@ -241,6 +241,7 @@
     const auto& upstream = table.records[place];
     GN_INVARIANT(upstream.handed_out <= upstream.slots, {"upstream", upstream.id},
                  {"handed_out", upstream.handed_out}, {"slots", upstream.slots});
+    GN_INVARIANT(!upstream.leaving, {"upstream", upstream.id});
 }
 
 void return_slot(upstream_table& table, upstream_index place)
