daemon: a planned stop ends the process without taking its parts down

Cause: an entry that was stopped by SIGTERM with keep-alive callers ended with status 134 (corrupted size vs. prev_size) after event=daemon_stopped: services were destroyed before the coroutines that the io_context still held, whose guards then wrote to freed memory. No request was cut off by it. Ruled out: io_context first, since services hold timers of it.

--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <utility>
 
@@ -140,8 +141,9 @@
     life.started();
     shared.io.run();
     log_event(log_level::info, "daemon_stopped", {{"cut_off", life.cut_off()}});
-    services.clear();
-    return life.cut_off() ? exit_failure : 0;
+    // Coroutines that still wait refer to services, and services to the io_context: neither can be
+    // destroyed before the other. What must last is synced, so the process ends as it stands.
+    std::quick_exit(life.cut_off() ? exit_failure : 0);
 }
 
 } // namespace
--- a/util/deployment.sh
+++ b/util/deployment.sh
@@ -171,6 +171,9 @@
     unset "pids[$1]"
 }
 
+# How many of our processes did not end a planned stop with status 0.
+bad_stops=0
+
 # Stops everything that was started: stand-ins first, then entries, then control.
 stop_everything() {
     local name
@@ -187,7 +190,9 @@
     done
     for name in "${entry_names[@]:-}" "${control_names[@]:-}" "${!pids[@]}"; do
         [ -n "$name" ] || continue
-        stop_process "$name" || echo "$name ended with status $?"
+        stop_process "$name" && continue
+        echo "$name ended with status $?"
+        bad_stops=$((bad_stops + 1))
     done
     upstream_names=() worker_names=()
 }
