ledger: a task that finishes before the first expiry is kept

Cause: one run of util/demo in five lost a finished task: 'task show' told not_found, and the second start ran it again. A task that finished before the first expire_records, within 5 s of the first leader, was noted as finished at the epoch start of the wall clock, so the first expiry forgot it as older than 24 h. Ruled out: a change of leader and a stale read (one leader, one term). Change: a task counts as finished no earlier than it was submitted. Conclusion: a resend of a finished start again starts nothing.

--- a/src/libledger/applytasks.cpp
+++ b/src/libledger/applytasks.cpp
@@ -17,7 +17,9 @@
     task.phase = task_phase::finished;
     task.outcome = outcome;
     task.reason = reason;
-    at.state.finished.push_back({task.id, at.state.clock});
+    // Before the first expire_records the clock is unset: the task is at least as young as its
+    // start.
+    at.state.finished.push_back({task.id, std::max(at.state.clock, task.submitted)});
     at.change.tasks.push_back(task.id);
     forget_finished(at.state);
 }
--- a/tests/ledger/statemachinetest.cpp
+++ b/tests/ledger/statemachinetest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_report_of_an_old_assignment_changes_nothing);
     CPPUNIT_TEST(a_cancelled_task_is_not_assigned_again);
     CPPUNIT_TEST(a_task_that_finished_and_was_forgotten_is_not_started_again);
+    CPPUNIT_TEST(a_task_that_finished_before_the_first_expiry_is_kept);
     CPPUNIT_TEST(a_key_is_reserved_once_and_answered_from_its_record);
     CPPUNIT_TEST(one_owner_cannot_use_up_the_keys_of_the_others);
     CPPUNIT_TEST_SUITE_END();
@@ -97,6 +98,21 @@
         CPPUNIT_ASSERT(task.hold == std::chrono::seconds{3});
     }
 
+    /** Until then the state has no clock of its own: the task must not seem to be ages old. */
+    void a_task_that_finished_before_the_first_expiry_is_kept()
+    {
+        write("a", 0, "x");
+        begin("t");
+        assign("t", "d1", 0);
+        CPPUNIT_ASSERT(report("t", 1, wire::task_outcome::succeeded) == command_status::accepted);
+        run("expire", wire::expire_records{start_time + std::chrono::minutes{1}});
+        CPPUNIT_ASSERT(state_.tasks.contains(task_id{"t"}));
+        const auto later = start_time + std::chrono::minutes{2};
+        const auto again = run("again", wire::start_task{task_id{"t"}, job_id{"j"}, later, {}, {}});
+        CPPUNIT_ASSERT(again.status == command_status::duplicate);
+        CPPUNIT_ASSERT(state_.tasks.at(task_id{"t"}).outcome == wire::task_outcome::succeeded);
+    }
+
     void a_report_of_an_old_assignment_changes_nothing()
     {
         write("a", 0, "x");
