bench: the processor clock stands once

Cause: bench_wire and bench_http each had the same function. Change: bench/processortime.h serves both; behaviour unchanged. Conclusion: one place to change how processor time is read.

--- a/bench/http/httpbench.cpp
+++ b/bench/http/httpbench.cpp
@@ -1,4 +1,5 @@
 #include "figures.h"
+#include "processortime.h"
 
 #include <galenaturn/http.h>
 
@@ -14,7 +15,6 @@
 
 #include <malloc.h>
 
-#include <ctime>
 #include <memory>
 #include <sstream>
 #include <string_view>
@@ -67,24 +67,17 @@
     }
 }
 
-double processor_seconds()
-{
-    timespec now{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
-}
-
 /** Returns the processor time, in microseconds, of client and server for one request. */
 double request_microseconds(std::size_t body_size)
 {
     constexpr int requests = 10'000;
     loopback fixture;
     int answered = 0;
-    const double begin = processor_seconds();
+    const double begin = bench::processor_seconds();
     asio::co_spawn(fixture.io, exchange(fixture, requests, body_size, answered), asio::detached);
     while (answered < requests && fixture.io.run_one() > 0) {
     }
-    return (processor_seconds() - begin) * 1e6 / requests;
+    return (bench::processor_seconds() - begin) * 1e6 / requests;
 }
 
 /** Returns the heap bytes that each of `count` idle connections holds at the server. */
--- a/bench/wire/wirebench.cpp
+++ b/bench/wire/wirebench.cpp
@@ -1,8 +1,8 @@
 #include "figures.h"
+#include "processortime.h"
 
 #include <galenaturn/wire.h>
 
-#include <ctime>
 #include <string_view>
 
 namespace galenaturn::wire {
@@ -45,27 +45,20 @@
     return answer;
 }
 
-double processor_seconds()
-{
-    timespec now{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
-}
-
 /** Returns the processor time, in microseconds, to encode and decode one heartbeat. */
 double codec_microseconds(int tasks)
 {
     constexpr int rounds = 20'000;
     const auto announcement = make_announcement(tasks);
     std::size_t read = 0;
-    const double begin = processor_seconds();
+    const double begin = bench::processor_seconds();
     for (int round = 0; round < rounds; ++round) {
         const auto bytes = encode_frame({frame_kind::worker_announcement, 1, encode(announcement)});
         const auto decoded =
             decode<worker_announcement>(std::string_view{bytes}.substr(frame_header_size));
         read += decoded.value().id.value().size();
     }
-    const double spent = processor_seconds() - begin;
+    const double spent = bench::processor_seconds() - begin;
     return read == 0 ? -1 : spent * 1e6 / rounds;
 }
 
