--- a/include/galenaturn/daemon.h
+++ b/include/galenaturn/daemon.h
@@ -5,3 +5,4 @@
 #include "libdaemon/daemon.h"
 #include "libdaemon/gossiprunner.h"
 #include "libdaemon/lifecycle.h"
+#include "libdaemon/rosterservice.h"
--- a/include/galenaturn/http.h
+++ b/include/galenaturn/http.h
@@ -5,3 +5,4 @@
 #include "libhttp/announcementjson.h"
 #include "libhttp/httpclient.h"
 #include "libhttp/httpserver.h"
+#include "libhttp/sessionpool.h"
--- a/include/galenaturn/ledger.h
+++ b/include/galenaturn/ledger.h
@@ -9,3 +9,4 @@
 #include "libledger/stateimage.h"
 #include "libledger/statemachine.h"
 #include "libledger/storage.h"
+#include "libledger/voterplan.h"
--- a/include/galenaturn/membership.h
+++ b/include/galenaturn/membership.h
@@ -5,3 +5,4 @@
 #include "libmembership/announcementtable.h"
 #include "libmembership/gossipnode.h"
 #include "libmembership/membershiperrors.h"
+#include "libmembership/roster.h"
--- a/include/galenaturn/messages.h
+++ b/include/galenaturn/messages.h
@@ -7,5 +7,6 @@
 #include "libwire/commands.h"
 #include "libwire/digest.h"
 #include "libwire/frame.h"
+#include "libwire/jobs.h"
 #include "libwire/voterchange.h"
 #include "libwire/wireerrors.h"
--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -4,6 +4,7 @@
 
 #include "libschedule/assigner.h"
 #include "libschedule/interference.h"
+#include "libschedule/jobscheduler.h"
 #include "libschedule/jobsizes.h"
 #include "libschedule/leaseterms.h"
 #include "libschedule/placement.h"
--- a/src/controld/controlhub.h
+++ b/src/controld/controlhub.h
@@ -15,6 +15,8 @@
     std::function<const ledger::ledger_state&()> state;
     /** Whether this voter leads and holds its lease; set by the ledger service. */
     std::function<bool()> leads;
+    /** The term that this voter is in; while it leads, the fencing number of its orders. */
+    std::function<galenaturn::term()> current_term;
     /** The leader that this voter knows of, empty where none; set by the ledger service. */
     std::function<process_id()> leader;
     /** Submits a command here or at the leader; set by the ledger service. */
--- /dev/null
+++ b/src/controld/jobworkers.cpp
@@ -0,0 +1,260 @@
+#include "jobservice.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace galenaturn::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using schedule::order_answer;
+using wire::command_status;
+
+/** A worker answers an order within a few milliseconds; much later means that it will not. */
+constexpr duration order_limit = std::chrono::milliseconds{800};
+/** How long a worker holds the answer to a look while nothing ends. */
+constexpr std::chrono::milliseconds longest_wait{2000};
+/** Leases are kept long, and tails seen, where tasks serve users; more so while others fill. */
+constexpr std::chrono::milliseconds serving_wait{1000};
+constexpr std::chrono::milliseconds filled_wait{500};
+/** Pause before a worker that did not answer is asked again. */
+constexpr duration look_pause = std::chrono::milliseconds{200};
+/** A worker that was silent for longer gets no further lease before it has answered. */
+constexpr duration lease_patience = std::chrono::milliseconds{2500};
+/** Pause before ends that the ledger could not take are handed to it again. */
+constexpr duration record_pause = std::chrono::milliseconds{50};
+constexpr duration record_limit = std::chrono::seconds{3};
+
+std::chrono::milliseconds wait_for(const schedule::job_worker& worker)
+{
+    if (worker.serving_images.empty())
+        return longest_wait;
+    return worker.filling.value() > 0 ? filled_wait : serving_wait;
+}
+
+asio::awaitable<void> pause(asio::io_context& io, duration span)
+{
+    asio::steady_timer timer{io, span};
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace
+
+void job_service::open_line(const worker_id& worker)
+{
+    const auto [line, added] = lines_.try_emplace(worker);
+    if (added)
+        asio::co_spawn(shared_.io, watch(this, worker, session_), asio::detached);
+}
+
+asio::awaitable<void> job_service::watch(job_service* self, worker_id worker, std::uint64_t session)
+{
+    while (self->in_term(session) && self->lines_.contains(worker)) {
+        if (!self->hub_.leads()) {
+            co_await pause(self->shared_.io, look_pause);
+            continue;
+        }
+        const bool answered = co_await self->look(worker, session);
+        if (!answered)
+            co_await pause(self->shared_.io, look_pause);
+    }
+}
+
+std::optional<std::chrono::milliseconds> job_service::lease_for(const worker_line& line) const
+{
+    const auto now = monotonic_now();
+    if (!line.clock || now - line.answered > lease_patience)
+        return std::nullopt;
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - line.clock_read);
+    const auto lease =
+        std::chrono::duration_cast<std::chrono::milliseconds>(shared_.settings.jobs.lease);
+    return *line.clock + since + lease;
+}
+
+void job_service::take_clock(worker_line& line, const order_reply& reply)
+{
+    if (!reply.clock)
+        return;
+    line.clock = reply.clock;
+    line.clock_read = monotonic_now();
+    line.answered = line.clock_read;
+}
+
+asio::awaitable<bool> job_service::look(worker_id worker, std::uint64_t session)
+{
+    const auto known = scheduler_.workers.find(worker);
+    if (known == scheduler_.workers.end()) {
+        lines_.erase(worker);
+        co_return false;
+    }
+    const auto asked = monotonic_now();
+    const bool first = !known->second.read;
+    const auto record = known->second.record;
+    order_terms terms;
+    terms.token = token_;
+    terms.lease_until = lease_for(lines_[worker]);
+    const auto wait = first ? std::chrono::milliseconds{0} : wait_for(known->second);
+    terms.answer_by = asked + wait + order_limit;
+    if (terms.lease_until)
+        schedule::note_lease(scheduler_, worker, asked);
+    const auto told =
+        co_await orders_->list(record, known->second.ends_settled, wait, std::move(terms));
+    const auto line = lines_.find(worker);
+    if (!in_term(session) || line == lines_.end())
+        co_return false;
+    if (told.reply.answer == order_answer::other_life) {
+        retire(worker, "other_life");
+        co_return false;
+    }
+    take_clock(line->second, told.reply);
+    if (told.reply.answer != order_answer::accepted) {
+        log_event(log_level::debug, "worker_silent",
+                  {{"worker", worker},
+                   {"answer", schedule::to_string(told.reply.answer)},
+                   {"reason", told.reply.reason}});
+        co_return false;
+    }
+    const auto now = monotonic_now();
+    schedule::note_answer(scheduler_, worker, asked);
+    auto items = schedule::take_list(scheduler_, worker, told.list, asked, now);
+    if (!items.empty()) {
+        co_await this->record(std::move(items), session);
+        if (!in_term(session))
+            co_return false;
+        schedule::settle_ends(scheduler_, worker);
+    }
+    wake();
+    co_return true;
+}
+
+/** Hands ends to the ledger until it has them or the term is over. */
+asio::awaitable<void> job_service::record(std::vector<wire::record_ends::item> items,
+                                          std::uint64_t session)
+{
+    while (in_term(session)) {
+        wire::record_ends ends;
+        ends.items = items;
+        ends.now = wall_now();
+        wire::command body{std::move(ends)};
+        const auto outcome = co_await hub_.submit(std::move(body), monotonic_now() + record_limit);
+        if (outcome.status == command_status::accepted)
+            break;
+        log_event(log_level::warning, "ends_not_recorded",
+                  {{"items", items.size()}, {"status", wire::to_string(outcome.status)}});
+        co_await pause(shared_.io, record_pause);
+    }
+    if (in_term(session))
+        schedule::ends_recorded(scheduler_, items);
+}
+
+void job_service::retire(const worker_id& worker, const char* cause)
+{
+    log_event(log_level::info, "worker_retired", {{"worker", worker}, {"cause", cause}});
+    schedule::remove_worker(scheduler_, worker, monotonic_now());
+    lines_.erase(worker);
+    const auto known = announcements_.find(worker);
+    if (known != announcements_.end())
+        known->second.beat.left = true;
+    note_in_ledger({}, {worker});
+    wake();
+}
+
+void job_service::send_orders(const worker_id& worker)
+{
+    auto& line = lines_[worker];
+    if (std::exchange(line.sending, true))
+        return;
+    asio::co_spawn(shared_.io, send_queue(this, worker, session_), asio::detached);
+}
+
+asio::awaitable<void> job_service::send_queue(job_service* self, worker_id worker,
+                                              std::uint64_t session)
+{
+    while (self->in_term(session)) {
+        const auto line = self->lines_.find(worker);
+        if (line == self->lines_.end())
+            co_return;
+        if (!line->second.stops.empty()) {
+            co_await self->send_stop(worker, session);
+            continue;
+        }
+        if (line->second.starts.empty()) {
+            line->second.sending = false;
+            co_return;
+        }
+        co_await self->send_start(worker, session);
+    }
+}
+
+asio::awaitable<void> job_service::send_start(worker_id worker, std::uint64_t session)
+{
+    auto& line = lines_[worker];
+    const auto order = std::move(line.starts.front());
+    line.starts.pop_front();
+    const auto known = scheduler_.workers.find(worker);
+    if (known == scheduler_.workers.end())
+        co_return;
+    order_terms terms;
+    terms.token = token_;
+    terms.lease_until = lease_for(line);
+    terms.answer_by = monotonic_now() + order_limit;
+    const auto asked = monotonic_now();
+    order_reply reply;
+    // Without a lease, or without the right to lead, the order is not sent at all.
+    if (!terms.lease_until || !hub_.leads()) {
+        reply.answer = order_answer::refused;
+    }
+    else {
+        schedule::note_lease(scheduler_, worker, asked);
+        reply = co_await orders_->start(known->second.record, order, std::move(terms));
+    }
+    if (!in_term(session))
+        co_return;
+    log_event(log_level::info, "task_started",
+              {{"task", order.task},
+               {"run", order.run},
+               {"worker", worker},
+               {"token", token_},
+               {"answer", schedule::to_string(reply.answer)},
+               {"reason", reply.reason}});
+    schedule::take_start_answer(scheduler_, order, reply.answer, monotonic_now());
+    if (reply.answer == order_answer::other_life)
+        co_return retire(worker, "other_life");
+    const auto line_now = lines_.find(worker);
+    if (line_now != lines_.end())
+        take_clock(line_now->second, reply);
+    if (reply.answer != order_answer::accepted)
+        wake();
+}
+
+asio::awaitable<void> job_service::send_stop(worker_id worker, std::uint64_t session)
+{
+    auto& line = lines_[worker];
+    const auto order = line.stops.front();
+    line.stops.pop_front();
+    const auto known = scheduler_.workers.find(worker);
+    if (known == scheduler_.workers.end() || !hub_.leads())
+        co_return;
+    order_terms terms;
+    terms.token = token_;
+    terms.answer_by = monotonic_now() + order_limit;
+    const auto reply = co_await orders_->stop(known->second.record, order, std::move(terms));
+    if (!in_term(session))
+        co_return;
+    log_event(log_level::info, "task_stopped",
+              {{"task", order.task},
+               {"run", order.run},
+               {"worker", worker},
+               {"token", token_},
+               {"answer", schedule::to_string(reply.answer)},
+               {"reason", reply.reason}});
+    schedule::take_stop_answer(scheduler_, order, reply.answer, monotonic_now());
+    if (reply.answer == order_answer::other_life)
+        retire(worker, "other_life");
+}
+
+} // namespace galenaturn::controld
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -15,6 +15,8 @@
 
 using wire::command_status;
 
+/** A newcomer waits no longer than this for each step to its vote. */
+constexpr duration voters_interval = std::chrono::milliseconds{300};
 constexpr duration expiry_interval = std::chrono::seconds{5};
 /** Bounds the commands that wait for the disk; beyond it they are refused as not run. */
 constexpr std::size_t longest_queue = 8192;
@@ -42,13 +44,14 @@
                                 [this] { return ledger::write_image(state_); },
                                 [this](bool leads) { change_leadership(leads); },
                                 [this] { stop_after_failure(); }, [this] { propose_queued(); })},
-      push_{shared}, expiry_timer_{shared.io}
+      push_{shared}, expiry_timer_{shared.io}, voters_timer_{shared.io}
 {
     for (const auto status : all_statuses)
         answers_[status] = &shared.metrics.make_counter("galenaturn_ledger_commands_total",
                                                         {{"status", wire::to_string(status)}});
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return runner_.may_read(); };
+    hub_.current_term = [this] { return runner_.state().hard.current; };
     hub_.leader = [this] { return leader(); };
     hub_.submit = [this](wire::command body, time_point deadline) {
         return submit(std::move(body), deadline);
@@ -70,6 +73,8 @@
     if (auto started = runner_.start(); !started)
         return started;
     expire_later();
+    if (shared_.settings.join)
+        look_after_voters_later();
     return success();
 }
 
@@ -255,6 +260,17 @@
     std::raise(SIGTERM);
 }
 
+void ledger_service::look_after_voters_later()
+{
+    voters_timer_.expires_after(voters_interval);
+    voters_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        runner_.look_after_voters();
+        look_after_voters_later();
+    });
+}
+
 void ledger_service::expire_later()
 {
     expiry_timer_.expires_after(expiry_interval);
--- a/src/controld/ledgerservice.h
+++ b/src/controld/ledgerservice.h
@@ -40,6 +40,7 @@
     void change_leadership(bool leads);
     void stop_after_failure();
     void expire_later();
+    void look_after_voters_later();
     wire::query_response ask(const wire::query_request& request) const;
     wire::ledger_status status() const;
     static boost::asio::awaitable<http::response>
@@ -62,6 +63,7 @@
     std::vector<proposal> queued_;
     std::map<log_index, proposal> proposed_;
     boost::asio::steady_timer expiry_timer_;
+    boost::asio::steady_timer voters_timer_;
     std::uint64_t last_expiry_{0};
     std::map<wire::command_status, counter*> answers_;
 };
--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -1,21 +1,82 @@
 #include "assignerservice.h"
 #include "controlhub.h"
 #include "gossipservice.h"
+#include "jobservice.h"
 #include "ledgerservice.h"
 #include "stewardservice.h"
 
+#include "platform/controledge.h"
+#include "platform/workerclient.h"
+
 #include <galenaturn/daemon.h>
 
+namespace {
+
+using namespace galenaturn;
+
+using service_list = std::vector<std::unique_ptr<daemon::service>>;
+
+/** An operator's order waits no longer than this for a quorum. */
+constexpr duration publish_limit = std::chrono::milliseconds{900};
+
+/** The services of a process whose settings list all members. */
+service_list make_listed(daemon::context& shared, controld::control_hub& hub)
+{
+    service_list services;
+    services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
+    services.push_back(std::make_unique<controld::assigner_service>(shared, hub));
+    services.push_back(std::make_unique<controld::steward_service>(shared, hub));
+    services.push_back(std::make_unique<controld::gossip_service>(shared));
+    return services;
+}
+
+boost::asio::awaitable<std::optional<wire::publish_queues>>
+newest_queues(daemon::context* shared, controld::control_hub* hub)
+{
+    if (hub->leads()) {
+        const auto& held = hub->state().queues;
+        co_return held.version > 0 ? std::optional{held} : std::nullopt;
+    }
+    wire::query_request request{wire::get_queues{}, false};
+    const auto told =
+        co_await shared->ledger.ask(std::move(request), monotonic_now() + publish_limit);
+    co_return told.queues;
+}
+
+boost::asio::awaitable<wire::command_response> publish(controld::control_hub* hub,
+                                                       wire::publish_queues queues)
+{
+    wire::command body{std::move(queues)};
+    co_return co_await hub->submit(std::move(body), monotonic_now() + publish_limit);
+}
+
+/** The services of a process that joins through seeds and runs jobs on a platform's workers. */
+service_list make_joined(daemon::context& shared, controld::control_hub& hub)
+{
+    service_list services;
+    services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
+    auto roster = std::make_unique<daemon::roster_service>(shared);
+    auto jobs = std::make_unique<controld::job_service>(
+        shared, hub, *roster, std::make_unique<platform::worker_client>(shared.io, shared.metrics),
+        platform::read_queue_table);
+    platform::control_calls calls;
+    calls.hear = [target = jobs.get()](const wire::worker_beat& beat) { target->hear(beat); };
+    calls.publish = [&hub](wire::publish_queues queues) {
+        return publish(&hub, std::move(queues));
+    };
+    calls.newest = [&shared, &hub] { return newest_queues(&shared, &hub); };
+    platform::add_control_routes(shared.routes, std::move(calls), shared.metrics);
+    services.push_back(std::move(roster));
+    services.push_back(std::move(jobs));
+    return services;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
-    using namespace galenaturn;
     controld::control_hub hub;
     return daemon::run(argc, argv, process_role::control, [&hub](daemon::context& shared) {
-        std::vector<std::unique_ptr<daemon::service>> services;
-        services.push_back(std::make_unique<controld::ledger_service>(shared, hub));
-        services.push_back(std::make_unique<controld::assigner_service>(shared, hub));
-        services.push_back(std::make_unique<controld::steward_service>(shared, hub));
-        services.push_back(std::make_unique<controld::gossip_service>(shared));
-        return services;
+        return shared.settings.join ? make_joined(shared, hub) : make_listed(shared, hub);
     });
 }
--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -74,15 +74,65 @@
     report_waiting_at_ = monotonic_now() + formation_patience;
     formation_.self = shared_.settings.self.id;
     formation_.voter = replica_->self;
-    for (const auto& member : shared_.settings.members) {
-        if (member.role == process_role::control)
-            formation_.controls.push_back(member.id);
-    }
+    formation_.controls = founders();
     schedule_tick();
     announce_formation();
     return success();
 }
 
+/** Returns the processes that form a new ledger while all their disks are empty. */
+std::vector<process_id> replica_runner::founders() const
+{
+    std::vector<process_id> found;
+    const auto& join = shared_.settings.join;
+    if (join) {
+        if (join->form_ledger) {
+            for (const auto& seed : join->seeds)
+                found.emplace_back(to_string(seed));
+        }
+        return found;
+    }
+    for (const auto& member : shared_.settings.members) {
+        if (member.role == process_role::control)
+            found.push_back(member.id);
+    }
+    return found;
+}
+
+ledger::voter_facts replica_runner::voter_facts() const
+{
+    const auto now = monotonic_now();
+    ledger::voter_facts facts;
+    facts.set = replica_->log.voters();
+    facts.wanted = 2 * std::size_t{shared_.settings.join->tolerated_disks} + 1;
+    facts.silent[replica_->self] = duration{};
+    for (const auto& [voter, progress] : replica_->progress) {
+        facts.silent[voter] = now - std::max(progress.last_heard, replica_->leading_since);
+        if (progress.matched >= replica_->committed)
+            facts.caught_up.push_back(voter);
+    }
+    for (const auto& [process, heard] : formation_.others) {
+        if (!heard.last.has_log && now - heard.when < ledger::formation_message_ttl)
+            facts.newcomers.emplace(heard.last.voter, process);
+    }
+    return facts;
+}
+
+void replica_runner::look_after_voters()
+{
+    if (!may_read() || !shared_.settings.join)
+        return;
+    const auto change = ledger::plan_voter_change(voter_facts());
+    if (!change)
+        return;
+    const auto refused = change_voters(*change);
+    log_event(log_level::info, "ledger_voter_change",
+              {{"kind", static_cast<int>(change->kind)},
+               {"voter", change->voter},
+               {"process", change->process},
+               {"refused", refused}});
+}
+
 result<void> replica_runner::open_folder()
 {
     findings found;
@@ -383,8 +433,9 @@
     if (has_log)
         return;
     const ledger::formation_message message{formation_.self, formation_.voter, false};
-    for (const auto& process : formation_.controls) {
-        if (auto* link = shared_.peers.find(process))
+    for (const auto& member : shared_.peers.members()) {
+        auto* link = shared_.peers.find(member.id);
+        if (link != nullptr && member.role == process_role::control)
             link->send(wire::frame_kind::ledger_peer, wire::encode(ledger_frame{message}));
     }
     form();
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -62,6 +62,8 @@
 
     std::vector<log_index> propose(std::vector<std::string> commands);
     ledger::refusal change_voters(const ledger::voter_change& change);
+    /** Makes the next change, if any, that keeps as many voters as the settings ask for. */
+    void look_after_voters();
 
 private:
     /** Work for the disk, carried out in order: image, new log, batches. */
@@ -87,6 +89,8 @@
     void shorten_log();
     [[nodiscard]] ledger::log_batch present_log() const;
     void schedule_tick();
+    [[nodiscard]] std::vector<process_id> founders() const;
+    [[nodiscard]] ledger::voter_facts voter_facts() const;
     void announce_formation();
     void form();
     void make_replica();
--- /dev/null
+++ b/src/entryd/jobrelay.cpp
@@ -0,0 +1,98 @@
+#include "jobrelay.h"
+
+#include <array>
+
+namespace galenaturn::entryd {
+
+namespace asio = boost::asio;
+
+using wire::job_answer_status;
+using wire::job_verb;
+
+namespace {
+
+constexpr std::array all_answers{job_answer_status::ok,          job_answer_status::unknown_queue,
+                                 job_answer_status::unknown_job, job_answer_status::overloaded,
+                                 job_answer_status::unavailable, job_answer_status::rejected,
+                                 job_answer_status::unknown};
+constexpr std::array all_verbs{job_verb::submit, job_verb::show, job_verb::cancel, job_verb::count};
+/** A new leader is found within this time as a rule. */
+constexpr std::chrono::seconds leader_retry{1};
+
+wire::job_answer without_leader(const char* reason)
+{
+    wire::job_answer answer;
+    answer.status = job_answer_status::unavailable;
+    answer.retry_after = leader_retry;
+    answer.reason = reason;
+    return answer;
+}
+
+} // namespace
+
+job_relay::job_relay(daemon::context& shared, daemon::roster_service& roster)
+    : shared_{shared}, roster_{roster}
+{
+    for (const auto status : all_answers)
+        answers_[status] = &shared.metrics.make_counter("galenaturn_job_answers_total",
+                                                        {{"status", wire::to_string(status)}});
+    for (const auto verb : all_verbs)
+        latencies_[verb] = &shared.metrics.make_latency("galenaturn_job_relay_seconds",
+                                                        {{"verb", wire::to_string(verb)}});
+}
+
+bool job_relay::ready() const
+{
+    return shared_.ready && !roster_.leader().empty();
+}
+
+asio::awaitable<wire::job_answer> job_relay::ask(wire::job_request request, time_point deadline)
+{
+    const auto arrived = monotonic_now();
+    request.request = shared_.settings.self.id.value() + "-" + std::to_string(++last_request_);
+    const auto text = request.request;
+    const auto verb = request.verb;
+    const auto job = request.job;
+    wire::job_answer answer;
+    if (shared_.accepting)
+        answer = co_await ask_leader(std::move(request), deadline);
+    else
+        answer = without_leader("this process is stopping");
+    const auto took = monotonic_now() - arrived;
+    answers_[answer.status]->add();
+    latencies_[verb]->record(took);
+    if (verb == job_verb::submit || answer.status != job_answer_status::ok)
+        log_event(log_level::info, "job_relayed",
+                  {{"request", text},
+                   {"verb", wire::to_string(verb)},
+                   {"job", job},
+                   {"leader", roster_.leader()},
+                   {"status", wire::to_string(answer.status)},
+                   {"reason", answer.reason},
+                   {"took_us", took.count()}});
+    co_return answer;
+}
+
+asio::awaitable<wire::job_answer> job_relay::ask_leader(wire::job_request request,
+                                                        time_point deadline)
+{
+    const auto leader = roster_.leader();
+    auto* link = leader.empty() ? nullptr : shared_.peers.find(leader);
+    if (link == nullptr)
+        co_return without_leader("no leader of the ledger is known");
+    const auto reply =
+        co_await link->call(wire::frame_kind::job_request, wire::encode(request), deadline);
+    if (!reply) {
+        if (reply.error() == make_error_code(wire::wire_error::not_connected))
+            co_return without_leader("the leader is not connected");
+        auto lost = without_leader("no answer from the leader in time");
+        lost.status = job_answer_status::unknown;
+        co_return lost;
+    }
+    auto answer = wire::decode<wire::job_answer>(reply.value());
+    if (!answer)
+        co_return without_leader("the leader's answer is malformed");
+    co_return std::move(answer).value();
+}
+
+} // namespace galenaturn::entryd
--- /dev/null
+++ b/src/entryd/jobrelay.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <galenaturn/daemon.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace galenaturn::entryd {
+
+/** Passes what callers ask of jobs on to the leader, and its answers back. Keeps nothing. */
+class job_relay : public daemon::service {
+public:
+    /** `roster` outlives the service. */
+    job_relay(daemon::context& shared, daemon::roster_service& roster);
+    result<void> start() override { return success(); }
+
+    boost::asio::awaitable<wire::job_answer> ask(wire::job_request request, time_point deadline);
+    /** Whether a leader is in reach, so that callers are served here. */
+    [[nodiscard]] bool ready() const;
+
+private:
+    boost::asio::awaitable<wire::job_answer> ask_leader(wire::job_request request,
+                                                        time_point deadline);
+
+    daemon::context& shared_;
+    daemon::roster_service& roster_;
+    std::uint64_t last_request_{0};
+    std::map<wire::job_answer_status, counter*> answers_;
+    std::map<wire::job_verb, latency_summary*> latencies_;
+};
+
+} // namespace galenaturn::entryd
--- a/src/libcore/ids.h
+++ b/src/libcore/ids.h
@@ -80,6 +80,8 @@
 using job_id = strong_name<struct job_tag>;
 /** Chosen by whoever starts the task; a second start with the same id starts nothing. */
 using task_id = strong_name<struct task_tag>;
+/** One job that a caller handed in; chosen by the caller, and a resend hands in nothing twice. */
+using submission_id = strong_name<struct submission_tag>;
 using checkpoint_id = strong_name<struct checkpoint_tag>;
 /** Chosen by a client of the ledger; a resend with the same id has one effect. */
 using request_id = strong_name<struct request_tag>;
--- a/src/libcore/settings.cpp
+++ b/src/libcore/settings.cpp
@@ -12,6 +12,12 @@
 constexpr duration default_drain_limit = std::chrono::seconds{30};
 constexpr bytes default_body_limit{std::int64_t{8} << 20};
 
+/** Shorter than what any of the present platforms allows. */
+constexpr duration default_lease = std::chrono::seconds{8};
+constexpr duration default_stop_limit = std::chrono::milliseconds{500};
+constexpr duration default_announcement_interval = std::chrono::milliseconds{1500};
+constexpr std::int64_t most_tolerated_disks = 4;
+
 const std::vector<std::string> role_names{"entry", "control"};
 
 std::string resolved(const std::string& folder, const std::string& base)
@@ -63,14 +69,23 @@
     const auto data_folder = root.text("data_folder", std::string{});
     if (settings_.data_folder.empty())
         settings_.data_folder = resolved(data_folder, base_folder_);
-    settings_.charts_folder = resolved(root.text("charts_folder"), base_folder_);
+    settings_.charts_folder = resolved(root.text("charts_folder", std::string{}), base_folder_);
     settings_.drain_notice = root.span("drain_notice", default_drain_notice);
     settings_.drain_limit = root.span("drain_limit", default_drain_limit);
     settings_.body_limit = root.size("body_limit", default_body_limit);
     for (auto& domain : root.texts("refused_domains"))
         settings_.refused_domains.emplace_back(std::move(domain));
+    settings_.readiness = root.endpoint("readiness", ip_endpoint{});
+    if (root.has("jobs")) {
+        auto jobs = root.map("jobs");
+        read_jobs(jobs);
+    }
     for (auto& item : root.maps("members"))
         read_member(item);
+    if (root.has("self")) {
+        auto self = root.map("self");
+        read_self(self);
+    }
     root.finish();
     check_members();
 }
@@ -89,6 +104,47 @@
     settings_.members.push_back(std::move(member));
 }
 
+/** A process that joins is known to the others by its peer address. */
+void settings_builder::read_self(yaml_map& item)
+{
+    member_settings self;
+    self.role = static_cast<process_role>(item.choice("role", role_names));
+    self.domain = failure_domain_id{item.text("failure_domain")};
+    self.region = region_id{item.text("region")};
+    self.peer = item.endpoint("peer");
+    self.http = item.endpoint("http");
+    self.id = process_id{to_string(self.peer)};
+    join_settings join;
+    for (const auto& text : item.texts("seeds")) {
+        const auto seed = parse_endpoint(text);
+        if (!seed) {
+            item.report("seeds", "'" + text + "' is no address", "write it as 10.0.0.1:7000");
+            continue;
+        }
+        // The peer port is the same on all machines; a seed may name any port of its machine.
+        join.seeds.push_back({seed->address, self.peer.port});
+    }
+    join.form_ledger = item.boolean("form_ledger", false);
+    join.tolerated_disks =
+        static_cast<std::uint32_t>(item.integer("tolerated_disks", 0, most_tolerated_disks, 1));
+    item.finish();
+    if (!settings_.members.empty())
+        item.report("seeds", "both 'self' and 'members' are given", "keep one of them");
+    name_ = self.id.value();
+    member_places_.push_back(item.place());
+    settings_.members.push_back(std::move(self));
+    settings_.join = std::move(join);
+}
+
+void settings_builder::read_jobs(yaml_map& item)
+{
+    settings_.jobs.lease = item.span("lease", default_lease);
+    settings_.jobs.stop_limit = item.span("stop_limit", default_stop_limit);
+    settings_.jobs.announcement_interval =
+        item.span("announcement_interval", default_announcement_interval);
+    item.finish();
+}
+
 void settings_builder::check_members()
 {
     std::set<process_id> names;
--- a/src/libcore/settings.h
+++ b/src/libcore/settings.h
@@ -6,6 +6,7 @@
 #include "units.h"
 #include "yamlreader.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,13 +26,39 @@
     ip_endpoint http;
 };
 
+/** How a process finds the others where its settings do not list them. */
+struct join_settings {
+    /** Addresses of some control processes; any of them may be down, stale or gone. */
+    std::vector<ip_endpoint> seeds;
+    /** Whether empty disks at all seeds mean that a new ledger is to be formed. */
+    bool form_ledger{false};
+    /** Disks that may be lost at once; the ledger keeps 2f+1 voters where there are as many. */
+    std::uint32_t tolerated_disks{1};
+};
+
+/** How tasks run on the workers of a platform that takes orders. */
+struct job_settings {
+    /** How long a worker goes on without hearing from us. */
+    duration lease{};
+    /** The longest that a stop takes at a worker. */
+    duration stop_limit{};
+    /** How often a worker announces itself. */
+    duration announcement_interval{};
+};
+
 /** Everything that a daemon learns at its start. */
 struct process_settings {
     member_settings self;
+    /** All processes; only this one where the others are found through seeds. */
     std::vector<member_settings> members;
+    /** Present where the members are not listed but found through seeds. */
+    std::optional<join_settings> join;
+    job_settings jobs;
+    /** A second listener that answers only readiness and metrics; port 0 for none. */
+    ip_endpoint readiness;
     /** Control only: the folder that holds the ledger. */
     std::string data_folder;
-    /** The folder with the state charts. */
+    /** The folder with the state charts; empty for those built into the program. */
     std::string charts_folder;
     /** How long readiness fails before new work is refused, so that the balancer sees it. */
     duration drain_notice{};
@@ -60,6 +87,8 @@
 private:
     void read(yaml_map& root);
     void read_member(yaml_map& item);
+    void read_self(yaml_map& item);
+    void read_jobs(yaml_map& item);
     void check_members();
     void select_self(process_role role);
 
--- a/src/libcore/statechart.cpp
+++ b/src/libcore/statechart.cpp
@@ -1,5 +1,6 @@
 #include "statechart.h"
 
+#include "builtincharts.h"
 #include "yamlreader.h"
 
 #include <algorithm>
@@ -119,6 +120,8 @@
 state_chart load_chart(const std::string& folder, const std::string& name,
                        const std::vector<std::string>& actions, findings& found)
 {
+    if (folder.empty())
+        return parse_chart(builtin_chart(name), name + ".yaml", actions, found);
     auto root = yaml_map::load(folder + "/" + name + ".yaml", found);
     return read_chart(root, actions, found);
 }
--- a/src/libcore/statechart.h
+++ b/src/libcore/statechart.h
@@ -38,7 +38,7 @@
  */
 state_chart parse_chart(const std::string& text, const std::string& file,
                         const std::vector<std::string>& actions, findings& found);
-/** Loads and checks the chart in `folder`/`name`.yaml. */
+/** Loads and checks the chart in `folder`/`name`.yaml; without a folder, the one built in. */
 state_chart load_chart(const std::string& folder, const std::string& name,
                        const std::vector<std::string>& actions, findings& found);
 
--- a/src/libcore/yamlreader.cpp
+++ b/src/libcore/yamlreader.cpp
@@ -65,6 +65,13 @@
     return out << endpoint.address << ':' << endpoint.port;
 }
 
+std::string to_string(const ip_endpoint& endpoint)
+{
+    const bool bracketed = endpoint.address.find(':') != std::string::npos;
+    const auto host = bracketed ? "[" + endpoint.address + "]" : endpoint.address;
+    return host + ":" + std::to_string(endpoint.port);
+}
+
 std::optional<ip_endpoint> parse_endpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/libcore/yamlreader.h
+++ b/src/libcore/yamlreader.h
@@ -26,6 +26,8 @@
 };
 
 std::ostream& operator<<(std::ostream& out, const ip_endpoint& endpoint);
+/** Returns the text that parse_endpoint reads. */
+std::string to_string(const ip_endpoint& endpoint);
 
 /** Parses "127.0.0.1:8080" or "[::1]:8080". Returns nothing for host names and bad ports. */
 std::optional<ip_endpoint> parse_endpoint(std::string_view text);
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -11,6 +11,8 @@
 #include <utility>
 
 DEFINE_string(settings, "", "Settings file in YAML");
+DEFINE_string(settings_from_environment, "",
+              "Name of the variable that holds the path of the settings file");
 DEFINE_string(name, "", "Name of this process among the members; default: the settings' own");
 DEFINE_string(data_folder, "", "Folder of the ledger; default: the settings' own");
 DEFINE_bool(check_settings, false, "Check the settings, report every finding and exit");
@@ -23,6 +25,15 @@
 constexpr int exit_failure = 1;
 constexpr int exit_bad_settings = 2;
 
+/** Returns the path that the flags give, directly or through the environment. */
+std::string settings_path()
+{
+    if (FLAGS_settings_from_environment.empty())
+        return FLAGS_settings;
+    const auto* path = std::getenv(FLAGS_settings_from_environment.c_str());
+    return path == nullptr ? std::string{} : std::string{path};
+}
+
 boost::asio::awaitable<http::response> answer_text(std::string text)
 {
     co_return http::make_response(http::status::ok, std::move(text), "text/plain; charset=utf-8");
@@ -66,7 +77,7 @@
 void reload_refused_domains(context& shared)
 {
     settings_builder builder;
-    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(FLAGS_settings);
+    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(settings_path());
     const auto settings = builder.build(shared.settings.self.role);
     if (!settings) {
         log_event(log_level::error, "reload_refused", {{"findings", builder.problems().text()}});
@@ -89,11 +100,13 @@
 }
 
 /** Opens the listeners and starts the services. Returns false after logging why not. */
-bool open(context& shared, http::server& server, wire::frame_server& peers,
+bool open(context& shared, http::server& server, http::server& checks, wire::frame_server& peers,
           std::vector<std::unique_ptr<service>>& services)
 {
     const auto& self = shared.settings.self;
     auto opened = server.listen(self.http);
+    if (opened && shared.settings.readiness.port != 0)
+        opened = checks.listen(shared.settings.readiness);
     if (opened)
         opened = peers.listen(self.peer);
     if (!opened) {
@@ -118,6 +131,7 @@
     http::server_limits limits;
     limits.body = shared.settings.body_limit;
     http::server server{shared.io, shared.routes, limits, shared.metrics};
+    http::server checks{shared.io, shared.routes, limits, shared.metrics};
     wire::frame_server peers{shared.channels, shared.frames};
     lifecycle life{shared, server, peers};
     findings found;
@@ -128,7 +142,7 @@
     }
     add_process_routes(shared);
     auto services = make_services(shared);
-    if (!open(shared, server, peers, services))
+    if (!open(shared, server, checks, peers, services))
         return exit_failure;
 
     boost::asio::signal_set signals{shared.io, SIGTERM, SIGINT};
@@ -165,7 +179,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     init_log(FLAGS_verbose ? log_level::debug : log_level::info);
     settings_builder builder;
-    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(FLAGS_settings);
+    builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(settings_path());
     auto settings = builder.build(role);
     if (!settings) {
         std::cerr << builder.problems().text();
--- /dev/null
+++ b/src/libhttp/sessionpool.cpp
@@ -0,0 +1,117 @@
+#include "sessionpool.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+
+namespace galenaturn::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+/** A server in the same region accepts well within this time. */
+constexpr duration connect_limit = std::chrono::milliseconds{500};
+/** Bounds one answer: the list of everything that a large worker runs. */
+constexpr std::uint64_t answer_limit = 4ULL << 20;
+
+} // namespace
+
+struct session_pool::session {
+    explicit session(asio::io_context& io) : stream{io} {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+
+    /** Returns whether the other side has neither closed nor sent anything unasked. */
+    bool quiet()
+    {
+        boost::system::error_code error;
+        char byte = 0;
+        auto& socket = stream.socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+};
+
+session_pool::session_pool(asio::io_context& io, metrics_registry& metrics)
+    : io_{io}, opened_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "opened"}})},
+      reused_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "reused"}})},
+      failed_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "failed"}})}
+{
+}
+
+session_pool::~session_pool() = default;
+
+std::unique_ptr<session_pool::session> session_pool::take_idle(const ip_endpoint& address)
+{
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+        auto link = std::move(idle.back());
+        idle.pop_back();
+        if (link->quiet())
+            return link;
+    }
+    return nullptr;
+}
+
+asio::awaitable<result<response>> session_pool::exchange(ip_endpoint address, request message,
+                                                         time_point deadline)
+{
+    auto link = take_idle(address);
+    if (link) {
+        reused_.add();
+    }
+    else {
+        opened_.add();
+        link = std::make_unique<session>(io_);
+        const tcp::endpoint endpoint{asio::ip::make_address(address.address), address.port};
+        link->stream.expires_at(std::min(deadline, monotonic_now() + connect_limit));
+        auto [error] = co_await link->stream.async_connect(endpoint, use_result);
+        if (error) {
+            failed_.add();
+            co_return error;
+        }
+        boost::system::error_code ignored;
+        link->stream.socket().set_option(tcp::no_delay{true}, ignored);
+    }
+    link->stream.expires_at(deadline);
+    auto [write_error, written] =
+        co_await beast_http::async_write(link->stream, message, use_result);
+    if (write_error) {
+        failed_.add();
+        co_return write_error;
+    }
+    beast_http::response_parser<beast_http::string_body> parser;
+    parser.body_limit(answer_limit);
+    auto [read_error, size] =
+        co_await beast_http::async_read(link->stream, link->buffer, parser, use_result);
+    if (read_error) {
+        failed_.add();
+        co_return read_error;
+    }
+    const bool reusable = parser.get().keep_alive() && link->buffer.size() == 0;
+    if (reusable) {
+        link->stream.expires_never();
+        idle_[address].push_back(std::move(link));
+    }
+    co_return parser.release();
+}
+
+void session_pool::forget(const ip_endpoint& address)
+{
+    idle_.erase(address);
+}
+
+} // namespace galenaturn::http
--- /dev/null
+++ b/src/libhttp/sessionpool.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace galenaturn::http {
+
+/**
+ * Keep-alive connections to servers. Each carries one request at a time; one whose exchange did
+ * not end with a whole answer is closed and never used again.
+ */
+class session_pool {
+public:
+    session_pool(boost::asio::io_context& io, metrics_registry& metrics);
+    ~session_pool();
+    session_pool(const session_pool&) = delete;
+    session_pool& operator=(const session_pool&) = delete;
+
+    /** Returns the whole answer, or why there is none by `deadline`. */
+    boost::asio::awaitable<result<response>> exchange(ip_endpoint address, request message,
+                                                      time_point deadline);
+    /** Closes the idle connections to a server. */
+    void forget(const ip_endpoint& address);
+
+private:
+    struct session;
+
+    std::unique_ptr<session> take_idle(const ip_endpoint& address);
+
+    boost::asio::io_context& io_;
+    std::map<ip_endpoint, std::vector<std::unique_ptr<session>>> idle_;
+    counter& opened_;
+    counter& reused_;
+    counter& failed_;
+};
+
+} // namespace galenaturn::http
--- /dev/null
+++ b/src/libledger/applyjobs.cpp
@@ -0,0 +1,144 @@
+#include "applysteps.h"
+
+#include <algorithm>
+
+namespace galenaturn::ledger {
+
+namespace {
+
+using wire::command_status;
+using wire::job_phase;
+using wire::job_record;
+
+void end_job(apply_context& at, job_record& job, job_phase phase, wall_time now)
+{
+    job.phase = phase;
+    job.ended = now;
+    // Only the outcome is asked for from here on.
+    job.spec.text.clear();
+    job.spec.text.shrink_to_fit();
+    std::vector<wire::task_progress>{}.swap(job.tasks);
+    at.state.ended_jobs.push_back(job.id);
+}
+
+bool all_succeeded(const job_record& job)
+{
+    return std::all_of(job.tasks.begin(), job.tasks.end(),
+                       [](const auto& task) { return task.succeeded; });
+}
+
+/** A gang ends as one: the end of any member stands for all of them. */
+void mark_succeeded(job_record& job, const wire::task_ref& ref, std::size_t position)
+{
+    const auto& step = job.spec.steps[ref.step];
+    if (!step.gang) {
+        job.tasks[position].succeeded = true;
+        return;
+    }
+    const auto first = position - ref.index;
+    for (auto member = first; member < first + step.count; ++member)
+        job.tasks[member].succeeded = true;
+}
+
+void record(apply_context& at, job_record& job, const wire::record_ends::item& item, wall_time now)
+{
+    const auto position = wire::position_of(job.spec, item.task);
+    if (job.phase != job_phase::open || !position)
+        return;
+    const auto& step = job.spec.steps[item.task.step];
+    // A gang fails and succeeds as one; its first member keeps the count.
+    auto& task = job.tasks[step.gang ? *position - item.task.index : *position];
+    // A higher run was recorded already: this one was told twice.
+    if (item.run <= task.last_run || task.succeeded)
+        return;
+    task.last_run = item.run;
+    if (!item.checkpoint.empty())
+        task.checkpoint = item.checkpoint;
+    const bool endless = step.endless;
+    if (item.succeeded && !endless)
+        mark_succeeded(job, item.task, *position);
+    if (!item.succeeded && !endless)
+        ++task.failures;
+    at.change.jobs.push_back(job.id);
+    if (!item.succeeded && !endless && task.failures >= job.queue.most_attempts)
+        return end_job(at, job, job_phase::failed, now);
+    if (all_succeeded(job))
+        end_job(at, job, job_phase::succeeded, now);
+}
+
+} // namespace
+
+wire::command_response apply(apply_context& at, const wire::submit_job& body)
+{
+    const auto [known, added] = at.state.jobs.try_emplace(body.id);
+    if (!added)
+        return make_response(command_status::duplicate);
+    auto& job = known->second;
+    job.id = body.id;
+    job.queue = body.queue;
+    job.spec = body.spec;
+    job.submitted = body.submitted;
+    job.tasks.resize(wire::tasks_of_occurrence(job.spec) * wire::occurrences_of(job.spec));
+    at.change.jobs.push_back(body.id);
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::cancel_job& body)
+{
+    const auto job = at.state.jobs.find(body.id);
+    if (job == at.state.jobs.end())
+        return make_response(command_status::rejected, "no such job");
+    if (job->second.phase != job_phase::open)
+        return make_response(command_status::duplicate);
+    end_job(at, job->second, job_phase::cancelled, body.now);
+    at.change.jobs.push_back(body.id);
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::record_ends& body)
+{
+    for (const auto& item : body.items) {
+        const auto job = at.state.jobs.find(item.task.job);
+        if (job != at.state.jobs.end())
+            record(at, job->second, item, body.now);
+    }
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::publish_queues& body)
+{
+    auto& held = at.state.queues;
+    if (body.version <= held.version)
+        return make_response(command_status::duplicate);
+    held = body;
+    at.change.queues = true;
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& at, const wire::note_workers& body)
+{
+    for (const auto& worker : body.admitted)
+        at.state.workers[worker.id] = worker;
+    for (const auto& worker : body.retired)
+        at.state.workers.erase(worker);
+    at.change.workers = true;
+    return make_response(command_status::accepted);
+}
+
+void forget_ended_jobs(ledger_state& state)
+{
+    auto& ended = state.ended_jobs;
+    while (!ended.empty()) {
+        const auto job = state.jobs.find(ended.front());
+        const bool old = job == state.jobs.end() ||
+                         job->second.ended + bounds.ended_jobs_kept < state.clock ||
+                         ended.size() > bounds.most_ended_jobs;
+        if (!old)
+            return;
+        if (job != state.jobs.end())
+            state.jobs.erase(job);
+        ended.pop_front();
+    }
+}
+
+} // namespace galenaturn::ledger
--- a/src/libledger/applysteps.h
+++ b/src/libledger/applysteps.h
@@ -26,6 +26,13 @@
 wire::command_response apply(apply_context& at, const wire::complete_key& body);
 wire::command_response apply(apply_context& at, const wire::expire_records& body);
 
+wire::command_response apply(apply_context& at, const wire::submit_job& body);
+wire::command_response apply(apply_context& at, const wire::cancel_job& body);
+wire::command_response apply(apply_context& at, const wire::record_ends& body);
+wire::command_response apply(apply_context& at, const wire::publish_queues& body);
+wire::command_response apply(apply_context& at, const wire::note_workers& body);
+/** Forgets ended jobs that are too old or too many. */
+void forget_ended_jobs(ledger_state& state);
 /** Forgets finished tasks that are too old or too many. */
 void forget_finished(ledger_state& state);
 /** Forgets keys whose deadline has passed. */
--- a/src/libledger/formation.cpp
+++ b/src/libledger/formation.cpp
@@ -6,6 +6,8 @@
 
 std::optional<voter_set> first_voters(const formation& state, time_point now)
 {
+    if (std::find(state.controls.begin(), state.controls.end(), state.self) == state.controls.end())
+        return std::nullopt;
     voter_set set;
     set.voters.emplace(state.voter, state.self);
     for (const auto& process : state.controls) {
--- a/src/libledger/formation.h
+++ b/src/libledger/formation.h
@@ -24,6 +24,7 @@
 struct formation {
     process_id self;
     voter_id voter;
+    /** The processes that form a new ledger together. */
     std::vector<process_id> controls;
     struct heard {
         formation_message last;
--- a/src/libledger/ledgerstate.h
+++ b/src/libledger/ledgerstate.h
@@ -79,6 +79,14 @@
     std::map<owner_id, std::size_t> keys_held;
     std::deque<recorded_write> writes;
     std::deque<finished_task> finished;
+    /** All open jobs, and ended ones for as long as state_bounds says. */
+    std::map<submission_id, wire::job_record> jobs;
+    /** Ended jobs in the order of ending. */
+    std::deque<submission_id> ended_jobs;
+    /** The queues in force; version 0 before the first. */
+    wire::publish_queues queues;
+    /** Every worker that may hold a run of a job's task. */
+    std::map<worker_id, wire::worker_record> workers;
     /** Wall time of the last expire_records; the only clock of the state machine. */
     wall_time clock;
     /** A start submitted no later than this is refused unless its task is still known. */
@@ -91,6 +99,9 @@
     std::vector<task_id> tasks;
     bool catalogue{false};
     bool stewardships{false};
+    std::vector<submission_id> jobs;
+    bool queues{false};
+    bool workers{false};
 };
 
 } // namespace galenaturn::ledger
--- a/src/libledger/stateimage.cpp
+++ b/src/libledger/stateimage.cpp
@@ -52,6 +52,21 @@
     }
 };
 
+/** What version 2 adds behind the parts of version 1. */
+struct image_v2 {
+    image_v1 tasks;
+    std::vector<wire::job_record> jobs;
+    std::deque<submission_id> ended_jobs;
+    wire::publish_queues queues;
+    std::vector<wire::worker_record> workers;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(tasks, jobs, ended_jobs, queues, workers);
+    }
+};
+
 /** Returns whether the parts agree with each other; bytes that pass a checksum may still not. */
 bool consistent(const ledger_state& state)
 {
@@ -71,12 +86,8 @@
         ++state.keys_held[std::get<owner_id>(name)];
 }
 
-result<ledger_state> read_v1(std::string_view body)
+result<ledger_state> to_state(image_v1& image)
 {
-    auto decoded = wire::decode<image_v1>(body);
-    if (!decoded)
-        return make_error_code(ledger_error::corrupted);
-    auto& image = decoded.value();
     ledger_state state;
     state.catalogue_history = std::move(image.catalogue_history);
     for (auto& task : image.tasks)
@@ -94,6 +105,32 @@
     return state;
 }
 
+result<ledger_state> read_v1(std::string_view body)
+{
+    auto decoded = wire::decode<image_v1>(body);
+    if (!decoded)
+        return make_error_code(ledger_error::corrupted);
+    return to_state(decoded.value());
+}
+
+result<ledger_state> read_v2(std::string_view body)
+{
+    auto decoded = wire::decode<image_v2>(body);
+    if (!decoded)
+        return make_error_code(ledger_error::corrupted);
+    auto& image = decoded.value();
+    auto state = to_state(image.tasks);
+    if (!state)
+        return state;
+    for (auto& job : image.jobs)
+        state.value().jobs.emplace(job.id, std::move(job));
+    state.value().ended_jobs = std::move(image.ended_jobs);
+    state.value().queues = std::move(image.queues);
+    for (auto& worker : image.workers)
+        state.value().workers.emplace(worker.id, std::move(worker));
+    return state;
+}
+
 } // namespace
 
 std::string write_image(const ledger_state& state)
@@ -111,7 +148,16 @@
     image.finished = state.finished;
     image.clock = state.clock;
     image.forgotten_until = state.forgotten_until;
-    return wire::encode(image_header{image_version}) + wire::encode(image);
+    image_v2 whole;
+    whole.tasks = std::move(image);
+    whole.jobs.reserve(state.jobs.size());
+    for (const auto& [id, job] : state.jobs)
+        whole.jobs.push_back(job);
+    whole.ended_jobs = state.ended_jobs;
+    whole.queues = state.queues;
+    for (const auto& [id, worker] : state.workers)
+        whole.workers.push_back(worker);
+    return wire::encode(image_header{image_version}) + wire::encode(whole);
 }
 
 std::uint32_t version_of_image(std::string_view image)
@@ -126,6 +172,8 @@
     if (version == 0)
         return make_error_code(ledger_error::corrupted);
     if (version == image_version)
+        return read_v2(image.substr(header_size));
+    if (version == 1)
         return read_v1(image.substr(header_size));
     return make_error_code(ledger_error::unknown_image_version);
 }
--- a/src/libledger/stateimage.h
+++ b/src/libledger/stateimage.h
@@ -6,7 +6,7 @@
 namespace galenaturn::ledger {
 
 /** The format that write_image writes. Each version that was ever written has a reader. */
-constexpr std::uint32_t image_version = 1;
+constexpr std::uint32_t image_version = 2;
 
 /** Returns the replicated state as bytes of the present format. */
 std::string write_image(const ledger_state& state);
--- a/src/libledger/statemachine.cpp
+++ b/src/libledger/statemachine.cpp
@@ -70,6 +70,16 @@
     return response;
 }
 
+wire::query_response answer(const ledger_state& state, const wire::get_queues& /*body*/)
+{
+    wire::query_response response;
+    const bool known = state.queues.version > 0;
+    response.status = known ? wire::query_status::found : wire::query_status::not_found;
+    if (known)
+        response.queues = state.queues;
+    return response;
+}
+
 wire::query_response answer(const ledger_state& /*state*/, const wire::get_ledger_status& /*body*/)
 {
     wire::query_response response;
@@ -106,6 +116,16 @@
         if (start->id.empty())
             return make_response(command_status::rejected, "the task id is empty");
     }
+    if (const auto* submit = std::get_if<wire::submit_job>(&request.body)) {
+        if (submit->id.empty())
+            return make_response(command_status::rejected, "the id of the job is empty");
+        if (auto problem = wire::check_job(submit->spec); !problem.empty())
+            return make_response(command_status::rejected, std::move(problem));
+    }
+    if (const auto* publish = std::get_if<wire::publish_queues>(&request.body)) {
+        if (publish->document.size() > largest_document)
+            return make_response(command_status::rejected, "the document is larger than 2 MiB");
+    }
     if (const auto* complete = std::get_if<wire::complete_key>(&request.body)) {
         if (complete->answer && complete->answer->body.size() > bounds.largest_answer)
             return make_response(command_status::rejected, "the answer is larger than 16 KiB");
@@ -146,6 +166,7 @@
     at.state.clock = std::max(at.state.clock, body.now);
     expire_keys(at.state);
     forget_finished(at.state);
+    forget_ended_jobs(at.state);
     return make_response(command_status::accepted);
 }
 
--- a/src/libledger/statemachine.h
+++ b/src/libledger/statemachine.h
@@ -17,6 +17,9 @@
     /** No owner can use up the keys of the others. */
     std::size_t most_keys_of_owner{20'000};
     std::size_t largest_answer{std::size_t{16} << 10};
+    /** Longer than callers ask for the outcome of a job. */
+    std::chrono::minutes ended_jobs_kept{10};
+    std::size_t most_ended_jobs{40'000};
 };
 
 /** Bounds on one document, so that a push and a log entry stay small. */
--- /dev/null
+++ b/src/libschedule/joborders.cpp
@@ -0,0 +1,264 @@
+#include "joborder.h"
+#include "jobplacement.h"
+#include "jobruns.h"
+
+#include <algorithm>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** Room that was refused is asked for again after this; an end frees it at any moment. */
+constexpr duration no_room_pause = std::chrono::milliseconds{300};
+/** A worker that says it is not well gets nothing for this long. */
+constexpr duration unwell_pause = std::chrono::seconds{2};
+/** A stop without an answer is sent again after this. */
+constexpr duration stop_resend = std::chrono::milliseconds{600};
+
+/** Demands that found no worker in this pass; whatever is as large finds none either. */
+class misses {
+public:
+    [[nodiscard]] bool hopeless(const open_job& job, const wire::job_step& step) const
+    {
+        const auto wanted = reserved_by(step);
+        return std::any_of(missed_.begin(), missed_.end(), [&](const auto& miss) {
+            return miss.service == job.queue.service && miss.fills == step.fills &&
+                   fits(miss.demand, wanted) && miss.filling <= filling_of(step);
+        });
+    }
+
+    void add(const open_job& job, const wire::job_step& step)
+    {
+        const bool bound =
+            !step.required_label.empty() || step.most_per_worker > 0 || step.one_rack;
+        if (!bound)
+            missed_.push_back({job.queue.service, reserved_by(step), filling_of(step), step.fills});
+    }
+
+private:
+    struct miss {
+        service_id service;
+        resources demand;
+        millicores filling;
+        bool fills{false};
+    };
+
+    static millicores filling_of(const wire::job_step& step)
+    {
+        return step.fills ? step.demand.processors : millicores{};
+    }
+
+    std::vector<miss> missed_;
+};
+
+struct pass {
+    job_scheduler& state;
+    time_point now;
+    wall_time wall;
+    misses missed;
+    std::vector<start_order> orders;
+};
+
+bool may_start(const open_task& task)
+{
+    return !task.succeeded && !task.run && !task.recording;
+}
+
+void place(pass& at, open_job& job, const wire::task_ref& ref, open_task& task, job_worker& worker,
+           std::uint32_t number)
+{
+    task_run run;
+    run.number = number;
+    run.worker = worker.record.id;
+    set_demand(run, job.spec.steps[ref.step]);
+    run.since = at.now;
+    run.ordered_at = at.now;
+    run.progressed_at = at.now;
+    // What was not expected to fit is there to learn from.
+    const bool unknown = run.filling.value() > 0 && !worker.serving_images.empty() &&
+                         !has_tail_room(at.state, worker, job.spec.steps[ref.step]);
+    worker.on_trial |= unknown;
+    at.state.counts.trials += unknown ? 1 : 0;
+    begin_run(at.state, ref, task, std::move(run));
+    job.started = true;
+    ++at.state.counts.starts;
+    at.orders.push_back({ref, number, worker.record.id, job.spec.text, task.checkpoint});
+}
+
+void start_task(pass& at, open_job& job, const wire::task_ref& ref, open_task& task)
+{
+    const auto& step = job.spec.steps[ref.step];
+    if (!may_start(task) || at.missed.hopeless(job, step))
+        return;
+    auto* worker = choose_worker(at.state, {&job, ref, &step, {}}, at.now);
+    if (worker == nullptr)
+        return at.missed.add(job, step);
+    place(at, job, ref, task, *worker, task.last_run + 1);
+}
+
+/** Reserves a worker for every member, or for none. */
+bool reserve_gang(pass& at, open_job& job, const wire::task_ref& first, std::size_t position,
+                  const rack_id& rack)
+{
+    const auto& step = job.spec.steps[first.step];
+    std::uint32_t number = 0;
+    std::string checkpoint;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const auto& member = job.tasks[position + index];
+        number = std::max(number, member.last_run + 1);
+        if (checkpoint.empty())
+            checkpoint = member.checkpoint;
+    }
+    const auto orders_before = at.orders.size();
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        auto ref = first;
+        ref.index = index;
+        auto& member = job.tasks[position + index];
+        member.checkpoint = checkpoint;
+        auto* worker = choose_worker(at.state, {&job, ref, &step, rack}, at.now);
+        if (worker != nullptr) {
+            place(at, job, ref, member, *worker, number);
+            continue;
+        }
+        for (std::uint32_t placed = 0; placed < index; ++placed) {
+            ref.index = placed;
+            clear_run(at.state, ref, job.tasks[position + placed]);
+        }
+        at.orders.resize(orders_before);
+        return false;
+    }
+    return true;
+}
+
+void start_gang(pass& at, open_job& job, const wire::task_ref& first, std::size_t position)
+{
+    const auto& step = job.spec.steps[first.step];
+    const auto members = job.tasks.begin() + static_cast<std::ptrdiff_t>(position);
+    if (!std::all_of(members, members + step.count, may_start))
+        return;
+    std::set<rack_id> racks{rack_id{}};
+    if (step.one_rack) {
+        racks.clear();
+        for (const auto& [id, worker] : at.state.workers)
+            racks.insert(worker.record.rack);
+    }
+    if (!step.data_rack.empty() && reserve_gang(at, job, first, position, step.data_rack))
+        return;
+    for (const auto& rack : racks) {
+        if (reserve_gang(at, job, first, position, rack))
+            return;
+    }
+}
+
+void start_step(pass& at, open_job& job, std::uint32_t occurrence, std::uint32_t step)
+{
+    const auto slot = std::size_t{occurrence} * job.spec.steps.size() + step;
+    if (job.left[slot] == 0 || !is_ready(job, occurrence, step))
+        return;
+    wire::task_ref ref{job.id, occurrence, step, 0};
+    const auto position = *wire::position_of(job.spec, ref);
+    if (job.spec.steps[step].gang)
+        return start_gang(at, job, ref, position);
+    for (; ref.index < job.spec.steps[step].count; ++ref.index)
+        start_task(at, job, ref, job.tasks[position + ref.index]);
+}
+
+void start_ready(pass& at, open_job& job)
+{
+    for (std::uint32_t occurrence = 0; occurrence < wire::occurrences_of(job.spec); ++occurrence) {
+        if (job.spec.schedule.occurrences > 0 && at.wall < due_at(job.spec, occurrence))
+            return;
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
+            start_step(at, job, occurrence, step);
+    }
+}
+
+/** Returns whether tasks of an earlier leader can no longer run unseen. */
+bool inheritance_known(job_scheduler& state, time_point now)
+{
+    if (now >= state.inherited_until)
+        state.unread.clear();
+    return state.unread.empty();
+}
+
+} // namespace
+
+std::vector<start_order> plan_starts(job_scheduler& state, time_point now, wall_time wall)
+{
+    pass at{state, now, wall, {}, {}};
+    const bool known = inheritance_known(state, now);
+    for (auto* job : order_jobs(state, now)) {
+        if (known || !job->inherited)
+            start_ready(at, *job);
+    }
+    return std::move(at.orders);
+}
+
+std::vector<stop_order> plan_stops(job_scheduler& state, time_point now)
+{
+    std::vector<stop_order> orders;
+    for (const auto& ref : state.stops_due) {
+        auto& run = *find_task(state, ref)->run;
+        // The first stop goes at once; `since` then tells when the last one went.
+        const bool first = run.phase == run_phase::stopping && !run.stop_sent;
+        if (!first && now - run.since < stop_resend)
+            continue;
+        run.stop_sent = true;
+        run.since = now;
+        ++state.counts.stops;
+        orders.push_back({ref, run.number, run.worker});
+    }
+    for (const auto& stray : state.strays)
+        orders.push_back({stray.task, stray.run, stray.worker});
+    state.strays.clear();
+    return orders;
+}
+
+void take_start_answer(job_scheduler& state, const start_order& order, order_answer answer,
+                       time_point now)
+{
+    auto* task = find_task(state, order.task);
+    const bool current = task != nullptr && task->run && task->run->number == order.run &&
+                         task->run->worker == order.worker;
+    if (!current)
+        return;
+    const auto worker = state.workers.find(order.worker);
+    auto& run = *task->run;
+    if (answer == order_answer::accepted) {
+        ++state.counts.confirmed;
+        if (run.phase == run_phase::ordered)
+            set_phase(run, run_phase::running, now);
+        return;
+    }
+    if (answer == order_answer::none) {
+        ++state.counts.unanswered;
+        if (run.phase == run_phase::ordered)
+            set_phase(run, run_phase::unknown, now);
+        return;
+    }
+    // Every other answer means that nothing was started.
+    ++state.counts.refused;
+    if (worker != state.workers.end()) {
+        auto& avoid = worker->second.avoid_until;
+        if (answer == order_answer::no_room)
+            avoid = now + no_room_pause;
+        if (answer == order_answer::unwell || answer == order_answer::refused)
+            avoid = now + unwell_pause;
+    }
+    clear_run(state, order.task, *task);
+    drop_ended(state, order.task.job);
+}
+
+void take_stop_answer(job_scheduler& state, const stop_order& order, order_answer answer,
+                      time_point now)
+{
+    auto* task = find_task(state, order.task);
+    const bool current = task != nullptr && task->run && task->run->number == order.run &&
+                         task->run->phase == run_phase::stopping;
+    if (!current || answer == order_answer::none)
+        return;
+    state.stops_due.erase(order.task);
+    set_phase(*task->run, run_phase::stopped, now);
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/jobruns.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "jobscheduler.h"
+
+namespace galenaturn::schedule {
+
+/** Returns after how long a lease has certainly lapsed, also on a slow clock. */
+constexpr duration certain_lapse(duration lease)
+{
+    // Workers' clocks may be 2% slow; the rest covers the way of the order and our estimate.
+    return lease * 104 / 100 + std::chrono::milliseconds{250};
+}
+
+/** Calls `visit(ref, task)` for every task of the job. */
+template <class Visit>
+void for_each_task(open_job& job, const Visit& visit)
+{
+    std::size_t position = 0;
+    for (std::uint32_t occurrence = 0; occurrence < wire::occurrences_of(job.spec); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.spec.steps[step].count; ++index)
+                visit(wire::task_ref{job.id, occurrence, step, index}, job.tasks[position++]);
+        }
+    }
+}
+
+/** Returns the job of a task, or null. */
+open_job* find_job(job_scheduler& state, const submission_id& job);
+/** Returns the task, or null where no open job has it. */
+open_task* find_task(job_scheduler& state, const wire::task_ref& ref);
+/** Notes a run and reserves its room. */
+void begin_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, task_run run);
+/** Frees the room of a task's run: it has certainly ended, or never began. */
+void clear_run(job_scheduler& state, const wire::task_ref& ref, open_task& task);
+/** Wants the run of a task stopped. */
+void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, time_point now);
+void set_phase(task_run& run, run_phase phase, time_point now);
+/** Forgets a job that has ended and runs nowhere. */
+void drop_ended(job_scheduler& state, const submission_id& job);
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/jobstate.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "tailpressure.h"
+
+#include <galenaturn/messages.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenaturn::schedule {
+
+/** How far an order to run a task has come. */
+enum class run_phase : std::uint8_t {
+    /** The start is under way. */
+    ordered,
+    /** The worker has said that the run is there. */
+    running,
+    /** No answer came: the start may yet be carried out, until a stop is answered. */
+    unknown,
+    /** A stop is to be sent, or is under way. */
+    stopping,
+    /** The stop was answered; the next list of the worker tells the end. */
+    stopped,
+};
+
+/** One run of a task on a worker. Its room stays reserved until its end is certain. */
+struct task_run {
+    std::uint32_t number{0};
+    worker_id worker;
+    resources reserved;
+    /** What a task that fills wants beside it. */
+    millicores filling;
+    /** Reserved by a task that has a tail to keep. */
+    millicores serving;
+    duration tail_target{};
+    std::string image;
+    run_phase phase{run_phase::ordered};
+    /** When the phase began. */
+    time_point since;
+    time_point ordered_at;
+    bool stop_sent{false};
+    /** Work done in hundredths as the worker last said, and when that last changed. */
+    std::uint32_t percent{0};
+    time_point progressed_at;
+};
+
+/** A task that has not ended. */
+struct open_task {
+    bool succeeded{false};
+    std::uint32_t failures{0};
+    /** The highest run number that any process has given out, as far as is known. */
+    std::uint32_t last_run{0};
+    std::string checkpoint;
+    std::optional<task_run> run;
+    /** An end waits for the ledger; the task is neither started nor stopped meanwhile. */
+    bool recording{false};
+    /** Workers where it failed: the next attempt goes elsewhere if it can. */
+    std::set<worker_id> failed_on;
+};
+
+struct open_job {
+    submission_id id;
+    wire::queue_settings queue;
+    wire::job_spec spec;
+    time_point arrived;
+    /** The job is in time if it ends by then, and still of use within `late_by`. */
+    time_point wanted_by;
+    time_point late_by;
+    std::vector<open_task> tasks;
+    /** Tasks that have not succeeded, for each occurrence and step. */
+    std::vector<std::uint32_t> left;
+    /** Handed to this leader by the one before: its tasks may run where nobody has looked yet. */
+    bool inherited{false};
+    bool started{false};
+    /** Cancelled or ended: its runs are being stopped. */
+    bool ending{false};
+};
+
+/** A worker as this leader knows it. */
+struct job_worker {
+    wire::worker_record record;
+    resources reserved;
+    /** Wanted by the tasks there that fill, beside what is reserved. */
+    millicores filling;
+    /** The same by image. */
+    filling_load filling_images;
+    /** Reserved by the tasks there that have a tail to keep. */
+    millicores serving;
+    /** Their images, with how many tasks of each, and the shortest tail that one has to keep. */
+    std::map<std::string, std::uint32_t> serving_images;
+    duration tail_target{duration::max()};
+    /** Filled to learn how images get on with each other. */
+    bool on_trial{false};
+    /** When runs were last stopped here for the sake of a tail. */
+    time_point relieved_at;
+    /** Runs on it, by task. */
+    std::map<wire::task_ref, std::uint32_t> runs;
+    bool leaving{false};
+    /** Noted in the ledger, so that a next leader asks it too. */
+    bool admitted{false};
+    /** Its list was read under this leader's token. */
+    bool read{false};
+    /** Whatever it runs has certainly ended by then, unless a later lease reached it. */
+    time_point lease_ends;
+    time_point answered_at;
+    /** Nothing new is placed there before. */
+    time_point avoid_until;
+    /** Failures of different tasks since the last success. */
+    std::uint32_t failure_streak{0};
+    /** The highest end that was read, and the highest that may be forgotten there. */
+    std::uint64_t ends_read{0};
+    std::uint64_t ends_settled{0};
+};
+
+/** A run that this leader did not order and does not want. */
+struct stray_run {
+    wire::task_ref task;
+    std::uint32_t run{0};
+    worker_id worker;
+};
+
+/** Counts for operators, by what happened. */
+struct job_counts {
+    std::uint64_t starts{0};
+    std::uint64_t confirmed{0};
+    std::uint64_t refused{0};
+    std::uint64_t unanswered{0};
+    std::uint64_t stops{0};
+    std::uint64_t succeeded{0};
+    std::uint64_t failed{0};
+    std::uint64_t lapsed{0};
+    std::uint64_t adopted{0};
+    std::uint64_t strays{0};
+    std::uint64_t relieved{0};
+    std::uint64_t trials{0};
+};
+
+/** Everything that one leader knows of jobs, tasks and workers. */
+struct job_scheduler {
+    std::map<submission_id, open_job> jobs;
+    std::map<worker_id, job_worker> workers;
+    /** Tasks whose run is to be stopped, until the worker has answered. */
+    std::set<wire::task_ref> stops_due;
+    /** Runs on workers that are no longer wanted, such as those of jobs that ended. */
+    std::vector<stray_run> strays;
+    /** Workers that may run what an earlier leader ordered, until each was read. */
+    std::set<worker_id> unread;
+    /** Whatever an earlier leader ordered has lapsed by then. */
+    time_point inherited_until;
+    tail_model tails;
+    job_counts counts;
+    job_settings settings;
+};
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/jobworkers.cpp
@@ -0,0 +1,310 @@
+#include "jobplacement.h"
+#include "jobruns.h"
+
+#include <algorithm>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** So many failures in a row, with no success between, are the worker's own fault. */
+constexpr std::uint32_t failing_streak = 3;
+constexpr duration failing_pause = std::chrono::seconds{6};
+
+using end_items = std::vector<wire::record_ends::item>;
+
+struct list_step {
+    job_scheduler& state;
+    job_worker& worker;
+    time_point asked;
+    time_point now;
+    end_items to_record;
+};
+
+void adopt(list_step& at, const worker_list::running_task& listed, open_task& task)
+{
+    const auto& step = find_job(at.state, listed.task.job)->spec.steps[listed.task.step];
+    task_run run;
+    run.number = listed.run;
+    run.worker = at.worker.record.id;
+    set_demand(run, step);
+    run.phase = run_phase::running;
+    run.since = at.now;
+    run.ordered_at = at.now;
+    run.progressed_at = at.now;
+    run.percent = listed.percent;
+    begin_run(at.state, listed.task, task, std::move(run));
+    find_job(at.state, listed.task.job)->started = true;
+    ++at.state.counts.adopted;
+}
+
+void take_running(list_step& at, const worker_list::running_task& listed)
+{
+    auto* job = find_job(at.state, listed.task.job);
+    auto* task = find_task(at.state, listed.task);
+    const auto stray = [&] {
+        ++at.state.counts.strays;
+        at.state.strays.push_back({listed.task, listed.run, at.worker.record.id});
+    };
+    if (task == nullptr || task->succeeded)
+        return stray();
+    task->last_run = std::max(task->last_run, listed.run);
+    if (!task->run && !job->ending && !task->recording)
+        adopt(at, listed, *task);
+    if (!task->run || task->run->worker != at.worker.record.id || task->run->number != listed.run)
+        return stray();
+    auto& run = *task->run;
+    if (!listed.checkpoint.empty())
+        task->checkpoint = listed.checkpoint;
+    if (run.phase == run_phase::ordered || run.phase == run_phase::unknown)
+        set_phase(run, run_phase::running, at.now);
+    if (listed.percent != run.percent) {
+        run.percent = listed.percent;
+        run.progressed_at = at.now;
+    }
+}
+
+/** One success stands for the whole gang: the other members are listed nowhere any more. */
+void clear_gang(list_step& at, open_job& job, const wire::task_ref& ref)
+{
+    auto member = ref;
+    for (member.index = 0; member.index < job.spec.steps[ref.step].count; ++member.index)
+        clear_run(at.state, member, *find_task(at.state, member));
+}
+
+void judge_worker(list_step& at, run_end how)
+{
+    if (how == run_end::succeeded)
+        at.worker.failure_streak = 0;
+    if (how != run_end::failed)
+        return;
+    if (++at.worker.failure_streak >= failing_streak)
+        at.worker.avoid_until = at.now + failing_pause;
+}
+
+void count(job_counts& counts, run_end how)
+{
+    counts.succeeded += how == run_end::succeeded ? 1 : 0;
+    counts.failed += how == run_end::failed ? 1 : 0;
+    counts.lapsed += how == run_end::lapsed ? 1 : 0;
+}
+
+void take_end(list_step& at, const worker_list::ended_run& ended)
+{
+    count(at.state.counts, ended.how);
+    judge_worker(at, ended.how);
+    auto* job = find_job(at.state, ended.task.job);
+    auto* task = find_task(at.state, ended.task);
+    if (task == nullptr)
+        return;
+    task->last_run = std::max(task->last_run, ended.run);
+    if (!ended.checkpoint.empty())
+        task->checkpoint = ended.checkpoint;
+    const bool current =
+        task->run && task->run->number == ended.run && task->run->worker == at.worker.record.id;
+    const auto& step = job->spec.steps[ended.task.step];
+    if (current)
+        clear_run(at.state, ended.task, *task);
+    if (ended.how == run_end::failed)
+        task->failed_on.insert(at.worker.record.id);
+    const bool counts = ended.how == run_end::succeeded || ended.how == run_end::failed;
+    if (!counts || step.endless || task->succeeded || job->ending)
+        return drop_ended(at.state, ended.task.job);
+    if (step.gang && ended.how == run_end::succeeded)
+        clear_gang(at, *job, ended.task);
+    // Another run of it elsewhere may be under way: the task is done all the same.
+    if (task->run && ended.how == run_end::succeeded)
+        stop_run(at.state, ended.task, *task, at.now);
+    task->recording = true;
+    at.to_record.push_back(
+        {ended.task, ended.run, ended.how == run_end::succeeded, ended.checkpoint});
+}
+
+/** Ends runs that the worker should list, or have listed as ended, and does not. */
+void clear_unlisted(list_step& at, const worker_list& list)
+{
+    std::set<wire::task_ref> listed;
+    for (const auto& running : list.running)
+        listed.insert(running.task);
+    const auto runs = at.worker.runs;
+    for (const auto& [ref, number] : runs) {
+        auto* task = find_task(at.state, ref);
+        if (listed.contains(ref) || task == nullptr || !task->run || task->run->since >= at.asked)
+            continue;
+        const auto phase = task->run->phase;
+        if (phase == run_phase::running || phase == run_phase::stopped) {
+            clear_run(at.state, ref, *task);
+            drop_ended(at.state, ref.job);
+        }
+        if (phase == run_phase::unknown)
+            stop_run(at.state, ref, *task, at.now);
+    }
+}
+
+/** Returns the processors in use by each image that fills. */
+filling_load filling_in(const list_step& at, const worker_list& list)
+{
+    filling_load used;
+    for (const auto& running : list.running) {
+        const auto* task = find_task(at.state, running.task);
+        if (task != nullptr && task->run && task->run->filling.value() > 0)
+            used[task->run->image] += millicores{running.figure};
+    }
+    return used;
+}
+
+/** Returns by how much the run lengthens the tail of the serving image, in milliseconds. */
+double pressure_of(const list_step& at, const task_run& run, const std::string& serving)
+{
+    return tail_slope(at.state.tails, serving, run.image) *
+           static_cast<double>(run.filling.value()) / 1000;
+}
+
+/** Stops the runs that press most on `serving` until its tail should be back below the target. */
+void relieve(list_step& at, const worker_list& list, const std::string& serving, double excess_ms)
+{
+    std::vector<std::pair<double, wire::task_ref>> pressing;
+    for (const auto& running : list.running) {
+        const auto* task = find_task(at.state, running.task);
+        if (task != nullptr && task->run && task->run->filling.value() > 0 &&
+            task->run->phase == run_phase::running)
+            pressing.emplace_back(pressure_of(at, *task->run, serving), running.task);
+    }
+    std::sort(pressing.rbegin(), pressing.rend());
+    for (const auto& [pressure, ref] : pressing) {
+        if (excess_ms <= 0)
+            return;
+        excess_ms -= pressure;
+        stop_run(at.state, ref, *find_task(at.state, ref), at.now);
+        ++at.state.counts.relieved;
+        at.worker.relieved_at = at.now;
+    }
+}
+
+/** Learns from the tails that the worker told, and relieves those that are too long. */
+void watch_tails(list_step& at, const worker_list& list)
+{
+    // The figures are of the last half second; before that a relief does not show.
+    constexpr duration figure_span = std::chrono::milliseconds{600};
+    constexpr double relief_share = 0.9;
+    const auto used = filling_in(at, list);
+    const bool settled = at.now - at.worker.relieved_at > figure_span;
+    for (const auto& running : list.running) {
+        const auto* task = find_task(at.state, running.task);
+        if (task == nullptr || !task->run || task->run->tail_target.count() == 0 ||
+            running.figure == 0)
+            continue;
+        const auto& run = *task->run;
+        const auto tail = static_cast<double>(running.figure);
+        const std::chrono::duration<double, std::milli> target{run.tail_target};
+        observe_tail(at.state.tails, run.image, tail, used);
+        if (settled && !used.empty() && tail > target.count())
+            relieve(at, list, run.image, tail - target.count() * relief_share);
+    }
+}
+
+void end_all_runs(job_scheduler& state, job_worker& worker)
+{
+    const auto runs = worker.runs;
+    for (const auto& [ref, number] : runs) {
+        if (auto* task = find_task(state, ref))
+            clear_run(state, ref, *task);
+        drop_ended(state, ref.job);
+    }
+}
+
+} // namespace
+
+void hear_worker(job_scheduler& state, const wire::worker_beat& beat, time_point now)
+{
+    if (beat.left)
+        return remove_worker(state, beat.worker.id, now);
+    auto& worker = state.workers[beat.worker.id];
+    worker.record = beat.worker;
+    worker.leaving = beat.leaving;
+}
+
+void admit_worker(job_scheduler& state, const worker_id& id)
+{
+    const auto worker = state.workers.find(id);
+    if (worker != state.workers.end())
+        worker->second.admitted = true;
+}
+
+void remove_worker(job_scheduler& state, const worker_id& id, time_point /*now*/)
+{
+    state.unread.erase(id);
+    const auto worker = state.workers.find(id);
+    if (worker == state.workers.end())
+        return;
+    end_all_runs(state, worker->second);
+    state.workers.erase(worker);
+}
+
+void note_lease(job_scheduler& state, const worker_id& id, time_point now)
+{
+    const auto worker = state.workers.find(id);
+    if (worker != state.workers.end())
+        worker->second.lease_ends =
+            std::max(worker->second.lease_ends, now + certain_lapse(state.settings.lease));
+}
+
+void note_answer(job_scheduler& state, const worker_id& id, time_point asked)
+{
+    const auto worker = state.workers.find(id);
+    if (worker != state.workers.end())
+        worker->second.answered_at = std::max(worker->second.answered_at, asked);
+}
+
+std::vector<wire::record_ends::item> take_list(job_scheduler& state, const worker_id& id,
+                                               const worker_list& list, time_point asked,
+                                               time_point now)
+{
+    const auto worker = state.workers.find(id);
+    if (worker == state.workers.end())
+        return {};
+    list_step at{state, worker->second, asked, now, {}};
+    // Ends first: a task that ended and runs again is listed in both.
+    for (const auto& ended : list.ended) {
+        if (ended.number <= worker->second.ends_read)
+            continue;
+        worker->second.ends_read = ended.number;
+        take_end(at, ended);
+    }
+    for (const auto& running : list.running)
+        take_running(at, running);
+    clear_unlisted(at, list);
+    watch_tails(at, list);
+    worker->second.read = true;
+    state.unread.erase(id);
+    if (at.to_record.empty())
+        worker->second.ends_settled = worker->second.ends_read;
+    return std::move(at.to_record);
+}
+
+void ends_recorded(job_scheduler& state, const std::vector<wire::record_ends::item>& items)
+{
+    for (const auto& item : items) {
+        if (auto* task = find_task(state, item.task))
+            task->recording = false;
+    }
+}
+
+void settle_ends(job_scheduler& state, const worker_id& id)
+{
+    const auto worker = state.workers.find(id);
+    if (worker != state.workers.end())
+        worker->second.ends_settled = worker->second.ends_read;
+}
+
+void expire_leases(job_scheduler& state, time_point now)
+{
+    for (auto& [id, worker] : state.workers) {
+        if (now <= worker.lease_ends || worker.runs.empty())
+            continue;
+        state.counts.lapsed += worker.runs.size();
+        end_all_runs(state, worker);
+    }
+}
+
+} // namespace galenaturn::schedule
--- /dev/null
+++ b/src/libschedule/tailpressure.cpp
@@ -0,0 +1,143 @@
+#include "tailpressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** Expected of an image that was never seen beside another: more than most have. */
+constexpr double prior_slope = 10;
+constexpr double prior_base = 6;
+/** How many squared processors of evidence the prior is worth. */
+constexpr double prior_weight = 6;
+/** What an observation still counts after one more. */
+constexpr double memory = 0.997;
+/** Evidence of one pair, in squared processors, from which its slope is trusted. */
+constexpr double known_weight = 40;
+/** The estimate is worked out anew after so many observations. */
+constexpr std::uint64_t solve_every = 8;
+constexpr std::size_t most_images = 48;
+
+/** Returns the solution of a small symmetric system by elimination with pivots. */
+std::vector<double> solve(std::vector<std::vector<double>> rows, std::vector<double> right)
+{
+    const auto size = right.size();
+    for (std::size_t column = 0; column < size; ++column) {
+        std::size_t pivot = column;
+        for (std::size_t row = column + 1; row < size; ++row) {
+            if (std::abs(rows[row][column]) > std::abs(rows[pivot][column]))
+                pivot = row;
+        }
+        std::swap(rows[column], rows[pivot]);
+        std::swap(right[column], right[pivot]);
+        for (std::size_t row = 0; row < size; ++row) {
+            if (row == column || rows[row][column] == 0)
+                continue;
+            const auto factor = rows[row][column] / rows[column][column];
+            for (std::size_t at = column; at < size; ++at)
+                rows[row][at] -= factor * rows[column][at];
+            right[row] -= factor * right[column];
+        }
+    }
+    for (std::size_t at = 0; at < size; ++at)
+        right[at] /= rows[at][at];
+    return right;
+}
+
+/** Returns the place of an image, making one where there is none. */
+std::size_t place_of(tail_estimate& estimate, const std::string& image)
+{
+    const auto known = estimate.index.find(image);
+    if (known != estimate.index.end())
+        return known->second;
+    const auto place = estimate.responses.size();
+    estimate.index.emplace(image, place);
+    for (auto& row : estimate.products)
+        row.push_back(0);
+    estimate.products.emplace_back(place + 1, 0.0);
+    estimate.responses.push_back(0);
+    estimate.slopes.push_back(prior_slope);
+    return place;
+}
+
+void work_out(tail_estimate& estimate)
+{
+    auto rows = estimate.products;
+    auto right = estimate.responses;
+    for (std::size_t at = 0; at < right.size(); ++at) {
+        rows[at][at] += prior_weight;
+        right[at] += prior_weight * (at == 0 ? prior_base : prior_slope);
+    }
+    const auto solution = solve(std::move(rows), std::move(right));
+    estimate.base = std::max(0.0, solution[0]);
+    for (std::size_t at = 1; at < solution.size(); ++at)
+        estimate.slopes[at] = std::max(0.0, solution[at]);
+    estimate.solved = estimate.observed;
+}
+
+double cores(millicores amount)
+{
+    return static_cast<double>(amount.value()) / 1000;
+}
+
+} // namespace
+
+void observe_tail(tail_model& model, const std::string& serving, double tail_ms,
+                  const filling_load& filling)
+{
+    auto& estimate = model.images[serving];
+    // The first place is the constant: the tail with nothing beside.
+    if (estimate.responses.empty())
+        place_of(estimate, {});
+    std::vector<std::pair<std::size_t, double>> loads{{0, 1.0}};
+    for (const auto& [image, used] : filling) {
+        if (estimate.responses.size() < most_images || estimate.index.contains(image))
+            loads.emplace_back(place_of(estimate, image), cores(used));
+    }
+    for (auto& row : estimate.products)
+        std::transform(row.begin(), row.end(), row.begin(),
+                       [](double sum) { return sum * memory; });
+    for (auto& sum : estimate.responses)
+        sum *= memory;
+    for (const auto& [place, load] : loads) {
+        for (const auto& [other, other_load] : loads)
+            estimate.products[place][other] += load * other_load;
+        estimate.responses[place] += load * tail_ms;
+    }
+    ++estimate.observed;
+    if (estimate.observed - estimate.solved >= solve_every || estimate.solved == 0)
+        work_out(estimate);
+}
+
+double tail_slope(const tail_model& model, const std::string& serving, const std::string& filling)
+{
+    const auto known = model.images.find(serving);
+    if (known == model.images.end())
+        return prior_slope;
+    const auto place = known->second.index.find(filling);
+    return place == known->second.index.end() ? prior_slope : known->second.slopes[place->second];
+}
+
+double expected_tail(const tail_model& model, const std::string& serving,
+                     const filling_load& filling)
+{
+    const auto known = model.images.find(serving);
+    double tail = known == model.images.end() ? prior_base : known->second.base;
+    for (const auto& [image, used] : filling)
+        tail += tail_slope(model, serving, image) * cores(used);
+    return tail;
+}
+
+bool is_known_pair(const tail_model& model, const std::string& serving, const std::string& filling)
+{
+    const auto known = model.images.find(serving);
+    if (known == model.images.end())
+        return false;
+    const auto place = known->second.index.find(filling);
+    return place != known->second.index.end() &&
+           known->second.products[place->second][place->second] >= known_weight;
+}
+
+} // namespace galenaturn::schedule
--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -39,21 +39,40 @@
 }
 
 peer_directory::peer_directory(channel_context& context, const process_settings& settings)
-    : members_{settings.members}
+    : context_{context}
 {
-    for (const auto& member : members_) {
-        if (member.id != settings.self.id)
-            links_.emplace(member.id,
-                           std::make_unique<peer_link>(context, member.peer, member.domain));
+    for (const auto& member : settings.members) {
+        if (member.id == settings.self.id)
+            members_.push_back(member);
+        else
+            learn(member);
     }
 }
 
 void peer_directory::start()
 {
+    started_ = true;
     for (auto& [process, link] : links_)
         link->start();
 }
 
+void peer_directory::learn(const member_settings& member)
+{
+    if (member.id == context_.self.process || links_.contains(member.id))
+        return;
+    members_.push_back(member);
+    auto link = std::make_unique<peer_link>(context_, member.peer, member.domain);
+    if (started_)
+        link->start();
+    links_.emplace(member.id, std::move(link));
+}
+
+void peer_directory::forget(const process_id& process)
+{
+    links_.erase(process);
+    std::erase_if(members_, [&](const auto& member) { return member.id == process; });
+}
+
 void peer_directory::close()
 {
     for (auto& [process, link] : links_)
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -105,20 +105,26 @@
     std::shared_ptr<state> state_;
 };
 
-/** The links to all other members of the settings. */
+/** The links to all other members that this process was told of or has learned of. */
 class peer_directory {
 public:
     peer_directory(channel_context& context, const process_settings& settings);
 
     void start();
     void close();
-    /** Returns the link to a member, or null where it is not in the settings. */
+    /** Adds a member and opens a link to it. Does nothing where it is known, or is this process. */
+    void learn(const member_settings& member);
+    /** Closes the link to a member and forgets it. */
+    void forget(const process_id& process);
+    /** Returns the link to a member, or null where it is not known. */
     peer_link* find(const process_id& process);
     [[nodiscard]] const std::vector<member_settings>& members() const { return members_; }
 
 private:
+    channel_context& context_;
     std::vector<member_settings> members_;
     std::map<process_id, std::unique_ptr<peer_link>> links_;
+    bool started_{false};
 };
 
 } // namespace galenaturn::wire
--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codec.h"
+#include "jobs.h"
 
 #include <cstdint>
 #include <optional>
@@ -234,7 +235,8 @@
 
 using command =
     std::variant<write_catalogue, start_task, cancel_task, stop_task, assign_tasks, report_tasks,
-                 grant_stewardship, reserve_key, complete_key, expire_records>;
+                 grant_stewardship, reserve_key, complete_key, expire_records, submit_job,
+                 cancel_job, record_ends, publish_queues, note_workers>;
 
 /** A command with the id under which a resend has one effect. */
 struct command_request {
@@ -332,6 +334,14 @@
     }
 };
 
+/** The queues in force. */
+struct get_queues {
+    template <class Archive>
+    void serialize(Archive& /*archive*/)
+    {
+    }
+};
+
 struct get_ledger_status {
     template <class Archive>
     void serialize(Archive& /*archive*/)
@@ -339,8 +349,8 @@
     }
 };
 
-using query =
-    std::variant<get_catalogue, list_catalogue_history, get_task, list_tasks, get_ledger_status>;
+using query = std::variant<get_catalogue, list_catalogue_history, get_task, list_tasks,
+                           get_ledger_status, get_queues>;
 
 struct query_request {
     // Constructors, because g++ 12 destroys aggregates in the operand of co_await twice.
@@ -395,11 +405,12 @@
     std::vector<catalogue_document> documents;
     std::vector<task_record> tasks;
     std::optional<ledger_status> ledger;
+    std::optional<publish_queues> queues;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(status, leader, documents, tasks, ledger);
+        archive(status, leader, documents, tasks, ledger, queues);
     }
 };
 
--- a/src/libwire/connection.cpp
+++ b/src/libwire/connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <array>
 
 namespace galenaturn::wire {
@@ -17,6 +19,17 @@
 /** Bounds what waits for a slow peer; more is dropped and counted. */
 constexpr std::size_t longest_queue_bytes = std::size_t{8} << 20;
 
+/** Unacknowledged bytes end a connection after this; a cut gives no other sign. */
+constexpr int user_timeout_ms = 2000;
+
+/** Lets the system end a connection whose other side has silently gone. */
+void limit_silence(tcp::socket& socket)
+{
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    socket.set_option(user_timeout{user_timeout_ms}, ignored);
+}
+
 } // namespace
 
 tcp::endpoint to_tcp(const ip_endpoint& address)
@@ -29,6 +42,7 @@
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay{true}, ignored);
+    limit_silence(socket_);
 }
 
 void connection::start_writing()
--- a/src/libwire/frame.h
+++ b/src/libwire/frame.h
@@ -40,6 +40,12 @@
     limit_demand = 32,
     /** Operator asks a process for its state. */
     process_status = 40,
+    /** roster_message between processes that joined, answered by one. */
+    roster = 50,
+    /** worker_beats from one control process to the others. */
+    worker_beats = 51,
+    /** job_request from an entry to the leader, answered by job_answer. */
+    job_request = 52,
 };
 
 /** Between our own processes. `correlation` is 0 for messages that want no reply. */
--- a/src/libwire/ledgerclient.cpp
+++ b/src/libwire/ledgerclient.cpp
@@ -32,16 +32,20 @@
                                             std::to_string(wall_now().time_since_epoch().count()) +
                                             "-"}
 {
-    for (const auto& member : peers.members()) {
-        if (member.role == process_role::control && member.id != context.self.process)
-            controls_.push_back(member.id);
+}
+
+std::vector<process_id> ledger_client::controls() const
+{
+    std::vector<process_id> found;
+    std::vector<process_id> distant;
+    for (const auto& member : peers_.members()) {
+        if (member.role != process_role::control || member.id == context_.self.process)
+            continue;
+        // The control process of the own domain first: it is the nearest and knows the leader.
+        (member.domain == context_.self.domain ? found : distant).push_back(member.id);
     }
-    // The control process of the own domain first: it is the nearest and knows the leader.
-    std::stable_partition(controls_.begin(), controls_.end(), [&](const process_id& id) {
-        return std::any_of(peers.members().begin(), peers.members().end(), [&](const auto& member) {
-            return member.id == id && member.domain == context.self.domain;
-        });
-    });
+    found.insert(found.end(), distant.begin(), distant.end());
+    return found;
 }
 
 request_id ledger_client::next_request_id()
@@ -53,8 +57,14 @@
 {
     if (!hint.empty() && peers_.find(hint) != nullptr)
         return hint;
-    last_tried_ = (last_tried_ + 1) % controls_.size();
-    return controls_[last_tried_];
+    ++last_tried_;
+    return first_candidate();
+}
+
+process_id ledger_client::first_candidate()
+{
+    const auto known = controls();
+    return known.empty() ? process_id{} : known[last_tried_ % known.size()];
 }
 
 asio::awaitable<command_response> ledger_client::submit(command_request request,
@@ -62,11 +72,13 @@
 {
     const auto payload = encode(request);
     bool may_have_run = false;
-    process_id candidate = leader_.empty() ? controls_.at(last_tried_) : leader_;
+    process_id candidate = leader_.empty() ? first_candidate() : leader_;
     while (monotonic_now() < deadline) {
         auto* link = peers_.find(candidate);
         const auto limit = std::min(deadline, monotonic_now() + attempt_limit);
-        const auto reply = co_await link->call(frame_kind::ledger_command, payload, limit);
+        auto reply = result<std::string>{make_error_code(wire_error::not_connected)};
+        if (link != nullptr)
+            reply = co_await link->call(frame_kind::ledger_command, payload, limit);
         process_id hint;
         if (reply) {
             auto response = decode<command_response>(reply.value());
@@ -96,11 +108,13 @@
 asio::awaitable<query_response> ledger_client::ask(query_request request, time_point deadline)
 {
     const auto payload = encode(request);
-    process_id candidate = leader_.empty() ? controls_.at(last_tried_) : leader_;
+    process_id candidate = leader_.empty() ? first_candidate() : leader_;
     while (monotonic_now() < deadline) {
         auto* link = peers_.find(candidate);
         const auto limit = std::min(deadline, monotonic_now() + attempt_limit);
-        const auto reply = co_await link->call(frame_kind::ledger_query, payload, limit);
+        auto reply = result<std::string>{make_error_code(wire_error::not_connected)};
+        if (link != nullptr)
+            reply = co_await link->call(frame_kind::ledger_query, payload, limit);
         process_id hint;
         if (reply) {
             auto response = decode<query_response>(reply.value());
--- a/src/libwire/ledgerclient.h
+++ b/src/libwire/ledgerclient.h
@@ -24,11 +24,13 @@
     boost::asio::awaitable<query_response> ask(query_request request, time_point deadline);
 
 private:
+    /** Returns the other control processes known now, those of the own domain first. */
+    [[nodiscard]] std::vector<process_id> controls() const;
+    process_id first_candidate();
     process_id next_candidate(const process_id& hint);
 
     channel_context& context_;
     peer_directory& peers_;
-    std::vector<process_id> controls_;
     process_id leader_;
     std::size_t last_tried_{0};
     std::uint64_t last_request_{0};
--- a/src/libwire/peerlink.cpp
+++ b/src/libwire/peerlink.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds longest_reconnect_delay{1000};
+/** A peer that says nothing at all for this long after a call is asked on a new connection. */
+constexpr duration silence_limit = std::chrono::milliseconds{700};
 
 } // namespace
 
@@ -38,6 +40,7 @@
     std::shared_ptr<connection> current;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> pending;
     std::uint64_t last_correlation{0};
+    time_point last_heard;
     bool closed{false};
 
     static asio::awaitable<void> run(std::shared_ptr<state> self)
@@ -84,6 +87,7 @@
             auto received = co_await active->receive();
             if (!received)
                 co_return;
+            self.last_heard = monotonic_now();
             if (self.context.refuses(self.domain)) {
                 self.context.counters.frames_refused.add();
                 continue;
@@ -163,11 +167,17 @@
     const auto correlation = ++self->last_correlation;
     if (!self->send({kind, correlation, std::move(payload)}))
         co_return make_error_code(wire_error::not_connected);
+    const auto sent = monotonic_now();
+    const auto used = self->current;
     const auto call = std::make_shared<state::pending_call>(self->context.io);
     self->pending.emplace(correlation, call);
     call->timer.expires_at(deadline);
     co_await call->timer.async_wait(use_result);
     self->pending.erase(correlation);
+    // A connection can go silent for good without a reset while a new one would work.
+    const bool silent = self->last_heard < sent && monotonic_now() - sent >= silence_limit;
+    if (!call->reply && silent && self->current == used && used)
+        used->close();
     co_return std::move(call->reply);
 }
 
--- /dev/null
+++ b/tests/ledger/jobrecordtest.cpp
@@ -0,0 +1,150 @@
+#include <galenaturn/ledger.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::ledger {
+
+/** Jobs in the replicated state. */
+class job_record_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(job_record_test);
+    CPPUNIT_TEST(a_job_is_accepted_once);
+    CPPUNIT_TEST(a_job_succeeds_when_all_its_tasks_have);
+    CPPUNIT_TEST(an_end_that_is_told_twice_counts_once);
+    CPPUNIT_TEST(a_job_fails_with_its_last_attempt);
+    CPPUNIT_TEST(a_gang_ends_as_one);
+    CPPUNIT_TEST(nothing_changes_a_job_that_has_ended);
+    CPPUNIT_TEST(only_a_higher_version_of_the_queues_takes_effect);
+    CPPUNIT_TEST(an_image_brings_back_jobs_queues_and_workers);
+    CPPUNIT_TEST(an_ended_job_is_forgotten_after_its_time);
+    CPPUNIT_TEST_SUITE_END();
+
+    ledger_state state_;
+    std::uint64_t index_{0};
+
+    wire::command_response run(wire::command body)
+    {
+        applied_change change;
+        const wire::command_request request{request_id{"r" + std::to_string(++index_)},
+                                            std::move(body)};
+        return apply_command(state_, request, log_index{index_}, change);
+    }
+
+    static wire::submit_job job(std::uint32_t tasks, bool gang = false)
+    {
+        wire::submit_job body;
+        body.id = submission_id{"0123456789abcdef"};
+        body.queue.most_attempts = 2;
+        wire::job_step step;
+        step.count = tasks;
+        step.gang = gang;
+        body.spec.steps.push_back(step);
+        return body;
+    }
+
+    wire::command_response end(std::uint32_t index, std::uint32_t run_number, bool succeeded)
+    {
+        wire::record_ends body;
+        body.items.push_back(
+            {{submission_id{"0123456789abcdef"}, 0, 0, index}, run_number, succeeded, "saved"});
+        return run(body);
+    }
+
+    const wire::job_record& record() { return state_.jobs.begin()->second; }
+
+    void a_job_is_accepted_once()
+    {
+        CPPUNIT_ASSERT(run(job(2)).status == wire::command_status::accepted);
+        end(0, 1, true);
+        CPPUNIT_ASSERT(run(job(2)).status == wire::command_status::duplicate);
+        CPPUNIT_ASSERT(record().tasks[0].succeeded);
+    }
+
+    void a_job_succeeds_when_all_its_tasks_have()
+    {
+        run(job(2));
+        end(0, 1, true);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        end(1, 1, true);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::succeeded);
+    }
+
+    void an_end_that_is_told_twice_counts_once()
+    {
+        run(job(2));
+        end(0, 1, false);
+        end(0, 1, false);
+        CPPUNIT_ASSERT_EQUAL(1U, record().tasks[0].failures);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        CPPUNIT_ASSERT_EQUAL(std::string{"saved"}, record().tasks[0].checkpoint);
+    }
+
+    void a_job_fails_with_its_last_attempt()
+    {
+        run(job(2));
+        end(0, 1, false);
+        end(0, 2, false);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::failed);
+    }
+
+    void a_gang_ends_as_one()
+    {
+        run(job(3, true));
+        end(1, 1, false);
+        end(2, 1, false);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        end(2, 2, true);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::succeeded);
+    }
+
+    void nothing_changes_a_job_that_has_ended()
+    {
+        run(job(1));
+        wire::cancel_job cancelled;
+        cancelled.id = submission_id{"0123456789abcdef"};
+        run(cancelled);
+        end(0, 1, true);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::cancelled);
+        CPPUNIT_ASSERT(run(cancelled).status == wire::command_status::duplicate);
+    }
+
+    void only_a_higher_version_of_the_queues_takes_effect()
+    {
+        run(wire::publish_queues{4, "four"});
+        CPPUNIT_ASSERT(run(wire::publish_queues{4, "other"}).status ==
+                       wire::command_status::duplicate);
+        CPPUNIT_ASSERT(run(wire::publish_queues{3, "three"}).status ==
+                       wire::command_status::duplicate);
+        CPPUNIT_ASSERT_EQUAL(std::string{"four"}, state_.queues.document);
+        run(wire::publish_queues{9, "nine"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, state_.queues.version);
+    }
+
+    void an_image_brings_back_jobs_queues_and_workers()
+    {
+        run(job(2));
+        end(1, 3, true);
+        run(wire::publish_queues{4, "four"});
+        wire::note_workers note;
+        note.admitted.emplace_back();
+        note.admitted.back().id = worker_id{"w1"};
+        run(note);
+        const auto read = read_image(write_image(state_)).value();
+        CPPUNIT_ASSERT_EQUAL(3U, read.jobs.begin()->second.tasks[1].last_run);
+        CPPUNIT_ASSERT_EQUAL(std::string{"four"}, read.queues.document);
+        CPPUNIT_ASSERT(read.workers.contains(worker_id{"w1"}));
+    }
+
+    void an_ended_job_is_forgotten_after_its_time()
+    {
+        run(job(1));
+        end(0, 1, true);
+        run(wire::expire_records{wall_time{std::chrono::minutes{9}}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.jobs.size());
+        run(wire::expire_records{wall_time{std::chrono::minutes{11}}});
+        CPPUNIT_ASSERT(state_.jobs.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_record_test);
+
+} // namespace galenaturn::ledger
--- /dev/null
+++ b/tests/platform/codectest.cpp
@@ -0,0 +1,175 @@
+#include "platform/jobcodec.h"
+#include "platform/queuecodec.h"
+#include "platform/workercodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::platform {
+
+namespace {
+
+const std::string announcement =
+    R"({"service":"desk","address":"10.0.0.9:8080","zone":"hall-a","version":"v1","slots":8,)"
+    R"("state":"ready","coldRemainingMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clockMs":482113,"sequence":4})";
+
+/** Returns `text` with the first `from` replaced by `to`. */
+std::string with(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string configuration(const std::string& routes)
+{
+    return R"({"version":7,"routes":[)" + routes + R"(],"services":[{"name":"desk"}]})";
+}
+
+const std::string route =
+    R"({"name":"r-1","host":"h.example","pathPrefix":"/a/","timeoutMs":3000,)"
+    R"("targetLatencyMs":250,"priority":2,"service":"desk","maxAttempts":3,"stretch":1.5})";
+
+} // namespace
+
+/** What the platform sends, decoded; whatever is not sound is refused whole. */
+class codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(a_job_is_read_with_its_steps);
+    CPPUNIT_TEST(a_job_with_a_field_of_another_type_is_refused);
+    CPPUNIT_TEST(an_id_has_sixteen_hexadecimal_digits);
+    CPPUNIT_TEST(a_task_name_survives_the_way_there_and_back);
+    CPPUNIT_TEST(an_announcement_is_read);
+    CPPUNIT_TEST(an_announcement_that_is_not_sound_names_no_worker);
+    CPPUNIT_TEST(a_list_is_read);
+    CPPUNIT_TEST(a_list_cut_short_is_refused);
+    CPPUNIT_TEST(orders_carry_token_and_lease);
+    CPPUNIT_TEST(a_configuration_is_read);
+    CPPUNIT_TEST(invalid_configurations_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_job_is_read_with_its_steps()
+    {
+        const auto spec = read_job(
+            R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimatedMs":900,)"
+            R"("affinity":"r1-3"},{"count":2,"cpu":2000,"after":[0],"checkpointing":true,)"
+            R"("targetMs":18,"image":"i1","missBudget":1}]})");
+        CPPUNIT_ASSERT(spec.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, spec->steps.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{256} << 20, spec->steps[0].demand.memory.value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"r1-3"}, spec->steps[0].data_rack.value());
+        CPPUNIT_ASSERT(spec->steps[1].checkpoints);
+        CPPUNIT_ASSERT_EQUAL(0U, spec->steps[1].after.front());
+        CPPUNIT_ASSERT(spec->steps[1].tail_target == std::chrono::milliseconds{18});
+        CPPUNIT_ASSERT_EQUAL(1U, spec->steps[1].disruption_budget.value());
+    }
+
+    void a_job_with_a_field_of_another_type_is_refused()
+    {
+        for (const char* body :
+             {"", "{", "[]", R"({"steps":{}})", R"({"spec":1,"steps":[{"count":1}]})",
+              R"({"spec":"s","steps":[{"count":"1"}]})", R"({"spec":"s","steps":[{"count":0}]})",
+              R"({"spec":"s","steps":[{"count":1,"after":[0]}]})",
+              R"({"spec":"s","steps":[{"count":1,"cpu":-5}]})", R"({"spec":"s","steps":[]})"})
+            CPPUNIT_ASSERT_MESSAGE(body, !read_job(body));
+    }
+
+    void an_id_has_sixteen_hexadecimal_digits()
+    {
+        CPPUNIT_ASSERT(job_in_path("/lohu930/5c0e7a21d94b36f8").has_value());
+        for (const char* path : {"/lohu930/", "/lohu930/5c0e7a21d94b36f", "/5c0e7a21d94b36g8", ""})
+            CPPUNIT_ASSERT_MESSAGE(path, !job_in_path(path));
+    }
+
+    void a_task_name_survives_the_way_there_and_back()
+    {
+        const wire::task_ref task{submission_id{"5c0e7a21d94b36f8"}, 3, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string{"5c0e7a21d94b36f8.3.1.17"}, write_task(task));
+        CPPUNIT_ASSERT(read_task(write_task(task)) == task);
+        for (const char* name : {"5c0e7a21d94b36f8.3.1", "5c0e7a21d94b36f8.3.1.x", "x.0.0.0",
+                                 "5c0e7a21d94b36f8.0.0.0.0"})
+            CPPUNIT_ASSERT_MESSAGE(name, !read_task(name));
+    }
+
+    void an_announcement_is_read()
+    {
+        const auto beat = read_announcement(worker_id{"w"}, announcement);
+        CPPUNIT_ASSERT(beat.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"r1-3"}, beat->worker.rack.value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, beat->worker.capacity.processors.value());
+        CPPUNIT_ASSERT(!beat->leaving);
+    }
+
+    void an_announcement_that_is_not_sound_names_no_worker()
+    {
+        const std::vector<std::string> broken{
+            announcement.substr(0, announcement.size() / 2),
+            with(announcement, R"("service":"desk",)", ""),
+            with(announcement, R"("10.0.0.9:8080")", R"("desk.example:80")"),
+            with(announcement, R"("ready")", R"("resting")"),
+            with(announcement, R"("sequence":4)", R"("sequence":"4")"),
+            with(announcement, R"({"cpu":16000,"memMb":32768,"gpu":0})", "[]"),
+            with(announcement, R"(["a","r1-3"])", R"([1,2])"),
+            with(announcement, "16000", "-1"),
+        };
+        for (const auto& body : broken)
+            CPPUNIT_ASSERT_MESSAGE(body, !read_announcement(worker_id{"w"}, body));
+    }
+
+    void a_list_is_read()
+    {
+        const auto list =
+            read_list(R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c1",41,310]],)"
+                      R"("endedRuns":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+        CPPUNIT_ASSERT(list.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{310}, list->running.front().figure);
+        CPPUNIT_ASSERT(list->ended.front().how == schedule::run_end::succeeded);
+    }
+
+    void a_list_cut_short_is_refused()
+    {
+        for (const char* body :
+             {R"({"running":[]})", R"({"running":[["x"]],"endedRuns":[]})",
+              R"({"running":[],"endedRuns":[[1,"x",1,"done",""]]})",
+              R"({"running":[],"endedRuns":[[1,"5c0e7a21d94b36f8.0.1.9",1,"?",""]]})"})
+            CPPUNIT_ASSERT_MESSAGE(body, !read_list(body));
+    }
+
+    void orders_carry_token_and_lease()
+    {
+        schedule::start_order order;
+        order.task = {submission_id{"5c0e7a21d94b36f8"}, 0, 1, 17};
+        order.run = 2;
+        order.text = "a \"text\"";
+        const auto body = write_start(order, term{7}, std::chrono::milliseconds{486000});
+        CPPUNIT_ASSERT(body.find(R"("fencingToken":7)") != std::string::npos);
+        CPPUNIT_ASSERT(body.find(R"("deadlineMs":486000)") != std::string::npos);
+        CPPUNIT_ASSERT(body.find("checkpoint") == std::string::npos);
+    }
+
+    void a_configuration_is_read()
+    {
+        const auto read = read_queues(configuration(route));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, read.problem);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.version);
+        CPPUNIT_ASSERT_EQUAL(3U, read.queues.front().most_attempts);
+        CPPUNIT_ASSERT(read.queues.front().latency == std::chrono::milliseconds{250});
+    }
+
+    void invalid_configurations_are_refused()
+    {
+        const std::vector<std::string> broken{
+            configuration(route).substr(0, 60),
+            configuration(with(route, R"("desk")", R"("other")")),
+            configuration(with(route, "3000", "0")),
+            configuration(with(route, R"("timeoutMs":3000,)", "")),
+            configuration(route + "," + with(route, "r-1", "r-2")),
+            with(configuration(route), R"("version":7,)", ""),
+            with(configuration(route), R"("services")", R"("serves")"),
+        };
+        for (const auto& body : broken)
+            CPPUNIT_ASSERT_MESSAGE(body, !read_queues(body).problem.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace galenaturn::platform
--- a/tests/product/referencetest.cpp
+++ b/tests/product/referencetest.cpp
@@ -89,8 +89,14 @@
             listed(read_keys(path, "::read(yaml_map& root)", "::read_member", "root")),
             listed(documented("## The process", "## A member")));
         CPPUNIT_ASSERT_EQUAL(
-            listed(read_keys(path, "::read_member(yaml_map& item)", "::check_members", "item")),
-            listed(documented("## A member", "## Flags")));
+            listed(read_keys(path, "::read_member(yaml_map& item)", "::read_self", "item")),
+            listed(documented("## A member", "## A process that joins")));
+        CPPUNIT_ASSERT_EQUAL(
+            listed(read_keys(path, "::read_self(yaml_map& item)", "::read_jobs", "item")),
+            listed(documented("## A process that joins", "## Jobs on a platform's workers")));
+        CPPUNIT_ASSERT_EQUAL(
+            listed(read_keys(path, "::read_jobs(yaml_map& item)", "::check_members", "item")),
+            listed(documented("## Jobs on a platform's workers", "## Flags")));
     }
 
     void the_settings_page_lists_the_catalogue_keys_that_the_code_reads()
--- /dev/null
+++ b/tests/schedule/jobschedulertest.cpp
@@ -0,0 +1,432 @@
+#include <galenaturn/schedule.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::schedule {
+
+/** The decisions of a leader about jobs, without workers or a ledger. */
+class job_scheduler_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(job_scheduler_test);
+    CPPUNIT_TEST(a_job_runs_step_after_step);
+    CPPUNIT_TEST(no_worker_gets_more_than_it_holds);
+    CPPUNIT_TEST(a_worker_that_is_not_noted_or_not_read_gets_nothing);
+    CPPUNIT_TEST(a_leaving_worker_gets_nothing_new);
+    CPPUNIT_TEST(an_unanswered_start_blocks_a_second_one_until_it_was_stopped);
+    CPPUNIT_TEST(a_refused_start_is_tried_again);
+    CPPUNIT_TEST(a_new_leader_starts_nothing_that_may_still_run);
+    CPPUNIT_TEST(a_new_leader_adopts_what_is_listed);
+    CPPUNIT_TEST(a_new_leader_waits_for_a_silent_worker_until_its_lease_lapsed);
+    CPPUNIT_TEST(a_cancelled_job_is_stopped_and_forgotten);
+    CPPUNIT_TEST(a_stray_run_is_stopped);
+    CPPUNIT_TEST(an_endless_task_starts_again);
+    CPPUNIT_TEST(a_gang_is_placed_whole_or_not_at_all);
+    CPPUNIT_TEST(spread_and_labels_are_kept);
+    CPPUNIT_TEST(an_occurrence_is_never_early);
+    CPPUNIT_TEST(tasks_that_fill_keep_away_from_tasks_that_serve);
+    CPPUNIT_TEST(images_that_get_on_share_a_worker);
+    CPPUNIT_TEST(an_unknown_pair_is_tried_on_few_workers);
+    CPPUNIT_TEST(a_tail_over_its_target_is_relieved_of_what_presses_most);
+    CPPUNIT_TEST(slopes_are_learned_from_rough_figures);
+    CPPUNIT_TEST_SUITE_END();
+
+    job_scheduler state_;
+    time_point now_{std::chrono::hours{1}};
+    wall_time wall_{std::chrono::hours{500'000}};
+    std::uint64_t last_end_{0};
+
+public:
+    void setUp() override { state_.settings.lease = std::chrono::seconds{8}; }
+
+private:
+    static wire::worker_beat beat(const std::string& id, std::int64_t cores)
+    {
+        wire::worker_beat told;
+        told.worker.id = worker_id{id};
+        told.worker.service = service_id{"desk"};
+        told.worker.capacity = {millicores{cores * 1000}, bytes{std::int64_t{64} << 30}, {}};
+        told.worker.labels = {"a", "r1"};
+        return told;
+    }
+
+    void add_worker(const std::string& id, std::int64_t cores)
+    {
+        hear_worker(state_, beat(id, cores), now_);
+        admit_worker(state_, worker_id{id});
+        list(id, {});
+    }
+
+    std::vector<wire::record_ends::item> list(const std::string& id, worker_list listed)
+    {
+        note_answer(state_, worker_id{id}, now_);
+        return take_list(state_, worker_id{id}, listed, now_, now_);
+    }
+
+    static wire::job_record job(std::vector<wire::job_step> steps, char last = 'f')
+    {
+        wire::job_record record;
+        record.id = submission_id{std::string("0123456789abcde") + last};
+        record.queue.service = service_id{"desk"};
+        record.queue.most_attempts = 2;
+        record.queue.latency = std::chrono::seconds{1};
+        record.spec.steps = std::move(steps);
+        record.tasks.resize(wire::tasks_of_occurrence(record.spec) *
+                            wire::occurrences_of(record.spec));
+        return record;
+    }
+
+    static wire::job_step step(std::uint32_t count, std::int64_t cores)
+    {
+        wire::job_step made;
+        made.count = count;
+        made.demand.processors = millicores{cores * 1000};
+        made.estimate = std::chrono::seconds{1};
+        return made;
+    }
+
+    std::vector<start_order> plan() { return plan_starts(state_, now_, wall_); }
+
+    /** Every order is answered and listed as running. */
+    void accept(const std::vector<start_order>& orders)
+    {
+        for (const auto& order : orders)
+            take_start_answer(state_, order, order_answer::accepted, now_);
+        now_ += std::chrono::milliseconds{10};
+    }
+
+    worker_list ended(const start_order& order, run_end how)
+    {
+        worker_list listed;
+        listed.ended.push_back({++last_end_, order.task, order.run, how, "saved"});
+        return listed;
+    }
+
+    void a_job_runs_step_after_step()
+    {
+        add_worker("w1", 8);
+        auto second = step(1, 1);
+        second.after = {0};
+        auto record = job({step(2, 1), second});
+        add_job(state_, record, now_);
+        const auto first = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
+        accept(first);
+        for (const auto& order : first) {
+            auto listed = ended(order, run_end::succeeded);
+            if (order.task.index == 0)
+                listed.running.push_back({first[1].task, first[1].run, "", 50});
+            const auto items = list("w1", std::move(listed));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, items.size());
+            CPPUNIT_ASSERT(plan().empty());
+            record.tasks[order.task.index].succeeded = true;
+            take_record(state_, record, now_);
+            ends_recorded(state_, items);
+        }
+        const auto next = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT_EQUAL(1U, next.front().task.step);
+    }
+
+    void no_worker_gets_more_than_it_holds()
+    {
+        add_worker("w1", 4);
+        add_worker("w2", 3);
+        add_job(state_, job({step(9, 2)}), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().size());
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    void a_worker_that_is_not_noted_or_not_read_gets_nothing()
+    {
+        add_job(state_, job({step(1, 1)}), now_);
+        hear_worker(state_, beat("w1", 4), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        admit_worker(state_, worker_id{"w1"});
+        CPPUNIT_ASSERT(plan().empty());
+        list("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void a_leaving_worker_gets_nothing_new()
+    {
+        add_worker("w1", 4);
+        auto told = beat("w1", 4);
+        told.leaving = true;
+        hear_worker(state_, told, now_);
+        add_job(state_, job({step(1, 1)}), now_);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    void an_unanswered_start_blocks_a_second_one_until_it_was_stopped()
+    {
+        add_worker("w1", 4);
+        add_worker("w2", 4);
+        add_job(state_, job({step(1, 1)}), now_);
+        const auto order = plan().front();
+        take_start_answer(state_, order, order_answer::none, now_);
+        now_ += std::chrono::milliseconds{10};
+        CPPUNIT_ASSERT(plan().empty());
+        list(order.worker.value(), {});
+        CPPUNIT_ASSERT(plan().empty());
+        const auto stops = plan_stops(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        take_stop_answer(state_, stops.front(), order_answer::none, now_);
+        now_ += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+        take_stop_answer(state_, stops.front(), order_answer::accepted, now_);
+        CPPUNIT_ASSERT(plan().empty());
+        now_ += std::chrono::milliseconds{10};
+        list("w1", {});
+        list("w2", {});
+        const auto again = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+        CPPUNIT_ASSERT(again.front().run > order.run);
+    }
+
+    void a_refused_start_is_tried_again()
+    {
+        add_worker("w1", 4);
+        add_job(state_, job({step(1, 1)}), now_);
+        const auto order = plan().front();
+        take_start_answer(state_, order, order_answer::no_room, now_);
+        CPPUNIT_ASSERT(plan().empty());
+        now_ += std::chrono::milliseconds{400};
+        list("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void inherit(const std::vector<std::string>& workers)
+    {
+        std::map<submission_id, wire::job_record> jobs;
+        const auto record = job({step(1, 1)});
+        jobs.emplace(record.id, record);
+        std::map<worker_id, wire::worker_record> noted;
+        for (const auto& id : workers)
+            noted.emplace(worker_id{id}, beat(id, 4).worker);
+        state_ = take_over(jobs, noted, state_.settings, now_, wall_);
+    }
+
+    void a_new_leader_starts_nothing_that_may_still_run()
+    {
+        inherit({"w1", "w2"});
+        list("w1", {});
+        CPPUNIT_ASSERT(plan().empty());
+        list("w2", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void a_new_leader_adopts_what_is_listed()
+    {
+        inherit({"w1", "w2"});
+        worker_list listed;
+        listed.running.push_back({{submission_id{"0123456789abcdef"}, 0, 0, 0}, 3, "c", 40});
+        list("w2", listed);
+        list("w1", {});
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state_.counts.adopted);
+    }
+
+    void a_new_leader_waits_for_a_silent_worker_until_its_lease_lapsed()
+    {
+        inherit({"w1", "w2"});
+        now_ += std::chrono::seconds{8};
+        list("w1", {});
+        CPPUNIT_ASSERT(plan().empty());
+        now_ += std::chrono::seconds{1};
+        list("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void a_cancelled_job_is_stopped_and_forgotten()
+    {
+        add_worker("w1", 4);
+        auto record = job({step(2, 1)});
+        add_job(state_, record, now_);
+        const auto orders = plan();
+        accept(orders);
+        record.phase = wire::job_phase::cancelled;
+        take_record(state_, record, now_);
+        const auto stops = plan_stops(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops.size());
+        for (const auto& order : orders)
+            CPPUNIT_ASSERT(list("w1", ended(order, run_end::stopped)).empty());
+        CPPUNIT_ASSERT(state_.jobs.empty());
+        CPPUNIT_ASSERT(state_.workers.begin()->second.reserved == resources{});
+    }
+
+    void a_stray_run_is_stopped()
+    {
+        add_worker("w1", 4);
+        worker_list listed;
+        listed.running.push_back({{submission_id{"ffffffffffffffff"}, 0, 0, 0}, 1, "", 0});
+        list("w1", listed);
+        const auto stops = plan_stops(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+    }
+
+    void an_endless_task_starts_again()
+    {
+        add_worker("w1", 4);
+        auto lasting = step(1, 1);
+        lasting.endless = true;
+        add_job(state_, job({lasting}), now_);
+        const auto order = plan().front();
+        accept({order});
+        CPPUNIT_ASSERT(list("w1", ended(order, run_end::failed)).empty());
+        const auto again = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"saved"}, again.front().checkpoint);
+    }
+
+    void a_gang_is_placed_whole_or_not_at_all()
+    {
+        add_worker("w1", 4);
+        auto gang = step(3, 2);
+        gang.gang = true;
+        add_job(state_, job({gang}), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(state_.workers.begin()->second.reserved == resources{});
+        add_worker("w2", 4);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, orders.size());
+        CPPUNIT_ASSERT(orders[0].run == orders[1].run && orders[1].run == orders[2].run);
+    }
+
+    void spread_and_labels_are_kept()
+    {
+        add_worker("w1", 8);
+        add_worker("w2", 8);
+        auto spread = step(3, 1);
+        spread.most_per_worker = 1;
+        add_job(state_, job({spread}), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan().size());
+        auto labelled = step(1, 1);
+        labelled.required_label = "b";
+        add_job(state_, job({labelled}, 'e'), now_);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    void an_occurrence_is_never_early()
+    {
+        add_worker("w1", 8);
+        auto record = job({step(1, 1)});
+        record.spec.schedule = {2, wall_ + std::chrono::seconds{1}, std::chrono::seconds{1}};
+        record.tasks.resize(2);
+        add_job(state_, record, now_);
+        CPPUNIT_ASSERT(plan().empty());
+        wall_ += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+        wall_ += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void tasks_that_fill_keep_away_from_tasks_that_serve()
+    {
+        add_worker("w1", 8);
+        add_worker("w2", 8);
+        auto serving = step(2, 2);
+        serving.endless = true;
+        serving.tail_target = std::chrono::milliseconds{18};
+        add_job(state_, job({serving}), now_);
+        const auto served = plan();
+        CPPUNIT_ASSERT_EQUAL(served[0].worker, served[1].worker);
+        auto filling = step(6, 2);
+        filling.fills = true;
+        filling.image = "heavy";
+        // The two images have met often: each processor costs 20 ms of a target of 18.
+        for (int seen = 0; seen < 40; ++seen)
+            observe_tail(state_.tails, {}, 46, {{"heavy", millicores{2000}}});
+        add_job(state_, job({filling}, 'e'), now_);
+        const auto filled = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, filled.size());
+        for (const auto& order : filled)
+            CPPUNIT_ASSERT(order.worker != served[0].worker);
+    }
+
+    static wire::job_step serving_step(std::uint32_t count)
+    {
+        auto serving = step(count, 2);
+        serving.endless = true;
+        serving.tail_target = std::chrono::milliseconds{18};
+        serving.image = "counter";
+        return serving;
+    }
+
+    static wire::job_step filling_step(std::uint32_t count, const std::string& image)
+    {
+        auto filling = step(count, 2);
+        filling.fills = true;
+        filling.image = image;
+        return filling;
+    }
+
+    void learn(const std::string& image, double slope)
+    {
+        for (int seen = 0; seen < 300; ++seen) {
+            const auto used = millicores{1000 * (seen % 4)};
+            const auto load = static_cast<double>(seen % 4);
+            observe_tail(state_.tails, "counter", 6 + slope * load, {{image, used}});
+        }
+    }
+
+    void images_that_get_on_share_a_worker()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({serving_step(2)}), now_);
+        accept(plan());
+        learn("light", 1);
+        add_job(state_, job({filling_step(6, "light")}, 'e'), now_);
+        // Four reserved, half of them unused: six processors are left.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().size());
+    }
+
+    void an_unknown_pair_is_tried_on_few_workers()
+    {
+        for (int number = 0; number < 8; ++number)
+            add_worker("w" + std::to_string(number), 2);
+        auto serving = serving_step(8);
+        serving.most_per_worker = 1;
+        add_job(state_, job({serving}), now_);
+        accept(plan());
+        auto filling = filling_step(8, "new");
+        filling.demand.processors = millicores{1000};
+        add_job(state_, job({filling}, 'e'), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().size());
+    }
+
+    void a_tail_over_its_target_is_relieved_of_what_presses_most()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({serving_step(1)}), now_);
+        const auto served = plan();
+        learn("light", 1);
+        learn("heavy", 2);
+        add_job(state_, job({filling_step(1, "light"), filling_step(1, "heavy")}, 'e'), now_);
+        const auto filled = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, filled.size());
+        accept(served);
+        accept(filled);
+        now_ += std::chrono::seconds{1};
+        worker_list listed;
+        listed.running.push_back({served[0].task, served[0].run, "", 100, 19});
+        listed.running.push_back({filled[0].task, filled[0].run, "", 10, 2000});
+        listed.running.push_back({filled[1].task, filled[1].run, "", 10, 2000});
+        list("w1", listed);
+        const auto stops = plan_stops(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        CPPUNIT_ASSERT_EQUAL(1U, stops.front().task.step);
+    }
+
+    void slopes_are_learned_from_rough_figures()
+    {
+        learn("light", 1);
+        learn("heavy", 20);
+        CPPUNIT_ASSERT(tail_slope(state_.tails, "counter", "light") < 2);
+        CPPUNIT_ASSERT(tail_slope(state_.tails, "counter", "heavy") > 15);
+        CPPUNIT_ASSERT(is_known_pair(state_.tails, "counter", "heavy"));
+        CPPUNIT_ASSERT(!is_known_pair(state_.tails, "counter", "other"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_scheduler_test);
+
+} // namespace galenaturn::schedule
