schedule: images that serve apart, room first to what can be in time

Change: mixing images costs more than opening a worker; jobs are ranked by what they can still become; a starving job gets a share of a full worker; tasks that last leave a leaving worker and make room among those that fill; the learned model goes to the other control processes.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -23,6 +23,10 @@
 constexpr duration share_interval = std::chrono::milliseconds{200};
 /** An announcement counts for this long when a new leader starts. */
 constexpr duration announcement_ttl = std::chrono::seconds{10};
+/** What is learned of images changes slowly; a new leader misses no more than this. */
+constexpr duration model_share_interval = std::chrono::seconds{2};
+/** How room is used is told this often. */
+constexpr duration room_log_interval = std::chrono::seconds{3};
 /** A caller waits no longer than this for the ledger. */
 constexpr duration command_limit = std::chrono::milliseconds{1500};
 /** A leader comes back within this time; callers are told to. */
@@ -75,6 +79,16 @@
                                   bring_in(beat);
                           }
                       });
+    shared_.frames.on(wire::frame_kind::tail_model,
+                      [this](const wire::hello& from, const wire::frame& received,
+                             const wire::reply_function& /*reply*/) {
+                          auto model = wire::decode<schedule::tail_model>(received.payload);
+                          if (!model)
+                              return log_event(log_level::warning, "tail_model_malformed",
+                                               {{"process", from.process}});
+                          if (!serving_)
+                              last_model_ = std::move(model).value();
+                      });
     shared_.frames.on(
         wire::frame_kind::job_request,
         [this](const wire::hello& /*from*/, wire::frame received, wire::reply_function reply) {
@@ -116,6 +130,7 @@
     const auto now = monotonic_now();
     scheduler_ =
         schedule::take_over(state.jobs, state.workers, shared_.settings.jobs, now, wall_now());
+    scheduler_.tails = last_model_;
     log_event(log_level::info, "term_begun",
               {{"token", token_},
                {"open_jobs", scheduler_.jobs.size()},
@@ -178,8 +193,8 @@
 {
     const auto [known, added] = announcements_.try_emplace(beat.worker.id);
     auto& held = known->second;
-    const bool late =
-        !added && (beat.sequence < held.beat.sequence || (held.beat.left && !beat.left));
+    // A worker that has left says so without a number, and never comes back under its name.
+    const bool late = !beat.left && (held.beat.left || beat.sequence < held.beat.sequence);
     if (late)
         return false;
     if (added)
@@ -290,6 +305,7 @@
         return;
     const auto now = monotonic_now();
     schedule::expire_leases(scheduler_, now);
+    schedule::leave_workers(scheduler_, now);
     for (auto& order : schedule::plan_stops(scheduler_, now)) {
         const auto line = lines_.find(order.worker);
         if (line == lines_.end())
@@ -312,6 +328,8 @@
             return;
         watch_leadership();
         pass();
+        log_room();
+        share_model();
         counts_ = scheduler_.counts;
         counters_.update();
         open_jobs_.set(static_cast<double>(scheduler_.jobs.size()));
@@ -320,6 +338,41 @@
     });
 }
 
+void job_service::share_model()
+{
+    const auto now = monotonic_now();
+    if (!serving_ || now < next_model_share_)
+        return;
+    next_model_share_ = now + model_share_interval;
+    last_model_ = scheduler_.tails;
+    const auto payload = wire::encode(last_model_);
+    for (const auto& [process, known] : roster_.known().controls) {
+        if (auto* link = shared_.peers.find(process))
+            link->send(wire::frame_kind::tail_model, payload);
+    }
+}
+
+void job_service::log_room()
+{
+    const auto now = monotonic_now();
+    if (!serving_ || now < next_room_log_)
+        return;
+    next_room_log_ = now + room_log_interval;
+    const auto room = schedule::summarize(scheduler_);
+    log_event(log_level::info, "room",
+              {{"token", token_},
+               {"open_jobs", room.open_jobs},
+               {"waiting_tasks", room.waiting_tasks},
+               {"workers", scheduler_.workers.size()},
+               {"serving_workers", room.serving_workers},
+               {"mixed_workers", room.mixed_workers},
+               {"reserved", room.reserved},
+               {"filled_beside_serving", room.filled_beside_serving},
+               {"filled_elsewhere", room.filled_elsewhere},
+               {"relieved", scheduler_.counts.relieved},
+               {"trials", scheduler_.counts.trials}});
+}
+
 // Callers.
 
 wire::job_answer job_service::unavailable(std::string reason) const
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -87,6 +87,8 @@
     void wake();
     void pass();
     void tick_later();
+    void log_room();
+    void share_model();
 
     // Callers.
     boost::asio::awaitable<wire::job_answer> submit(wire::job_request request,
@@ -113,6 +115,10 @@
     counter_mirror counters_;
     std::map<worker_id, worker_line> lines_;
     bool pass_due_{false};
+    time_point next_room_log_;
+    time_point next_model_share_;
+    /** What the leader before had learned, so that a new one need not begin again. */
+    schedule::tail_model last_model_;
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer share_timer_;
     gauge& open_jobs_;
--- a/src/libschedule/joborder.h
+++ b/src/libschedule/joborder.h
@@ -8,8 +8,14 @@
 duration longest_chain(const wire::job_spec& spec);
 /** Returns whether every earlier step of `step` has succeeded in this occurrence. */
 bool is_ready(const open_job& job, std::uint32_t occurrence, std::uint32_t step);
+/** Returns whether tasks of the job run until it is cancelled. */
+bool is_endless(const open_job& job);
 /** Returns when an occurrence may start. */
 wall_time due_at(const wire::job_spec& spec, std::uint32_t occurrence);
+/** What a job can still become, by the estimates of its work. */
+enum class prospect : std::uint8_t { in_time, late, too_late };
+
+prospect prospect_of(const open_job& job, time_point now);
 /** Returns the open jobs in the order in which their tasks get room. */
 std::vector<open_job*> order_jobs(job_scheduler& state, time_point now);
 
--- a/src/libschedule/joborders.cpp
+++ b/src/libschedule/joborders.cpp
@@ -85,14 +85,27 @@
     at.orders.push_back({ref, number, worker.record.id, job.spec.text, task.checkpoint});
 }
 
+/** Returns whether nothing of a job has run for so long that it gets a share of a full worker. */
+bool is_starving(const open_job& job, time_point now)
+{
+    if (now < job.late_by)
+        return false;
+    return std::none_of(job.tasks.begin(), job.tasks.end(),
+                        [](const auto& task) { return task.run || task.recording; });
+}
+
 void start_task(pass& at, open_job& job, const wire::task_ref& ref, open_task& task)
 {
     const auto& step = job.spec.steps[ref.step];
-    if (!may_start(task) || at.missed.hopeless(job, step))
+    if (!may_start(task) || (at.missed.hopeless(job, step) && !is_starving(job, at.now)))
         return;
-    auto* worker = choose_worker(at.state, {&job, ref, &step, {}}, at.now);
-    if (worker == nullptr)
+    const placement_request request{&job, ref, &step, {}, is_starving(job, at.now)};
+    auto* worker = choose_worker(at.state, request, at.now);
+    if (worker == nullptr) {
+        if (step.endless)
+            make_room(at.state, request, at.now);
         return at.missed.add(job, step);
+    }
     place(at, job, ref, task, *worker, task.last_run + 1);
 }
 
@@ -115,7 +128,7 @@
         ref.index = index;
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
-        auto* worker = choose_worker(at.state, {&job, ref, &step, rack}, at.now);
+        auto* worker = choose_worker(at.state, {&job, ref, &step, rack, false}, at.now);
         if (worker != nullptr) {
             place(at, job, ref, member, *worker, number);
             continue;
@@ -183,6 +196,25 @@
 
 } // namespace
 
+void leave_workers(job_scheduler& state, time_point now)
+{
+    for (auto& [id, worker] : state.workers) {
+        if (!worker.leaving)
+            continue;
+        const auto runs = worker.runs;
+        for (const auto& [ref, number] : runs) {
+            auto* job = find_job(state, ref.job);
+            auto* task = find_task(state, ref);
+            if (task == nullptr || task->run->phase != run_phase::running)
+                continue;
+            const auto& step = job->spec.steps[ref.step];
+            // A short task ends before the worker does; one that lasts goes where it can stay.
+            if (step.endless && choose_worker(state, {job, ref, &step, {}, false}, now) != nullptr)
+                stop_run(state, ref, *task, now);
+        }
+    }
+}
+
 std::vector<start_order> plan_starts(job_scheduler& state, time_point now, wall_time wall)
 {
     pass at{state, now, wall, {}, {}};
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -1,5 +1,7 @@
 #include "jobplacement.h"
 
+#include "jobruns.h"
+
 #include <algorithm>
 
 namespace galenaturn::schedule {
@@ -10,10 +12,12 @@
 constexpr duration least_lease_left = std::chrono::seconds{2};
 /** Tasks that serve use about half of what they reserve; others may fill the rest. */
 constexpr std::int64_t unused_by_serving_percent = 50;
+/** What starving jobs may take beyond a worker's processors; all that fills there slows down. */
+constexpr std::int64_t crowding_percent = 50;
 /** Expected tails stay below this share of the target: the load of those who serve swings. */
 constexpr double most_tail_share = 0.75;
 /** Workers on which unknown pairs are tried at once. */
-constexpr std::ptrdiff_t most_trials = 3;
+constexpr std::ptrdiff_t most_trials = 12;
 /** Time for a tail to settle, and to be told, before a relieved worker is filled again. */
 constexpr duration relief_pause = std::chrono::milliseconds{1500};
 
@@ -76,12 +80,17 @@
     return unknown && trials < most_trials;
 }
 
-bool may_fill(const job_scheduler& state, const job_worker& worker, const wire::job_step& step,
-              time_point now)
+bool may_fill(const job_scheduler& state, const job_worker& worker,
+              const placement_request& request, time_point now)
 {
-    if (idle_on(worker) < step.demand.processors)
+    const auto& step = *request.step;
+    const bool serves = !worker.serving_images.empty();
+    const auto crowding = request.starving && !serves
+                              ? worker.record.capacity.processors.value() * crowding_percent / 100
+                              : 0;
+    if (idle_on(worker) + millicores{crowding} < step.demand.processors)
         return false;
-    if (worker.serving_images.empty())
+    if (!serves)
         return true;
     if (now - worker.relieved_at < relief_pause)
         return false;
@@ -114,7 +123,7 @@
     constexpr std::int64_t failed_before = 100'000'000;
     constexpr std::int64_t far_from_data = 50'000'000;
     constexpr std::int64_t per_failure = 20'000'000;
-    constexpr std::int64_t per_other_image = 2'000'000;
+    constexpr std::int64_t per_other_image = 4'000'000;
     constexpr std::int64_t opens_worker = 3'000'000;
     constexpr std::int64_t opens_one_of_many = 1'000'000;
     constexpr std::int64_t per_filling_millicore = 100;
@@ -181,11 +190,67 @@
         return false;
     if (step.most_per_worker > 0 && siblings_on(worker, request.task) >= step.most_per_worker)
         return false;
-    if (step.fills && !may_fill(state, worker, step, now))
+    if (step.fills && !may_fill(state, worker, request, now))
         return false;
     return fits(reserved_by(step), free_on(worker));
 }
 
+namespace {
+
+/** Returns the runs that fill the worker, the largest first. */
+std::vector<wire::task_ref> filling_runs(job_scheduler& state, const job_worker& worker)
+{
+    std::vector<std::pair<bytes, wire::task_ref>> runs;
+    for (const auto& [ref, number] : worker.runs) {
+        const auto* task = find_task(state, ref);
+        if (task != nullptr && task->run && task->run->filling.value() > 0)
+            runs.emplace_back(task->run->reserved.memory, ref);
+    }
+    std::sort(runs.rbegin(), runs.rend());
+    std::vector<wire::task_ref> refs;
+    for (auto& [memory, ref] : runs)
+        refs.push_back(std::move(ref));
+    return refs;
+}
+
+/** Returns the runs to stop on the worker until `wanted` fits, or nothing where it never does. */
+std::optional<std::vector<wire::task_ref>>
+runs_in_the_way(job_scheduler& state, const job_worker& worker, const resources& wanted)
+{
+    auto free = free_on(worker);
+    std::vector<wire::task_ref> stopped;
+    for (auto& ref : filling_runs(state, worker)) {
+        if (fits(wanted, free))
+            return stopped;
+        free += find_task(state, ref)->run->reserved;
+        stopped.push_back(std::move(ref));
+    }
+    if (!fits(wanted, free))
+        return std::nullopt;
+    return stopped;
+}
+
+} // namespace
+
+void make_room(job_scheduler& state, const placement_request& request, time_point now)
+{
+    std::optional<std::vector<wire::task_ref>> fewest;
+    for (auto& [id, worker] : state.workers) {
+        // Its room aside, the worker has to do.
+        auto emptied = worker;
+        emptied.reserved = {};
+        if (!may_run(state, emptied, request, now))
+            continue;
+        auto stopped = runs_in_the_way(state, worker, reserved_by(*request.step));
+        if (stopped && (!fewest || stopped->size() < fewest->size()))
+            fewest = std::move(stopped);
+    }
+    if (!fewest)
+        return;
+    for (const auto& ref : *fewest)
+        stop_run(state, ref, *find_task(state, ref), now);
+}
+
 job_worker* choose_worker(job_scheduler& state, const placement_request& request, time_point now)
 {
     job_worker* best = nullptr;
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -89,6 +89,8 @@
 
 /** Returns the starts to send now, each with its room reserved. `wall` tells which are due. */
 std::vector<start_order> plan_starts(job_scheduler& state, time_point now, wall_time wall);
+/** Stops tasks that last on workers that are leaving, where another worker has room for them. */
+void leave_workers(job_scheduler& state, time_point now);
 /** Returns the stops to send now. */
 std::vector<stop_order> plan_stops(job_scheduler& state, time_point now);
 
@@ -111,6 +113,18 @@
 /** Ends the runs on workers whose leases have lapsed. */
 void expire_leases(job_scheduler& state, time_point now);
 
+/** How room is used, for operators. */
+struct room_summary {
+    std::size_t serving_workers{0};
+    std::size_t mixed_workers{0};
+    millicores filled_beside_serving;
+    millicores filled_elsewhere;
+    millicores reserved;
+    std::size_t open_jobs{0};
+    std::size_t waiting_tasks{0};
+};
+
+room_summary summarize(const job_scheduler& state);
 /** Returns how many jobs of a queue wait for their first start. */
 std::uint64_t jobs_waiting(const job_scheduler& state, const std::string& queue);
 bool has_started(const job_scheduler& state, const submission_id& job);
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -121,6 +121,25 @@
         }));
 }
 
+room_summary summarize(const job_scheduler& state)
+{
+    room_summary sum;
+    for (const auto& [id, worker] : state.workers) {
+        const bool serves = !worker.serving_images.empty();
+        sum.serving_workers += serves ? 1 : 0;
+        sum.mixed_workers += worker.serving_images.size() > 1 ? 1 : 0;
+        (serves ? sum.filled_beside_serving : sum.filled_elsewhere) += worker.filling;
+        sum.reserved += worker.reserved.processors;
+    }
+    sum.open_jobs = state.jobs.size();
+    for (const auto& [id, job] : state.jobs)
+        sum.waiting_tasks += static_cast<std::size_t>(
+            std::count_if(job.tasks.begin(), job.tasks.end(), [](const auto& task) {
+                return !task.succeeded && !task.run && !task.recording;
+            }));
+    return sum;
+}
+
 bool has_started(const job_scheduler& state, const submission_id& job)
 {
     const auto known = state.jobs.find(job);
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -2,6 +2,7 @@
 #include "jobruns.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace galenaturn::schedule {
 
@@ -163,15 +164,18 @@
 /** Stops the runs that press most on `serving` until its tail should be back below the target. */
 void relieve(list_step& at, const worker_list& list, const std::string& serving, double excess_ms)
 {
-    std::vector<std::pair<double, wire::task_ref>> pressing;
+    // Those that lose no work by it go first, the heaviest of them before the others.
+    std::vector<std::tuple<bool, double, wire::task_ref>> pressing;
     for (const auto& running : list.running) {
         const auto* task = find_task(at.state, running.task);
         if (task != nullptr && task->run && task->run->filling.value() > 0 &&
             task->run->phase == run_phase::running)
-            pressing.emplace_back(pressure_of(at, *task->run, serving), running.task);
+            pressing.emplace_back(
+                find_job(at.state, running.task.job)->spec.steps[running.task.step].checkpoints,
+                pressure_of(at, *task->run, serving), running.task);
     }
     std::sort(pressing.rbegin(), pressing.rend());
-    for (const auto& [pressure, ref] : pressing) {
+    for (const auto& [saves, pressure, ref] : pressing) {
         if (excess_ms <= 0)
             return;
         excess_ms -= pressure;
--- a/src/libschedule/tailpressure.h
+++ b/src/libschedule/tailpressure.h
@@ -26,11 +26,23 @@
     double base{0};
     std::uint64_t observed{0};
     std::uint64_t solved{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(index, products, responses, slopes, base, observed, solved);
+    }
 };
 
 struct tail_model {
     /** By serving image. */
     std::map<std::string, tail_estimate> images;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(images);
+    }
 };
 
 /** Takes the tail that a task of `serving` had beside `filling`. */
--- a/src/libwire/frame.h
+++ b/src/libwire/frame.h
@@ -44,6 +44,8 @@
     roster = 50,
     /** worker_beats from one control process to the others. */
     worker_beats = 51,
+    /** tail_model that the leader has learned, for the process that leads after it. */
+    tail_model = 53,
     /** job_request from an entry to the leader, answered by job_answer. */
     job_request = 52,
 };
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -23,6 +23,10 @@
     CPPUNIT_TEST(spread_and_labels_are_kept);
     CPPUNIT_TEST(an_occurrence_is_never_early);
     CPPUNIT_TEST(tasks_that_fill_keep_away_from_tasks_that_serve);
+    CPPUNIT_TEST(room_goes_first_to_what_can_still_be_in_time);
+    CPPUNIT_TEST(a_task_that_lasts_makes_room_among_those_that_fill);
+    CPPUNIT_TEST(a_task_that_lasts_leaves_a_worker_that_is_leaving);
+    CPPUNIT_TEST(a_starving_job_gets_a_share_of_a_full_worker);
     CPPUNIT_TEST(images_that_get_on_share_a_worker);
     CPPUNIT_TEST(an_unknown_pair_is_tried_on_few_workers);
     CPPUNIT_TEST(a_tail_over_its_target_is_relieved_of_what_presses_most);
@@ -362,12 +366,66 @@
     void learn(const std::string& image, double slope)
     {
         for (int seen = 0; seen < 300; ++seen) {
-            const auto used = millicores{1000 * (seen % 4)};
+            const auto used = millicores{std::int64_t{1000} * (seen % 4)};
             const auto load = static_cast<double>(seen % 4);
             observe_tail(state_.tails, "counter", 6 + slope * load, {{image, used}});
         }
     }
 
+    void room_goes_first_to_what_can_still_be_in_time()
+    {
+        add_job(state_, job({step(1, 4)}, 'e'), now_);
+        now_ += std::chrono::seconds{2};
+        add_job(state_, job({step(1, 4)}, 'f'), now_);
+        add_worker("w1", 4);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('f', orders[0].task.job.value().back());
+    }
+
+    void a_task_that_lasts_makes_room_among_those_that_fill()
+    {
+        add_worker("w1", 8);
+        auto filling = filling_step(3, "any");
+        filling.demand.memory = bytes{std::int64_t{20} << 30};
+        add_job(state_, job({filling}, 'e'), now_);
+        accept(plan());
+        auto serving = serving_step(1);
+        serving.demand.memory = bytes{std::int64_t{16} << 30};
+        add_job(state_, job({serving}), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+    }
+
+    void a_task_that_lasts_leaves_a_worker_that_is_leaving()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({serving_step(1)}), now_);
+        accept(plan());
+        auto told = beat("w1", 8);
+        told.leaving = true;
+        hear_worker(state_, told, now_);
+        leave_workers(state_, now_);
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        add_worker("w2", 8);
+        leave_workers(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+    }
+
+    void a_starving_job_gets_a_share_of_a_full_worker()
+    {
+        add_worker("w1", 4);
+        add_job(state_, job({filling_step(2, "any")}, 'e'), now_);
+        accept(plan());
+        add_job(state_, job({filling_step(2, "any")}), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        for (int second = 0; second < 7; ++second) {
+            now_ += std::chrono::seconds{1};
+            note_answer(state_, worker_id{"w1"}, now_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
     void images_that_get_on_share_a_worker()
     {
         add_worker("w1", 8);
@@ -381,16 +439,16 @@
 
     void an_unknown_pair_is_tried_on_few_workers()
     {
-        for (int number = 0; number < 8; ++number)
+        for (int number = 0; number < 16; ++number)
             add_worker("w" + std::to_string(number), 2);
-        auto serving = serving_step(8);
+        auto serving = serving_step(16);
         serving.most_per_worker = 1;
         add_job(state_, job({serving}), now_);
         accept(plan());
-        auto filling = filling_step(8, "new");
+        auto filling = filling_step(16, "new");
         filling.demand.processors = millicores{1000};
         add_job(state_, job({filling}, 'e'), now_);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, plan().size());
     }
 
     void a_tail_over_its_target_is_relieved_of_what_presses_most()
