--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -101,8 +101,7 @@
     terms.answer_by = asked + wait + order_limit;
     if (terms.lease_until)
         schedule::note_lease(scheduler_, worker, asked);
-    const auto told =
-        co_await orders_->list(record, known->second.ends_settled, wait, std::move(terms));
+    const auto told = co_await orders_->list(record, known->second.ends_settled, wait, terms);
     const auto line = lines_.find(worker);
     if (!in_term(session) || line == lines_.end())
         co_return false;
@@ -210,7 +209,7 @@
     }
     else {
         schedule::note_lease(scheduler_, worker, asked);
-        reply = co_await orders_->start(known->second.record, order, std::move(terms));
+        reply = co_await orders_->start(known->second.record, order, terms);
     }
     if (!in_term(session))
         co_return;
@@ -242,7 +241,7 @@
     order_terms terms;
     terms.token = token_;
     terms.answer_by = monotonic_now() + order_limit;
-    const auto reply = co_await orders_->stop(known->second.record, order, std::move(terms));
+    const auto reply = co_await orders_->stop(known->second.record, order, terms);
     if (!in_term(session))
         co_return;
     log_event(log_level::info, "task_stopped",
--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -36,11 +36,12 @@
 
 } // namespace
 
-void init_log(log_level threshold)
+void init_log(log_level threshold, log_target target)
 {
     static const log4cplus::tstring pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n";
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{true, true}};
+    log4cplus::SharedAppenderPtr appender{
+        new log4cplus::ConsoleAppender{target == log_target::standard_error, true}};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     logger().removeAllAppenders();
     logger().addAppender(appender);
--- a/src/libcore/log.h
+++ b/src/libcore/log.h
@@ -23,8 +23,11 @@
     }
 };
 
-/** Sends the log to standard error from `threshold` up. Called once by each program. */
-void init_log(log_level threshold);
+/** Where the log goes; a program that prints results keeps it apart from them. */
+enum class log_target { standard_error, standard_output };
+
+/** Sends the log to `target` from `threshold` up. Called once by each program. */
+void init_log(log_level threshold, log_target target = log_target::standard_error);
 
 /** Writes one line: event=NAME key=value ... Values with spaces or quotes are quoted. */
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -177,7 +177,7 @@
     gflags::SetUsageMessage(std::string{"--settings FILE [--name MEMBER]; runs as "} +
                             to_string(role));
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    init_log(FLAGS_verbose ? log_level::debug : log_level::info);
+    init_log(FLAGS_verbose ? log_level::debug : log_level::info, log_target::standard_output);
     settings_builder builder;
     builder.name(FLAGS_name).data_folder(FLAGS_data_folder).read_file(settings_path());
     auto settings = builder.build(role);
