--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -208,6 +208,7 @@
     }
     std::sort(runs.rbegin(), runs.rend());
     std::vector<wire::task_ref> refs;
+    refs.reserve(runs.size());
     for (auto& [memory, ref] : runs)
         refs.push_back(std::move(ref));
     return refs;
