--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -42,6 +42,19 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+/** Logs an order, a start or a stop, and what came back for it. */
+template <class Order>
+void log_order(std::string_view event, const Order& order, term token, const order_reply& reply)
+{
+    log_event(log_level::info, event,
+              {{"task", order.task},
+               {"run", order.run},
+               {"worker", order.worker},
+               {"token", token},
+               {"answer", schedule::to_string(reply.answer)},
+               {"reason", reply.reason}});
+}
+
 } // namespace
 
 void job_service::open_line(const worker_id& worker)
@@ -200,8 +213,8 @@
     order_terms terms;
     terms.token = token_;
     terms.lease_until = lease_for(line);
-    terms.answer_by = monotonic_now() + order_limit;
     const auto asked = monotonic_now();
+    terms.answer_by = asked + order_limit;
     order_reply reply;
     // Without a lease, or without the right to lead, the order is not sent at all.
     if (!terms.lease_until || !hub_.leads()) {
@@ -213,13 +226,7 @@
     }
     if (!in_term(session))
         co_return;
-    log_event(log_level::info, "task_started",
-              {{"task", order.task},
-               {"run", order.run},
-               {"worker", worker},
-               {"token", token_},
-               {"answer", schedule::to_string(reply.answer)},
-               {"reason", reply.reason}});
+    log_order("task_started", order, token_, reply);
     schedule::take_start_answer(scheduler_, order, reply.answer, monotonic_now());
     if (reply.answer == order_answer::other_life)
         co_return retire(worker, "other_life");
@@ -244,13 +251,7 @@
     const auto reply = co_await orders_->stop(known->second.record, order, terms);
     if (!in_term(session))
         co_return;
-    log_event(log_level::info, "task_stopped",
-              {{"task", order.task},
-               {"run", order.run},
-               {"worker", worker},
-               {"token", token_},
-               {"answer", schedule::to_string(reply.answer)},
-               {"reason", reply.reason}});
+    log_order("task_stopped", order, token_, reply);
     schedule::take_stop_answer(scheduler_, order, reply.answer, monotonic_now());
     if (reply.answer == order_answer::other_life)
         retire(worker, "other_life");
