schedule: room goes by yield, a pass costs less, images mix where they are mixed

Beside it: a demand that found no worker closed the pass to every larger demand of any image, so that an image that gets on with nobody kept room from those that do; and jobs in the order of their objectives became late one after the other.

Now a pass leaves a step after its first miss, misses are kept by image, tails are kept by worker, room is made once per job and 100 ms and counts what is being stopped, and passes rest for 10 ms and four times their length. Among jobs of one prospect room goes to what yields most for the work that is left; what is too late is worked off as it came. A worker that serves several images takes further misfits, so that the others stay of one kind.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -19,6 +19,10 @@
 
 /** Time-outs of leases and orders are looked at this often; ends and answers wake at once. */
 constexpr duration tick_interval = std::chrono::milliseconds{100};
+/** What happens meanwhile is looked at together; far below any objective. */
+constexpr duration least_rest = std::chrono::milliseconds{10};
+/** Passes take no more than one part in so many and one of the time, however much waits. */
+constexpr int rest_factor = 4;
 /** A worker that is leaving must be known everywhere well before its drain ends. */
 constexpr duration share_interval = std::chrono::milliseconds{200};
 /** An announcement counts for this long when a new leader starts. */
@@ -43,7 +47,8 @@
                          std::unique_ptr<worker_orders> orders, queue_reader read)
     : shared_{shared}, hub_{hub}, roster_{roster}, orders_{std::move(orders)},
       read_queues_{std::move(read)}, counters_{shared.metrics}, tick_timer_{shared.io},
-      share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge("galenaturn_jobs_open")},
+      pass_timer_{shared.io}, share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge(
+                                                           "galenaturn_jobs_open")},
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")}
 {
@@ -293,12 +298,20 @@
 {
     if (std::exchange(pass_due_, true))
         return;
-    asio::post(shared_.io, [this] {
+    pass_timer_.expires_at(std::max(next_pass_, monotonic_now()));
+    pass_timer_.async_wait([this](const boost::system::error_code& error) {
         pass_due_ = false;
-        pass();
+        if (!error)
+            pass();
     });
 }
 
+void job_service::rest_after_pass(time_point began)
+{
+    const auto ended = monotonic_now();
+    next_pass_ = ended + std::max(least_rest, (ended - began) * rest_factor);
+}
+
 void job_service::pass()
 {
     if (!serving_ || !hub_.leads())
@@ -318,6 +331,7 @@
         lines_[worker].starts.push_back(std::move(order));
         send_orders(worker);
     }
+    rest_after_pass(now);
 }
 
 void job_service::tick_later()
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -86,6 +86,7 @@
     // Passes.
     void wake();
     void pass();
+    void rest_after_pass(time_point began);
     void tick_later();
     void log_room();
     void share_model();
@@ -115,11 +116,14 @@
     counter_mirror counters_;
     std::map<worker_id, worker_line> lines_;
     bool pass_due_{false};
+    /** No pass begins before. */
+    time_point next_pass_;
     time_point next_room_log_;
     time_point next_model_share_;
     /** What the leader before had learned, so that a new one need not begin again. */
     schedule::tail_model last_model_;
     boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer pass_timer_;
     boost::asio::steady_timer share_timer_;
     gauge& open_jobs_;
     gauge& known_workers_;
--- a/src/libschedule/joborder.cpp
+++ b/src/libschedule/joborder.cpp
@@ -40,7 +40,15 @@
 
 namespace {
 
-/** Returns the longest chain of estimated work that is left. */
+/** Returns the estimated work of one task in seconds of a processor. */
+double work_of_task(const wire::job_step& step)
+{
+    return std::chrono::duration<double>(step.estimate).count() *
+           static_cast<double>(step.demand.processors.value()) / 1000;
+}
+
+} // namespace
+
 duration chain_left(const open_job& job)
 {
     const auto steps = job.spec.steps.size();
@@ -59,22 +67,52 @@
     return longest;
 }
 
-} // namespace
-
 prospect prospect_of(const open_job& job, time_point now)
 {
-    if (is_endless(job))
+    if (job.endless)
         return prospect::in_time;
-    const auto ends = now + chain_left(job);
+    const auto ends = now + job.chain_left;
     if (ends <= job.wanted_by)
         return prospect::in_time;
     return ends <= job.late_by ? prospect::late : prospect::too_late;
 }
 
+double work_left(const open_job& job)
+{
+    double work = 0;
+    const auto steps = job.spec.steps.size();
+    for (std::size_t slot = 0; slot < job.left.size(); ++slot)
+        work += work_of_task(job.spec.steps[slot % steps]) * job.left[slot];
+    return work;
+}
+
+double yield_of(const open_job& job, double usual_work)
+{
+    // A job is worth something whatever its size, and more the more work it asked for.
+    constexpr double worth_of_any = 0.3;
+    const auto share = usual_work > 0 ? job.work / usual_work : 1.0;
+    const auto left_share = usual_work > 0 ? job.work_left / usual_work : 1.0;
+    return (worth_of_any + (1 - worth_of_any) * share) / std::max(left_share, 1e-6);
+}
+
+namespace {
+
+/** Lower comes first. */
+double place_among_equals(const job_scheduler& state, const open_job& job, prospect hope)
+{
+    // What is of no use to its caller any more is worked off as it came, so that it does end.
+    if (hope == prospect::too_late)
+        return std::chrono::duration<double>(job.arrived.time_since_epoch()).count();
+    const auto usual = state.usual_work.find(job.queue.name);
+    return -yield_of(job, usual == state.usual_work.end() ? 0 : usual->second.average);
+}
+
+} // namespace
+
 std::vector<open_job*> order_jobs(job_scheduler& state, time_point now)
 {
     struct ranked {
-        std::tuple<std::uint32_t, prospect, time_point> rank;
+        std::tuple<std::uint32_t, prospect, double> rank;
         open_job* job;
     };
     std::vector<ranked> order;
@@ -82,9 +120,10 @@
     for (auto& [id, job] : state.jobs) {
         if (job.ending)
             continue;
-        // Room goes first to what can still be in time: what cannot gains less by it. The rest is
-        // served in the order of its objectives, so that nothing waits for ever.
-        order.push_back({{job.queue.priority, prospect_of(job, now), job.wanted_by}, &job});
+        // Room goes first to what can still be in time: what cannot gains less by it. Among equals
+        // it goes to what yields most for the work that is left, which finishes what was begun.
+        const auto hope = prospect_of(job, now);
+        order.push_back({{job.queue.priority, hope, place_among_equals(state, job, hope)}, &job});
     }
     std::sort(order.begin(), order.end(),
               [](const ranked& left, const ranked& right) { return left.rank < right.rank; });
--- a/src/libschedule/joborders.cpp
+++ b/src/libschedule/joborders.cpp
@@ -3,6 +3,8 @@
 #include "jobruns.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace galenaturn::schedule {
 
@@ -12,6 +14,8 @@
 constexpr duration no_room_pause = std::chrono::milliseconds{300};
 /** A worker that says it is not well gets nothing for this long. */
 constexpr duration unwell_pause = std::chrono::seconds{2};
+/** Room is not made again for a job before what was stopped for it can have ended. */
+constexpr duration make_room_pause = std::chrono::milliseconds{100};
 /** A stop without an answer is sent again after this. */
 constexpr duration stop_resend = std::chrono::milliseconds{600};
 
@@ -20,10 +24,13 @@
 public:
     [[nodiscard]] bool hopeless(const open_job& job, const wire::job_step& step) const
     {
+        const auto known = missed_.find(kind_of(job, step));
+        if (known == missed_.end())
+            return false;
         const auto wanted = reserved_by(step);
-        return std::any_of(missed_.begin(), missed_.end(), [&](const auto& miss) {
-            return miss.service == job.queue.service && miss.fills == step.fills &&
-                   fits(miss.demand, wanted) && miss.filling <= filling_of(step);
+        const auto filling = filled_by(step);
+        return std::any_of(known->second.begin(), known->second.end(), [&](const auto& miss) {
+            return fits(miss.demand, wanted) && miss.filling <= filling;
         });
     }
 
@@ -32,23 +39,23 @@
         const bool bound =
             !step.required_label.empty() || step.most_per_worker > 0 || step.one_rack;
         if (!bound)
-            missed_.push_back({job.queue.service, reserved_by(step), filling_of(step), step.fills});
+            missed_[kind_of(job, step)].push_back({reserved_by(step), filled_by(step)});
     }
 
 private:
     struct miss {
-        service_id service;
         resources demand;
         millicores filling;
-        bool fills{false};
     };
+    /** What decides beside the size: the service, and what is to be kept apart from what. */
+    using kind = std::tuple<std::string_view, bool, bool, std::string_view>;
 
-    static millicores filling_of(const wire::job_step& step)
+    static kind kind_of(const open_job& job, const wire::job_step& step)
     {
-        return step.fills ? step.demand.processors : millicores{};
+        return {job.queue.service.value(), step.fills, step.tail_target.count() > 0, step.image};
     }
 
-    std::vector<miss> missed_;
+    std::map<kind, std::vector<miss>> missed_;
 };
 
 struct pass {
@@ -57,6 +64,8 @@
     wall_time wall;
     misses missed;
     std::vector<start_order> orders;
+    /** Nothing of the job that is looked at has run for too long. */
+    bool starving{false};
 };
 
 bool may_start(const open_task& task)
@@ -77,7 +86,7 @@
     // What was not expected to fit is there to learn from.
     const bool unknown = run.filling.value() > 0 && !worker.serving_images.empty() &&
                          !has_tail_room(at.state, worker, job.spec.steps[ref.step]);
-    worker.on_trial |= unknown;
+    set_trial(at.state, worker, worker.on_trial || unknown);
     at.state.counts.trials += unknown ? 1 : 0;
     begin_run(at.state, ref, task, std::move(run));
     job.started = true;
@@ -94,19 +103,27 @@
                         [](const auto& task) { return task.run || task.recording; });
 }
 
-void start_task(pass& at, open_job& job, const wire::task_ref& ref, open_task& task)
+/** Returns whether it makes sense to look for room for further tasks of the step. */
+bool start_task(pass& at, open_job& job, const wire::task_ref& ref, open_task& task)
 {
     const auto& step = job.spec.steps[ref.step];
-    if (!may_start(task) || (at.missed.hopeless(job, step) && !is_starving(job, at.now)))
-        return;
-    const placement_request request{&job, ref, &step, {}, is_starving(job, at.now)};
+    if (!may_start(task))
+        return true;
+    if (at.missed.hopeless(job, step) && !at.starving)
+        return false;
+    const placement_request request{&job, ref, &step, {}, at.starving};
     auto* worker = choose_worker(at.state, request, at.now);
     if (worker == nullptr) {
-        if (step.endless)
+        if (step.endless && job.room_made_at + make_room_pause <= at.now) {
+            job.room_made_at = at.now;
             make_room(at.state, request, at.now);
-        return at.missed.add(job, step);
+        }
+        at.missed.add(job, step);
+        return false;
     }
     place(at, job, ref, task, *worker, task.last_run + 1);
+    at.starving = false;
+    return true;
 }
 
 /** Reserves a worker for every member, or for none. */
@@ -172,12 +189,15 @@
     const auto position = *wire::position_of(job.spec, ref);
     if (job.spec.steps[step].gang)
         return start_gang(at, job, ref, position);
-    for (; ref.index < job.spec.steps[step].count; ++ref.index)
-        start_task(at, job, ref, job.tasks[position + ref.index]);
+    for (; ref.index < job.spec.steps[step].count; ++ref.index) {
+        if (!start_task(at, job, ref, job.tasks[position + ref.index]))
+            return;
+    }
 }
 
 void start_ready(pass& at, open_job& job)
 {
+    at.starving = is_starving(job, at.now);
     for (std::uint32_t occurrence = 0; occurrence < wire::occurrences_of(job.spec); ++occurrence) {
         if (job.spec.schedule.occurrences > 0 && at.wall < due_at(job.spec, occurrence))
             return;
@@ -217,7 +237,11 @@
 
 std::vector<start_order> plan_starts(job_scheduler& state, time_point now, wall_time wall)
 {
-    pass at{state, now, wall, {}, {}};
+    for (auto& [id, worker] : state.workers) {
+        if (worker.tails_version != state.tails.version)
+            refresh_tails(state.tails, worker);
+    }
+    pass at{state, now, wall, {}, {}, false};
     const bool known = inheritance_known(state, now);
     for (auto* job : order_jobs(state, now)) {
         if (known || !job->inherited)
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -17,7 +17,7 @@
 /** Expected tails stay below this share of the target: the load of those who serve swings. */
 constexpr double most_tail_share = 0.75;
 /** Workers on which unknown pairs are tried at once. */
-constexpr std::ptrdiff_t most_trials = 12;
+constexpr std::size_t most_trials = 12;
 /** Time for a tail to settle, and to be told, before a relieved worker is filled again. */
 constexpr duration relief_pause = std::chrono::milliseconds{1500};
 
@@ -56,12 +56,12 @@
 /** Returns the tail that the worker's tasks would have, as a share of the shortest target. */
 double tail_share(const job_scheduler& state, const job_worker& worker, const wire::job_step& step)
 {
-    auto filling = worker.filling_images;
-    if (step.fills)
-        filling[step.image] += step.demand.processors;
+    const auto added = static_cast<double>(filled_by(step).value()) / 1000;
     double longest = 0;
-    for (const auto& [image, count] : worker.serving_images)
-        longest = std::max(longest, expected_tail(state.tails, image, filling));
+    for (const auto& [image, tail] : worker.tails) {
+        const auto slope = step.fills ? tail_slope(state.tails, image, step.image) : 0.0;
+        longest = std::max(longest, tail + slope * added);
+    }
     const auto target = std::chrono::duration<double, std::milli>{worker.tail_target};
     return longest / target.count();
 }
@@ -75,9 +75,7 @@
         worker.serving_images.begin(), worker.serving_images.end(), [&](const auto& serving) {
             return !is_known_pair(state.tails, serving.first, step.image);
         });
-    const auto trials = std::count_if(state.workers.begin(), state.workers.end(),
-                                      [](const auto& other) { return other.second.on_trial; });
-    return unknown && trials < most_trials;
+    return unknown && state.trials < most_trials;
 }
 
 bool may_fill(const job_scheduler& state, const job_worker& worker,
@@ -97,13 +95,6 @@
     return has_tail_room(state, worker, step) || may_try(state, worker, step);
 }
 
-/** Returns how many other images serve on the worker. */
-std::int64_t other_images(const job_worker& worker, const std::string& image)
-{
-    const auto images = static_cast<std::int64_t>(worker.serving_images.size());
-    return images - (worker.serving_images.contains(image) ? 1 : 0);
-}
-
 /** Returns whether many workers serve nothing yet, so that images can be kept apart. */
 bool many_free(const job_scheduler& state)
 {
@@ -113,19 +104,32 @@
     return static_cast<std::size_t>(free) * 5 > state.workers.size() * 2;
 }
 
+/** What it costs to let an image serve where it may meet others. */
+std::int64_t mixing_cost(const job_worker& worker, const std::string& image, bool many_are_free)
+{
+    constexpr std::int64_t mixes_worker = 4'000'000;
+    constexpr std::int64_t mixes_further = 2'500'000;
+    constexpr std::int64_t opens_worker = 3'000'000;
+    constexpr std::int64_t opens_one_of_many = 1'000'000;
+    const auto& images = worker.serving_images;
+    if (images.empty())
+        return many_are_free ? opens_one_of_many : opens_worker;
+    if (images.size() == 1)
+        return images.contains(image) ? 0 : mixes_worker;
+    // What is mixed already takes the misfits, so that the others stay of one kind.
+    return images.contains(image) ? 0 : mixes_further;
+}
+
 /**
  * Lower is better. Tasks that serve share as few workers as can be, each with its own image: what
  * gets on with that image can then fill the worker, and anything can fill the others.
  */
 std::int64_t cost(const job_scheduler& state, const job_worker& worker,
-                  const placement_request& request)
+                  const placement_request& request, bool many_are_free)
 {
     constexpr std::int64_t failed_before = 100'000'000;
     constexpr std::int64_t far_from_data = 50'000'000;
     constexpr std::int64_t per_failure = 20'000'000;
-    constexpr std::int64_t per_other_image = 4'000'000;
-    constexpr std::int64_t opens_worker = 3'000'000;
-    constexpr std::int64_t opens_one_of_many = 1'000'000;
     constexpr std::int64_t per_filling_millicore = 100;
     constexpr std::int64_t whole_tail = 1'000'000;
     const auto& step = *request.step;
@@ -137,9 +141,7 @@
     if (!step.data_rack.empty() && worker.record.rack != step.data_rack)
         sum += far_from_data;
     if (step.tail_target.count() > 0) {
-        sum += per_other_image * other_images(worker, step.image);
-        if (worker.serving_images.empty())
-            sum += many_free(state) ? opens_one_of_many : opens_worker;
+        sum += mixing_cost(worker, step.image, many_are_free);
         sum += worker.filling.value() * per_filling_millicore;
     }
     if (step.fills) {
@@ -166,17 +168,25 @@
     return reserved;
 }
 
+millicores filled_by(const wire::job_step& step)
+{
+    return step.fills ? step.demand.processors : millicores{};
+}
+
 void set_demand(task_run& run, const wire::job_step& step)
 {
     run.reserved = reserved_by(step);
-    run.filling = step.fills ? step.demand.processors : millicores{};
+    run.filling = filled_by(step);
     run.serving = step.tail_target.count() > 0 ? step.demand.processors : millicores{};
     run.tail_target = step.tail_target;
     run.image = step.image;
 }
 
-bool may_run(const job_scheduler& state, const job_worker& worker, const placement_request& request,
-             time_point now)
+namespace {
+
+/** Returns whether the worker would do for the task if it had room. */
+bool suits(const job_scheduler& state, const job_worker& worker, const placement_request& request,
+           time_point now)
 {
     const auto& step = *request.step;
     const auto& record = worker.record;
@@ -188,30 +198,12 @@
         return false;
     if (!request.rack.empty() && record.rack != request.rack)
         return false;
-    if (step.most_per_worker > 0 && siblings_on(worker, request.task) >= step.most_per_worker)
-        return false;
-    if (step.fills && !may_fill(state, worker, request, now))
-        return false;
-    return fits(reserved_by(step), free_on(worker));
+    return step.most_per_worker == 0 || siblings_on(worker, request.task) < step.most_per_worker;
 }
 
-namespace {
-
-/** Returns the runs that fill the worker, the largest first. */
-std::vector<wire::task_ref> filling_runs(job_scheduler& state, const job_worker& worker)
+bool is_being_stopped(const task_run& run)
 {
-    std::vector<std::pair<bytes, wire::task_ref>> runs;
-    for (const auto& [ref, number] : worker.runs) {
-        const auto* task = find_task(state, ref);
-        if (task != nullptr && task->run && task->run->filling.value() > 0)
-            runs.emplace_back(task->run->reserved.memory, ref);
-    }
-    std::sort(runs.rbegin(), runs.rend());
-    std::vector<wire::task_ref> refs;
-    refs.reserve(runs.size());
-    for (auto& [memory, ref] : runs)
-        refs.push_back(std::move(ref));
-    return refs;
+    return run.phase == run_phase::stopping || run.phase == run_phase::stopped;
 }
 
 /** Returns the runs to stop on the worker until `wanted` fits, or nothing where it never does. */
@@ -219,8 +211,20 @@
 runs_in_the_way(job_scheduler& state, const job_worker& worker, const resources& wanted)
 {
     auto free = free_on(worker);
+    std::vector<std::pair<bytes, wire::task_ref>> filling;
+    for (const auto& [ref, number] : worker.runs) {
+        const auto* task = find_task(state, ref);
+        if (task == nullptr || !task->run)
+            continue;
+        // Its room comes back without a further stop.
+        if (is_being_stopped(*task->run))
+            free += task->run->reserved;
+        else if (task->run->filling.value() > 0)
+            filling.emplace_back(task->run->reserved.memory, ref);
+    }
+    std::sort(filling.rbegin(), filling.rend());
     std::vector<wire::task_ref> stopped;
-    for (auto& ref : filling_runs(state, worker)) {
+    for (auto& [memory, ref] : filling) {
         if (fits(wanted, free))
             return stopped;
         free += find_task(state, ref)->run->reserved;
@@ -233,16 +237,23 @@
 
 } // namespace
 
+bool may_run(const job_scheduler& state, const job_worker& worker, const placement_request& request,
+             time_point now)
+{
+    const auto& step = *request.step;
+    if (!fits(reserved_by(step), free_on(worker)) || !suits(state, worker, request, now))
+        return false;
+    return !step.fills || may_fill(state, worker, request, now);
+}
+
 void make_room(job_scheduler& state, const placement_request& request, time_point now)
 {
+    const auto wanted = reserved_by(*request.step);
     std::optional<std::vector<wire::task_ref>> fewest;
-    for (auto& [id, worker] : state.workers) {
-        // Its room aside, the worker has to do.
-        auto emptied = worker;
-        emptied.reserved = {};
-        if (!may_run(state, emptied, request, now))
+    for (const auto& [id, worker] : state.workers) {
+        if (!suits(state, worker, request, now))
             continue;
-        auto stopped = runs_in_the_way(state, worker, reserved_by(*request.step));
+        auto stopped = runs_in_the_way(state, worker, wanted);
         if (stopped && (!fewest || stopped->size() < fewest->size()))
             fewest = std::move(stopped);
     }
@@ -256,10 +267,11 @@
 {
     job_worker* best = nullptr;
     std::int64_t best_cost = 0;
+    const bool many_are_free = request.step->tail_target.count() > 0 && many_free(state);
     for (auto& [id, worker] : state.workers) {
         if (!may_run(state, worker, request, now))
             continue;
-        const auto worker_cost = cost(state, worker, request);
+        const auto worker_cost = cost(state, worker, request, many_are_free);
         if (best != nullptr && worker_cost >= best_cost)
             continue;
         best = &worker;
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -17,6 +17,8 @@
 
 /** Returns what a run of the step takes of a worker's room. */
 resources reserved_by(const wire::job_step& step);
+/** Returns what a run of the step takes of what others leave unused. */
+millicores filled_by(const wire::job_step& step);
 /** Fills in what a run of the step takes. */
 void set_demand(task_run& run, const wire::job_step& step);
 /** Returns whether those who serve there keep their tails beside the step, as far as is known. */
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -6,7 +6,16 @@
 
 namespace {
 
-void release(job_worker& worker, const task_run& run)
+void release_filling(job_worker& worker, const task_run& run)
+{
+    worker.filling -= run.filling;
+    auto& same_image = worker.filling_images[run.image];
+    same_image -= run.filling;
+    if (same_image.value() == 0)
+        worker.filling_images.erase(run.image);
+}
+
+void release(job_scheduler& state, job_worker& worker, const task_run& run)
 {
     worker.reserved -= run.reserved;
     worker.serving -= run.serving;
@@ -14,15 +23,11 @@
         worker.serving_images.erase(run.image);
     if (worker.serving_images.empty())
         worker.tail_target = duration::max();
-    if (run.filling.value() == 0)
-        return;
-    worker.filling -= run.filling;
-    auto& same_image = worker.filling_images[run.image];
-    same_image -= run.filling;
-    if (same_image.value() == 0)
-        worker.filling_images.erase(run.image);
+    if (run.filling.value() > 0)
+        release_filling(worker, run);
     if (worker.filling_images.empty())
-        worker.on_trial = false;
+        set_trial(state, worker, false);
+    refresh_tails(state.tails, worker);
 }
 
 } // namespace
@@ -56,6 +61,7 @@
         worker.filling += run.filling;
         worker.filling_images[run.image] += run.filling;
     }
+    refresh_tails(state.tails, worker);
     worker.runs[ref] = run.number;
     task.last_run = std::max(task.last_run, run.number);
     task.run = std::move(run);
@@ -67,13 +73,29 @@
         return;
     const auto worker = state.workers.find(task.run->worker);
     if (worker != state.workers.end()) {
-        release(worker->second, *task.run);
+        release(state, worker->second, *task.run);
         worker->second.runs.erase(ref);
     }
     state.stops_due.erase(ref);
     task.run.reset();
 }
 
+void refresh_tails(const tail_model& model, job_worker& worker)
+{
+    worker.tails.clear();
+    for (const auto& [image, count] : worker.serving_images)
+        worker.tails[image] = expected_tail(model, image, worker.filling_images);
+    worker.tails_version = model.version;
+}
+
+void set_trial(job_scheduler& state, job_worker& worker, bool on_trial)
+{
+    if (worker.on_trial == on_trial)
+        return;
+    worker.on_trial = on_trial;
+    state.trials += on_trial ? 1 : -std::size_t{1};
+}
+
 void set_phase(task_run& run, run_phase phase, time_point now)
 {
     run.phase = phase;
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -70,6 +70,11 @@
     /** The job is in time if it ends by then, and still of use within `late_by`. */
     time_point wanted_by;
     time_point late_by;
+    /** Estimated, in seconds of a processor. */
+    double work{0};
+    /** The same of what has not succeeded, and the longest chain of it. */
+    double work_left{0};
+    duration chain_left{};
     std::vector<open_task> tasks;
     /** Tasks that have not succeeded, for each occurrence and step. */
     std::vector<std::uint32_t> left;
@@ -78,6 +83,10 @@
     bool started{false};
     /** Cancelled or ended: its runs are being stopped. */
     bool ending{false};
+    /** When others were last stopped for it. */
+    time_point room_made_at;
+    /** Some step's tasks run until the job is cancelled. */
+    bool endless{false};
 };
 
 /** A worker as this leader knows it. */
@@ -93,6 +102,9 @@
     /** Their images, with how many tasks of each, and the shortest tail that one has to keep. */
     std::map<std::string, std::uint32_t> serving_images;
     duration tail_target{duration::max()};
+    /** The tail that each serving image has to expect, by that version of the model. */
+    std::map<std::string, double> tails;
+    std::uint64_t tails_version{0};
     /** Filled to learn how images get on with each other. */
     bool on_trial{false};
     /** When runs were last stopped here for the sake of a tail. */
@@ -139,6 +151,12 @@
     std::uint64_t trials{0};
 };
 
+/** How much work the jobs of a queue ask for. */
+struct queue_work {
+    double average{0};
+    std::uint64_t jobs{0};
+};
+
 /** Everything that one leader knows of jobs, tasks and workers. */
 struct job_scheduler {
     std::map<submission_id, open_job> jobs;
@@ -152,6 +170,10 @@
     /** Whatever an earlier leader ordered has lapsed by then. */
     time_point inherited_until;
     tail_model tails;
+    /** Workers on trial. */
+    std::size_t trials{0};
+    /** By queue. */
+    std::map<std::string, queue_work> usual_work;
     job_counts counts;
     job_settings settings;
 };
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -31,6 +31,8 @@
         for (std::uint32_t index = 0; index < job.spec.steps[slot % steps].count; ++index)
             job.left[slot] += job.tasks[position++].succeeded ? 0 : 1;
     }
+    job.work_left = work_left(job);
+    job.chain_left = chain_left(job);
 }
 
 /** Takes what the ledger has recorded of each task. */
@@ -58,10 +60,20 @@
     for (std::size_t position = 0; position < record.tasks.size(); ++position)
         job.tasks[position].checkpoint = record.tasks[position].checkpoint;
     set_objective(job);
+    count_left(job);
+    job.work = job.work_left;
     take_progress(job, record);
+    job.endless = is_endless(job);
     return job;
 }
 
+void learn_usual_work(job_scheduler& state, const open_job& job)
+{
+    auto& usual = state.usual_work[job.queue.name];
+    ++usual.jobs;
+    usual.average += (job.work - usual.average) / static_cast<double>(usual.jobs);
+}
+
 } // namespace
 
 job_scheduler take_over(const std::map<submission_id, wire::job_record>& jobs,
@@ -79,6 +91,7 @@
         job.inherited = true;
         for (auto& task : job.tasks)
             task.last_run += unrecorded_runs;
+        learn_usual_work(state, job);
         state.jobs.emplace(id, std::move(job));
     }
     for (const auto& [id, record] : workers) {
@@ -93,8 +106,11 @@
 
 void add_job(job_scheduler& state, const wire::job_record& record, time_point now)
 {
-    if (record.phase == wire::job_phase::open && !state.jobs.contains(record.id))
-        state.jobs.emplace(record.id, make_job(record, now));
+    if (record.phase != wire::job_phase::open || state.jobs.contains(record.id))
+        return;
+    auto job = make_job(record, now);
+    learn_usual_work(state, job);
+    state.jobs.emplace(record.id, std::move(job));
 }
 
 void take_record(job_scheduler& state, const wire::job_record& record, time_point now)
--- a/src/libschedule/tailpressure.cpp
+++ b/src/libschedule/tailpressure.cpp
@@ -107,8 +107,10 @@
         estimate.responses[place] += load * tail_ms;
     }
     ++estimate.observed;
-    if (estimate.observed - estimate.solved >= solve_every || estimate.solved == 0)
+    if (estimate.observed - estimate.solved >= solve_every || estimate.solved == 0) {
         work_out(estimate);
+        ++model.version;
+    }
 }
 
 double tail_slope(const tail_model& model, const std::string& serving, const std::string& filling)
--- a/src/libschedule/tailpressure.h
+++ b/src/libschedule/tailpressure.h
@@ -37,11 +37,13 @@
 struct tail_model {
     /** By serving image. */
     std::map<std::string, tail_estimate> images;
+    /** Raised whenever estimates were worked out anew. */
+    std::uint64_t version{0};
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(images);
+        archive(images, version);
     }
 };
 
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -24,7 +24,13 @@
     CPPUNIT_TEST(an_occurrence_is_never_early);
     CPPUNIT_TEST(tasks_that_fill_keep_away_from_tasks_that_serve);
     CPPUNIT_TEST(room_goes_first_to_what_can_still_be_in_time);
+    CPPUNIT_TEST(what_was_begun_goes_before_what_was_not);
+    CPPUNIT_TEST(small_work_goes_before_large_work);
+    CPPUNIT_TEST(what_is_too_late_is_worked_off_as_it_came);
+    CPPUNIT_TEST(an_image_without_room_leaves_room_to_others);
+    CPPUNIT_TEST(images_that_serve_mix_where_they_are_mixed);
     CPPUNIT_TEST(a_task_that_lasts_makes_room_among_those_that_fill);
+    CPPUNIT_TEST(room_that_comes_back_is_not_made_again);
     CPPUNIT_TEST(a_task_that_lasts_leaves_a_worker_that_is_leaving);
     CPPUNIT_TEST(a_starving_job_gets_a_share_of_a_full_worker);
     CPPUNIT_TEST(images_that_get_on_share_a_worker);
@@ -383,6 +389,100 @@
         CPPUNIT_ASSERT_EQUAL('f', orders[0].task.job.value().back());
     }
 
+    void what_was_begun_goes_before_what_was_not()
+    {
+        auto begun = job({step(2, 4)}, 'e');
+        auto fresh = job({step(2, 4)}, 'd');
+        begun.tasks[0].succeeded = true;
+        add_job(state_, fresh, now_);
+        add_job(state_, begun, now_);
+        add_worker("w1", 4);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('e', orders[0].task.job.value().back());
+    }
+
+    void small_work_goes_before_large_work()
+    {
+        // The large one came first and its objective ends first.
+        add_job(state_, job({step(8, 4)}, 'e'), now_);
+        now_ += std::chrono::milliseconds{100};
+        add_job(state_, job({step(1, 4)}, 'f'), now_);
+        add_worker("w1", 4);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('f', orders[0].task.job.value().back());
+    }
+
+    void what_is_too_late_is_worked_off_as_it_came()
+    {
+        add_job(state_, job({step(8, 4)}, 'f'), now_);
+        now_ += std::chrono::milliseconds{100};
+        add_job(state_, job({step(1, 4)}, 'e'), now_);
+        now_ += std::chrono::minutes{5};
+        add_worker("w1", 4);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('f', orders[0].task.job.value().back());
+    }
+
+    void an_image_without_room_leaves_room_to_others()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({serving_step(1)}), now_);
+        accept(plan());
+        learn("light", 1);
+        learn("heavy", 20);
+        // The heavy one comes first, finds no room, and asks for no more than the light one.
+        add_job(state_, job({filling_step(1, "heavy")}, 'd'), now_);
+        add_job(state_, job({filling_step(2, "light")}, 'e'), now_);
+        const auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('e', orders[0].task.job.value().back());
+    }
+
+    void images_that_serve_mix_where_they_are_mixed()
+    {
+        const auto serving = [](const std::string& image) {
+            auto wanted = serving_step(1);
+            wanted.image = image;
+            return wanted;
+        };
+        for (const auto* id : {"w1", "w2", "w3"})
+            add_worker(id, 8);
+        add_job(state_, job({serving("one")}, '1'), now_);
+        accept(plan());
+        add_job(state_, job({serving("two")}, '2'), now_);
+        accept(plan());
+        add_job(state_, job({serving("three")}, '3'), now_);
+        accept(plan());
+        // Every worker serves by now: the fourth image mixes with one, and so does the fifth.
+        add_job(state_, job({serving("four")}, '4'), now_);
+        const auto fourth = plan();
+        accept(fourth);
+        add_job(state_, job({serving("five")}, '5'), now_);
+        const auto fifth = plan();
+        CPPUNIT_ASSERT_EQUAL(fourth.at(0).worker, fifth.at(0).worker);
+    }
+
+    void room_that_comes_back_is_not_made_again()
+    {
+        add_worker("w1", 8);
+        add_worker("w2", 8);
+        auto filling = filling_step(6, "any");
+        filling.demand.memory = bytes{std::int64_t{20} << 30};
+        add_job(state_, job({filling}, 'e'), now_);
+        accept(plan());
+        auto serving = serving_step(1);
+        serving.demand.memory = bytes{std::int64_t{16} << 30};
+        add_job(state_, job({serving}), now_);
+        for (int pass = 0; pass < 5; ++pass) {
+            plan();
+            now_ += std::chrono::milliseconds{150};
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.stops_due.size());
+    }
+
     void a_task_that_lasts_makes_room_among_those_that_fill()
     {
         add_worker("w1", 8);
