schedule, controld, platform: pace first, stop last; tails follow the load of their own users

Now a job's own tail is followed (owntail), pairs of images are learned as factors, and a run that presses is slowed as far as needed; it is stopped only where it would crawl and saves its work, or where everything crawls already. What was slowed is hastened when tails are back, also by the next leader. A pair that has not met often is still tried on few workers only.

--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -7,6 +7,7 @@
 #include "libschedule/jobscheduler.h"
 #include "libschedule/jobsizes.h"
 #include "libschedule/leaseterms.h"
+#include "libschedule/owntail.h"
 #include "libschedule/placement.h"
 #include "libschedule/scheduleerrors.h"
 #include "libschedule/steward.h"
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -67,6 +67,7 @@
     counters_.add(name, {{"event", "adopted"}}, counts_.adopted);
     counters_.add(name, {{"event", "stray"}}, counts_.strays);
     counters_.add(name, {{"event", "relieved"}}, counts_.relieved);
+    counters_.add(name, {{"event", "paced"}}, counts_.paced);
     hub_.applied.emplace_back([this](const auto& change) { take_change(change); });
     hub_.leadership.emplace_back([this](bool leads) {
         if (!leads)
@@ -326,6 +327,13 @@
         line->second.stops.push_back(order);
         send_orders(order.worker);
     }
+    for (const auto& order : schedule::plan_paces(scheduler_, now)) {
+        const auto line = lines_.find(order.worker);
+        if (line == lines_.end())
+            continue;
+        line->second.paces.push_back(order);
+        send_orders(order.worker);
+    }
     for (auto& order : schedule::plan_starts(scheduler_, now, wall_now())) {
         const auto worker = order.worker;
         lines_[worker].starts.push_back(std::move(order));
@@ -384,6 +392,7 @@
                {"filled_beside_serving", room.filled_beside_serving},
                {"filled_elsewhere", room.filled_elsewhere},
                {"relieved", scheduler_.counts.relieved},
+               {"paced", scheduler_.counts.paced},
                {"trials", scheduler_.counts.trials}});
 }
 
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -47,6 +47,7 @@
         time_point answered;
         std::deque<schedule::start_order> starts;
         std::deque<schedule::stop_order> stops;
+        std::deque<schedule::pace_order> paces;
         bool sending{false};
     };
 
@@ -82,6 +83,7 @@
                                                    std::uint64_t session);
     boost::asio::awaitable<void> send_start(worker_id worker, std::uint64_t session);
     boost::asio::awaitable<void> send_stop(worker_id worker, std::uint64_t session);
+    boost::asio::awaitable<void> send_pace(worker_id worker, std::uint64_t session);
 
     // Passes.
     void wake();
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -194,6 +194,10 @@
             co_await self->send_stop(worker, session);
             continue;
         }
+        if (!line->second.paces.empty()) {
+            co_await self->send_pace(worker, session);
+            continue;
+        }
         if (line->second.starts.empty()) {
             line->second.sending = false;
             co_return;
@@ -237,6 +241,33 @@
         wake();
 }
 
+asio::awaitable<void> job_service::send_pace(worker_id worker, std::uint64_t session)
+{
+    auto& line = lines_[worker];
+    const auto order = line.paces.front();
+    line.paces.pop_front();
+    const auto known = scheduler_.workers.find(worker);
+    if (known == scheduler_.workers.end() || !hub_.leads())
+        co_return;
+    order_terms terms;
+    terms.token = token_;
+    terms.answer_by = monotonic_now() + order_limit;
+    const auto reply = co_await orders_->pace(known->second.record, order, terms);
+    if (!in_term(session))
+        co_return;
+    log_event(log_level::info, "task_paced",
+              {{"task", order.task},
+               {"run", order.run},
+               {"worker", order.worker},
+               {"percent", order.percent},
+               {"token", token_},
+               {"answer", schedule::to_string(reply.answer)},
+               {"reason", reply.reason}});
+    schedule::take_pace_answer(scheduler_, order, reply.answer);
+    if (reply.answer == order_answer::other_life)
+        retire(worker, "other_life");
+}
+
 asio::awaitable<void> job_service::send_stop(worker_id worker, std::uint64_t session)
 {
     auto& line = lines_[worker];
--- a/src/controld/workerorders.h
+++ b/src/controld/workerorders.h
@@ -40,6 +40,8 @@
     start(wire::worker_record worker, schedule::start_order order, order_terms terms) = 0;
     virtual boost::asio::awaitable<order_reply>
     stop(wire::worker_record worker, schedule::stop_order order, order_terms terms) = 0;
+    virtual boost::asio::awaitable<order_reply>
+    pace(wire::worker_record worker, schedule::pace_order order, order_terms terms) = 0;
     /** Asks what the worker runs; the answer waits for an end, for `wait` at most. */
     virtual boost::asio::awaitable<list_reply> list(wire::worker_record worker,
                                                     std::uint64_t settled_ends,
--- a/src/libschedule/joborders.cpp
+++ b/src/libschedule/joborders.cpp
@@ -18,6 +18,8 @@
 constexpr duration make_room_pause = std::chrono::milliseconds{100};
 /** A stop without an answer is sent again after this. */
 constexpr duration stop_resend = std::chrono::milliseconds{600};
+/** The same of a change of pace: a tail is over its target meanwhile. */
+constexpr duration pace_resend = std::chrono::milliseconds{300};
 
 /** Demands that found no worker in this pass; whatever is as large finds none either. */
 class misses {
@@ -238,8 +240,8 @@
 std::vector<start_order> plan_starts(job_scheduler& state, time_point now, wall_time wall)
 {
     for (auto& [id, worker] : state.workers) {
-        if (worker.tails_version != state.tails.version)
-            refresh_tails(state.tails, worker);
+        if (!worker.serving_images.empty())
+            refresh_tails(state, worker);
     }
     pass at{state, now, wall, {}, {}, false};
     const bool known = inheritance_known(state, now);
@@ -270,6 +272,20 @@
     return orders;
 }
 
+std::vector<pace_order> plan_paces(job_scheduler& state, time_point now)
+{
+    std::vector<pace_order> orders;
+    for (const auto& ref : state.paces_due) {
+        auto& run = *find_task(state, ref)->run;
+        if (run.pace_sent_at && now - *run.pace_sent_at < pace_resend)
+            continue;
+        run.pace_sent_at = now;
+        ++state.counts.paced;
+        orders.push_back({ref, run.number, run.worker, run.pace});
+    }
+    return orders;
+}
+
 void take_start_answer(job_scheduler& state, const start_order& order, order_answer answer,
                        time_point now)
 {
@@ -317,4 +333,17 @@
     set_phase(*task->run, run_phase::stopped, now);
 }
 
+void take_pace_answer(job_scheduler& state, const pace_order& order, order_answer answer)
+{
+    auto* task = find_task(state, order.task);
+    const bool current = task != nullptr && task->run && task->run->number == order.run &&
+                         task->run->worker == order.worker;
+    if (!current || answer == order_answer::none)
+        return;
+    task->run->pace_sent_at.reset();
+    // It may have changed again while the order was under way.
+    if (task->run->pace == order.percent)
+        state.paces_due.erase(order.task);
+}
+
 } // namespace galenaturn::schedule
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -58,9 +58,9 @@
 {
     const auto added = static_cast<double>(filled_by(step).value()) / 1000;
     double longest = 0;
-    for (const auto& [image, tail] : worker.tails) {
-        const auto slope = step.fills ? tail_slope(state.tails, image, step.image) : 0.0;
-        longest = std::max(longest, tail + slope * added);
+    for (const auto& [image, outlook] : worker.tails) {
+        const auto slope = step.fills ? cautious_slope(state.tails, image, step.image) : 0.0;
+        longest = std::max(longest, outlook.expected + outlook.alone * slope * added);
     }
     const auto target = std::chrono::duration<double, std::milli>{worker.tail_target};
     return longest / target.count();
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -1,5 +1,7 @@
 #include "jobruns.h"
 
+#include "owntail.h"
+
 #include <algorithm>
 
 namespace galenaturn::schedule {
@@ -15,19 +17,29 @@
         worker.filling_images.erase(run.image);
 }
 
-void release(job_scheduler& state, job_worker& worker, const task_run& run)
+void release_serving(job_worker& worker, const submission_id& job, const task_run& run)
+{
+    if (--worker.serving_images[run.image] == 0)
+        worker.serving_images.erase(run.image);
+    const auto same_job = worker.serving_jobs.find({run.image, job});
+    if (--same_job->second == 0)
+        worker.serving_jobs.erase(same_job);
+}
+
+void release(job_scheduler& state, job_worker& worker, const submission_id& job,
+             const task_run& run)
 {
     worker.reserved -= run.reserved;
     worker.serving -= run.serving;
-    if (run.tail_target.count() > 0 && --worker.serving_images[run.image] == 0)
-        worker.serving_images.erase(run.image);
+    if (run.tail_target.count() > 0)
+        release_serving(worker, job, run);
     if (worker.serving_images.empty())
         worker.tail_target = duration::max();
     if (run.filling.value() > 0)
         release_filling(worker, run);
     if (worker.filling_images.empty())
         set_trial(state, worker, false);
-    refresh_tails(state.tails, worker);
+    refresh_tails(state, worker);
 }
 
 } // namespace
@@ -55,13 +67,14 @@
     worker.serving += run.serving;
     if (run.tail_target.count() > 0) {
         ++worker.serving_images[run.image];
+        ++worker.serving_jobs[{run.image, ref.job}];
         worker.tail_target = std::min(worker.tail_target, run.tail_target);
     }
     if (run.filling.value() > 0) {
         worker.filling += run.filling;
         worker.filling_images[run.image] += run.filling;
     }
-    refresh_tails(state.tails, worker);
+    refresh_tails(state, worker);
     worker.runs[ref] = run.number;
     task.last_run = std::max(task.last_run, run.number);
     task.run = std::move(run);
@@ -73,19 +86,28 @@
         return;
     const auto worker = state.workers.find(task.run->worker);
     if (worker != state.workers.end()) {
-        release(state, worker->second, *task.run);
+        release(state, worker->second, ref.job, *task.run);
         worker->second.runs.erase(ref);
     }
     state.stops_due.erase(ref);
+    state.paces_due.erase(ref);
     task.run.reset();
 }
 
-void refresh_tails(const tail_model& model, job_worker& worker)
+void refresh_tails(const job_scheduler& state, job_worker& worker)
 {
     worker.tails.clear();
-    for (const auto& [image, count] : worker.serving_images)
-        worker.tails[image] = expected_tail(model, image, worker.filling_images);
-    worker.tails_version = model.version;
+    const auto target = std::chrono::duration<double, std::milli>{worker.tail_target}.count();
+    for (const auto& [serving, count] : worker.serving_jobs) {
+        const auto job = state.jobs.find(serving.second);
+        const auto alone =
+            job == state.jobs.end() ? target : tail_to_expect(job->second.tail, target);
+        auto& outlook = worker.tails[serving.first];
+        outlook.alone = std::max(outlook.alone, alone);
+    }
+    for (auto& [image, outlook] : worker.tails)
+        outlook.expected =
+            outlook.alone * cautious_factor(state.tails, image, worker.filling_images);
 }
 
 void set_trial(job_scheduler& state, job_worker& worker, bool on_trial)
@@ -108,6 +130,7 @@
         return;
     set_phase(*task.run, run_phase::stopping, now);
     state.stops_due.insert(ref);
+    state.paces_due.erase(ref);
 }
 
 void drop_ended(job_scheduler& state, const submission_id& id)
--- a/src/libschedule/jobruns.h
+++ b/src/libschedule/jobruns.h
@@ -33,7 +33,7 @@
 /** Frees the room of a task's run: it has certainly ended, or never began. */
 void clear_run(job_scheduler& state, const wire::task_ref& ref, open_task& task);
 /** Works out anew which tails the worker's tasks have to expect. */
-void refresh_tails(const tail_model& model, job_worker& worker);
+void refresh_tails(const job_scheduler& state, job_worker& worker);
 /** Notes whether the worker is filled to learn. */
 void set_trial(job_scheduler& state, job_worker& worker, bool on_trial);
 /** Wants the run of a task stopped. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -20,6 +20,14 @@
     worker_id worker;
 };
 
+/** An order to run on at a share of the speed, in hundredths. */
+struct pace_order {
+    wire::task_ref task;
+    std::uint32_t run{0};
+    worker_id worker;
+    std::uint32_t percent{100};
+};
+
 /** What a worker said to an order. */
 enum class order_answer : std::uint8_t {
     accepted,
@@ -94,10 +102,14 @@
 /** Returns the stops to send now. */
 std::vector<stop_order> plan_stops(job_scheduler& state, time_point now);
 
+/** Returns the changes of pace to send now. */
+std::vector<pace_order> plan_paces(job_scheduler& state, time_point now);
+
 void take_start_answer(job_scheduler& state, const start_order& order, order_answer answer,
                        time_point now);
 void take_stop_answer(job_scheduler& state, const stop_order& order, order_answer answer,
                       time_point now);
+void take_pace_answer(job_scheduler& state, const pace_order& order, order_answer answer);
 
 /**
  * Takes the list of a worker that was asked at `asked`. Returns the ends that the ledger has to
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -43,6 +43,10 @@
     time_point since;
     time_point ordered_at;
     bool stop_sent{false};
+    /** The share of its speed at which it is to work, in hundredths. */
+    std::uint32_t pace{100};
+    /** When the worker was last told, if it has not answered yet. */
+    std::optional<time_point> pace_sent_at;
     /** Work done in hundredths as the worker last said, and when that last changed. */
     std::uint32_t percent{0};
     time_point progressed_at;
@@ -62,6 +66,17 @@
     std::set<worker_id> failed_on;
 };
 
+/**
+ * The tail that tasks of a job have with nothing beside them, in milliseconds. It follows the
+ * load of the job's users, and so is about the same on all workers. Zero where it is not known.
+ */
+struct own_tail {
+    double latest{0};
+    /** Follows more slowly: what lies between the two tells where it goes. */
+    double slower{0};
+    time_point at;
+};
+
 struct open_job {
     submission_id id;
     wire::queue_settings queue;
@@ -75,6 +90,7 @@
     /** The same of what has not succeeded, and the longest chain of it. */
     double work_left{0};
     duration chain_left{};
+    own_tail tail;
     std::vector<open_task> tasks;
     /** Tasks that have not succeeded, for each occurrence and step. */
     std::vector<std::uint32_t> left;
@@ -89,6 +105,13 @@
     bool endless{false};
 };
 
+/** The longest tail to expect among the tasks of an image on a worker, in milliseconds. */
+struct tail_outlook {
+    double alone{0};
+    /** Beside what fills the worker now. */
+    double expected{0};
+};
+
 /** A worker as this leader knows it. */
 struct job_worker {
     wire::worker_record record;
@@ -102,13 +125,16 @@
     /** Their images, with how many tasks of each, and the shortest tail that one has to keep. */
     std::map<std::string, std::uint32_t> serving_images;
     duration tail_target{duration::max()};
-    /** The tail that each serving image has to expect, by that version of the model. */
-    std::map<std::string, double> tails;
-    std::uint64_t tails_version{0};
+    /** The same by image and job. */
+    std::map<std::pair<std::string, submission_id>, std::uint32_t> serving_jobs;
+    /** What the tails of each image have to expect. */
+    std::map<std::string, tail_outlook> tails;
     /** Filled to learn how images get on with each other. */
     bool on_trial{false};
     /** When runs were last stopped here for the sake of a tail. */
     time_point relieved_at;
+    /** When a run here was last slowed or hastened. */
+    time_point paced_at;
     /** Runs on it, by task. */
     std::map<wire::task_ref, std::uint32_t> runs;
     bool leaving{false};
@@ -148,6 +174,7 @@
     std::uint64_t adopted{0};
     std::uint64_t strays{0};
     std::uint64_t relieved{0};
+    std::uint64_t paced{0};
     std::uint64_t trials{0};
 };
 
@@ -163,6 +190,8 @@
     std::map<worker_id, job_worker> workers;
     /** Tasks whose run is to be stopped, until the worker has answered. */
     std::set<wire::task_ref> stops_due;
+    /** Tasks whose run is to change its pace, until the worker has answered. */
+    std::set<wire::task_ref> paces_due;
     /** Runs on workers that are no longer wanted, such as those of jobs that ended. */
     std::vector<stray_run> strays;
     /** Workers that may run what an earlier leader ordered, until each was read. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -1,8 +1,8 @@
 #include "jobplacement.h"
 #include "jobruns.h"
+#include "tailwatch.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace galenaturn::schedule {
 
@@ -34,7 +34,11 @@
     run.ordered_at = at.now;
     run.progressed_at = at.now;
     run.percent = listed.percent;
+    // Below what it wants it may have been slowed by the leader before.
+    const bool slowed = listed.figure * 100 < run.filling.value() * 70;
     begin_run(at.state, listed.task, task, std::move(run));
+    if (slowed)
+        at.state.paces_due.insert(listed.task);
     find_job(at.state, listed.task.job)->started = true;
     ++at.state.counts.adopted;
 }
@@ -142,71 +146,6 @@
     }
 }
 
-/** Returns the processors in use by each image that fills. */
-filling_load filling_in(const list_step& at, const worker_list& list)
-{
-    filling_load used;
-    for (const auto& running : list.running) {
-        const auto* task = find_task(at.state, running.task);
-        if (task != nullptr && task->run && task->run->filling.value() > 0)
-            used[task->run->image] += millicores{running.figure};
-    }
-    return used;
-}
-
-/** Returns by how much the run lengthens the tail of the serving image, in milliseconds. */
-double pressure_of(const list_step& at, const task_run& run, const std::string& serving)
-{
-    return tail_slope(at.state.tails, serving, run.image) *
-           static_cast<double>(run.filling.value()) / 1000;
-}
-
-/** Stops the runs that press most on `serving` until its tail should be back below the target. */
-void relieve(list_step& at, const worker_list& list, const std::string& serving, double excess_ms)
-{
-    // Those that lose no work by it go first, the heaviest of them before the others.
-    std::vector<std::tuple<bool, double, wire::task_ref>> pressing;
-    for (const auto& running : list.running) {
-        const auto* task = find_task(at.state, running.task);
-        if (task != nullptr && task->run && task->run->filling.value() > 0 &&
-            task->run->phase == run_phase::running)
-            pressing.emplace_back(
-                find_job(at.state, running.task.job)->spec.steps[running.task.step].checkpoints,
-                pressure_of(at, *task->run, serving), running.task);
-    }
-    std::sort(pressing.rbegin(), pressing.rend());
-    for (const auto& [saves, pressure, ref] : pressing) {
-        if (excess_ms <= 0)
-            return;
-        excess_ms -= pressure;
-        stop_run(at.state, ref, *find_task(at.state, ref), at.now);
-        ++at.state.counts.relieved;
-        at.worker.relieved_at = at.now;
-    }
-}
-
-/** Learns from the tails that the worker told, and relieves those that are too long. */
-void watch_tails(list_step& at, const worker_list& list)
-{
-    // The figures are of the last half second; before that a relief does not show.
-    constexpr duration figure_span = std::chrono::milliseconds{600};
-    constexpr double relief_share = 0.9;
-    const auto used = filling_in(at, list);
-    const bool settled = at.now - at.worker.relieved_at > figure_span;
-    for (const auto& running : list.running) {
-        const auto* task = find_task(at.state, running.task);
-        if (task == nullptr || !task->run || task->run->tail_target.count() == 0 ||
-            running.figure == 0)
-            continue;
-        const auto& run = *task->run;
-        const auto tail = static_cast<double>(running.figure);
-        const std::chrono::duration<double, std::milli> target{run.tail_target};
-        observe_tail(at.state.tails, run.image, tail, used);
-        if (settled && !used.empty() && tail > target.count())
-            relieve(at, list, run.image, tail - target.count() * relief_share);
-    }
-}
-
 void end_all_runs(job_scheduler& state, job_worker& worker)
 {
     const auto runs = worker.runs;
@@ -278,7 +217,7 @@
     for (const auto& running : list.running)
         take_running(at, running);
     clear_unlisted(at, list);
-    watch_tails(at, list);
+    watch_tails(state, worker->second, list, now);
     worker->second.read = true;
     state.unread.erase(id);
     if (at.to_record.empty())
--- /dev/null
+++ b/src/libschedule/owntail.cpp
@@ -0,0 +1,53 @@
+#include "owntail.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+/** Spans over which figures are averaged: they are rough, and the load of users swings. */
+constexpr std::chrono::duration<double> latest_span{0.4};
+constexpr std::chrono::duration<double> slower_span{1.2};
+/** How much further than now a tail is followed, in differences between the two averages. */
+constexpr double ahead = 1.5;
+/** Of the target; expected of a job whose tail nobody has told. */
+constexpr double unknown_share = 0.5;
+constexpr duration fresh_span = std::chrono::seconds{2};
+
+void approach(double& average, double sample, std::chrono::duration<double> passed,
+              std::chrono::duration<double> span)
+{
+    average += (sample - average) * (1 - std::exp(-passed.count() / span.count()));
+}
+
+} // namespace
+
+void follow_tail(own_tail& tail, double alone_ms, time_point now)
+{
+    if (tail.latest == 0) {
+        tail = {alone_ms, alone_ms, now};
+        return;
+    }
+    // Tasks of the job that tell at the same moment count together like one.
+    constexpr duration least_passed = std::chrono::milliseconds{20};
+    const auto passed = std::max(now - tail.at, least_passed);
+    approach(tail.latest, alone_ms, passed, latest_span);
+    approach(tail.slower, alone_ms, passed, slower_span);
+    tail.at = now;
+}
+
+bool is_fresh(const own_tail& tail, time_point now)
+{
+    return tail.latest > 0 && now - tail.at < fresh_span;
+}
+
+double tail_to_expect(const own_tail& tail, double target_ms)
+{
+    if (tail.latest == 0)
+        return target_ms * unknown_share;
+    return std::max(tail.latest / 2, tail.latest + ahead * (tail.latest - tail.slower));
+}
+
+} // namespace galenaturn::schedule
--- a/src/libschedule/tailpressure.cpp
+++ b/src/libschedule/tailpressure.cpp
@@ -8,12 +8,15 @@
 namespace {
 
 /** Expected of an image that was never seen beside another: more than most have. */
-constexpr double prior_slope = 10;
-constexpr double prior_base = 6;
+constexpr double prior_slope = 0.05;
+/** Taken of it where it is not to be put beside others for a try. */
+constexpr double cautious_prior = 1;
 /** How many squared processors of evidence the prior is worth. */
-constexpr double prior_weight = 6;
+constexpr double prior_weight = 20;
 /** What an observation still counts after one more. */
-constexpr double memory = 0.997;
+constexpr double memory = 0.998;
+/** Beyond this a figure tells only that the pair is to be kept apart. */
+constexpr double longest_times = 7;
 /** Evidence of one pair, in squared processors, from which its slope is trusted. */
 constexpr double known_weight = 40;
 /** The estimate is worked out anew after so many observations. */
@@ -68,12 +71,11 @@
     auto right = estimate.responses;
     for (std::size_t at = 0; at < right.size(); ++at) {
         rows[at][at] += prior_weight;
-        right[at] += prior_weight * (at == 0 ? prior_base : prior_slope);
+        right[at] += prior_weight * prior_slope;
     }
-    const auto solution = solve(std::move(rows), std::move(right));
-    estimate.base = std::max(0.0, solution[0]);
-    for (std::size_t at = 1; at < solution.size(); ++at)
-        estimate.slopes[at] = std::max(0.0, solution[at]);
+    estimate.slopes = solve(std::move(rows), std::move(right));
+    for (auto& slope : estimate.slopes)
+        slope = std::max(0.0, slope);
     estimate.solved = estimate.observed;
 }
 
@@ -84,33 +86,31 @@
 
 } // namespace
 
-void observe_tail(tail_model& model, const std::string& serving, double tail_ms,
+void observe_tail(tail_model& model, const std::string& serving, double times,
                   const filling_load& filling)
 {
     auto& estimate = model.images[serving];
-    // The first place is the constant: the tail with nothing beside.
-    if (estimate.responses.empty())
-        place_of(estimate, {});
-    std::vector<std::pair<std::size_t, double>> loads{{0, 1.0}};
+    std::vector<std::pair<std::size_t, double>> loads;
     for (const auto& [image, used] : filling) {
         if (estimate.responses.size() < most_images || estimate.index.contains(image))
             loads.emplace_back(place_of(estimate, image), cores(used));
     }
+    if (loads.empty())
+        return;
     for (auto& row : estimate.products)
         std::transform(row.begin(), row.end(), row.begin(),
                        [](double sum) { return sum * memory; });
     for (auto& sum : estimate.responses)
         sum *= memory;
+    const auto added = std::min(times, longest_times) - 1;
     for (const auto& [place, load] : loads) {
         for (const auto& [other, other_load] : loads)
             estimate.products[place][other] += load * other_load;
-        estimate.responses[place] += load * tail_ms;
+        estimate.responses[place] += load * added;
     }
     ++estimate.observed;
-    if (estimate.observed - estimate.solved >= solve_every || estimate.solved == 0) {
+    if (estimate.observed - estimate.solved >= solve_every || estimate.solved == 0)
         work_out(estimate);
-        ++model.version;
-    }
 }
 
 double tail_slope(const tail_model& model, const std::string& serving, const std::string& filling)
@@ -122,14 +122,28 @@
     return place == known->second.index.end() ? prior_slope : known->second.slopes[place->second];
 }
 
-double expected_tail(const tail_model& model, const std::string& serving,
-                     const filling_load& filling)
+double tail_factor(const tail_model& model, const std::string& serving, const filling_load& filling)
 {
-    const auto known = model.images.find(serving);
-    double tail = known == model.images.end() ? prior_base : known->second.base;
+    double factor = 1;
+    for (const auto& [image, used] : filling)
+        factor += tail_slope(model, serving, image) * cores(used);
+    return factor;
+}
+
+double cautious_slope(const tail_model& model, const std::string& serving,
+                      const std::string& filling)
+{
+    const auto slope = tail_slope(model, serving, filling);
+    return is_known_pair(model, serving, filling) ? slope : std::max(slope, cautious_prior);
+}
+
+double cautious_factor(const tail_model& model, const std::string& serving,
+                       const filling_load& filling)
+{
+    double factor = 1;
     for (const auto& [image, used] : filling)
-        tail += tail_slope(model, serving, image) * cores(used);
-    return tail;
+        factor += cautious_slope(model, serving, image) * cores(used);
+    return factor;
 }
 
 bool is_known_pair(const tail_model& model, const std::string& serving, const std::string& filling)
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(a_list_is_read);
     CPPUNIT_TEST(a_list_cut_short_is_refused);
     CPPUNIT_TEST(orders_carry_token_and_lease);
+    CPPUNIT_TEST(an_order_of_pace_is_written);
     CPPUNIT_TEST(a_configuration_is_read);
     CPPUNIT_TEST(invalid_configurations_are_refused);
     CPPUNIT_TEST_SUITE_END();
@@ -145,6 +146,18 @@
         CPPUNIT_ASSERT(body.find("checkpoint") == std::string::npos);
     }
 
+    void an_order_of_pace_is_written()
+    {
+        schedule::pace_order order;
+        order.task = {submission_id{"5c0e7a21d94b36f8"}, 0, 1, 17};
+        order.run = 2;
+        order.percent = 40;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{
+                R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"percent":40,"fencingToken":7})"},
+            write_pace(order, term{7}));
+    }
+
     void a_configuration_is_read()
     {
         const auto read = read_queues(configuration(route));
