schedule: what presses shares what is explained; odd figures, ends and queues are told

Printed decisions showed two kinds: a tail with no cause on its worker (one of seven tasks of one job told 392 ms where its siblings told 55), for which everything beside it was stopped in turn; and runs stopped that explained a tenth of a millisecond each.

Now a figure three times beyond explanation counts only when it stays; what fills a worker explains, together, what a tail has beyond its job's own, shared by the learned slopes; a tail that is too long by itself stops nothing, unless it is over for two seconds, when the model may be wrong.

The log now tells the queue of an answered request and each end that is read. The name is copied first now; jobs_waiting, which read it the same way but without waiting, follows.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -415,6 +415,8 @@
     const auto job = request.job;
     wire::job_answer given;
     const auto* queue = find_queue(queues_, request.host, request.path);
+    // The table may be replaced while the ledger is waited for.
+    const auto queue_name = queue == nullptr ? std::string{} : queue->name;
     if (!serving_ || !hub_.leads())
         given = unavailable("this process does not lead");
     else if (queues_.version == 0)
@@ -429,7 +431,7 @@
         given = show(request);
     else {
         given.status = job_answer_status::ok;
-        given.waiting = schedule::jobs_waiting(scheduler_, queue->name);
+        given.waiting = schedule::jobs_waiting(scheduler_, queue_name);
     }
     answers_[given.status]->add();
     const auto took = monotonic_now() - arrived;
@@ -440,6 +442,7 @@
                   {{"request", text},
                    {"verb", wire::to_string(verb)},
                    {"job", job},
+                   {"queue", queue_name},
                    {"status", wire::to_string(given.status)},
                    {"queues_version", queues_.version},
                    {"token", token_},
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -55,6 +55,23 @@
                {"reason", reply.reason}});
 }
 
+/** Logs each end that is read for the first time. */
+void log_ends(const worker_id& worker, std::uint64_t read_before, const schedule::worker_list& list,
+              term token)
+{
+    for (const auto& ended : list.ended) {
+        if (ended.number <= read_before)
+            continue;
+        log_event(log_level::info, "task_ended",
+                  {{"task", ended.task},
+                   {"run", ended.run},
+                   {"worker", worker},
+                   {"token", token},
+                   {"how", schedule::to_string(ended.how)},
+                   {"number", ended.number}});
+    }
+}
+
 } // namespace
 
 void job_service::open_line(const worker_id& worker)
@@ -107,6 +124,7 @@
     const auto asked = monotonic_now();
     const bool first = !known->second.read;
     const auto record = known->second.record;
+    const auto read_before = known->second.ends_read;
     order_terms terms;
     terms.token = token_;
     terms.lease_until = lease_for(lines_[worker]);
@@ -132,6 +150,7 @@
     }
     const auto now = monotonic_now();
     schedule::note_answer(scheduler_, worker, asked);
+    log_ends(worker, read_before, told.list, token_);
     auto items = schedule::take_list(scheduler_, worker, told.list, asked, now);
     if (!items.empty()) {
         co_await this->record(std::move(items), session);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -47,6 +47,8 @@
     std::uint32_t pace{100};
     /** When the worker was last told, if it has not answered yet. */
     std::optional<time_point> pace_sent_at;
+    /** Since when its tail has been told far longer than what is known explains. */
+    std::optional<time_point> odd_since;
     /** Work done in hundredths as the worker last said, and when that last changed. */
     std::uint32_t percent{0};
     time_point progressed_at;
@@ -133,6 +135,8 @@
     bool on_trial{false};
     /** When runs were last stopped here for the sake of a tail. */
     time_point relieved_at;
+    /** Since when a tail here has been over its target on end. */
+    std::optional<time_point> over_since;
     /** When a run here was last slowed or hastened. */
     time_point paced_at;
     /** Runs on it, by task. */
--- a/src/libschedule/tailwatch.cpp
+++ b/src/libschedule/tailwatch.cpp
@@ -12,10 +12,12 @@
 
 /** A worker's figures are of the last half second; before that a change does not show. */
 constexpr duration figure_span = std::chrono::milliseconds{600};
-/** A tail over this share of its target is about to be over the target. */
-constexpr double ease_share = 1.0;
-/** It is brought back to this share: figures are rough. */
+/** A tail over its target is brought back to this share of it: figures are rough. */
 constexpr double eased_share = 0.85;
+/** A tail that is longer than this share of its target by itself is not ours to shorten. */
+constexpr double own_fault_share = 1.15;
+/** A tail that is over its target for so long on end is eased whatever the model says of it. */
+constexpr duration longest_trust = std::chrono::seconds{2};
 /** Below this share of the target, what was slowed is hastened up to it. */
 constexpr double hasten_share = 0.8;
 /** In hundredths; what would have to go slower is stopped where that loses no work. */
@@ -23,6 +25,8 @@
 /** In hundredths; nothing that is kept goes slower. */
 constexpr double least_pace = 10;
 constexpr std::uint32_t full_pace = 100;
+/** A tail that is so many times as long as expected is odd. */
+constexpr double odd_factor = 3;
 /** What a worker has left for tails where nothing serves. */
 constexpr double unlimited_ms = 1e9;
 
@@ -31,6 +35,8 @@
     std::string image;
     double tail{0};
     double target{0};
+    /** What it would be with nothing beside. */
+    double alone{0};
 };
 
 /** A run that fills, and by how much one hundredth of its pace lengthens the longest tail. */
@@ -48,6 +54,13 @@
     return current ? task : nullptr;
 }
 
+bool all_known(const job_scheduler& state, const std::string& serving, const filling_load& used)
+{
+    return std::all_of(used.begin(), used.end(), [&](const auto& filling) {
+        return is_known_pair(state.tails, serving, filling.first);
+    });
+}
+
 /** Returns the processors in use by each image that fills. */
 filling_load filling_in(job_scheduler& state, const worker_list& list)
 {
@@ -60,16 +73,32 @@
     return used;
 }
 
+/**
+ * Returns whether the tail is to be taken as told: single figures are wrong by far at times, so
+ * that one beyond explanation counts only when it stays.
+ */
+bool is_believable(const job_scheduler& state, const open_job& job, task_run& run, double tail,
+                   const filling_load& used, time_point now)
+{
+    const bool odd =
+        is_fresh(job.tail, now) && all_known(state, run.image, used) &&
+        tail > job.tail.latest * odd_factor * tail_factor(state.tails, run.image, used);
+    if (!odd) {
+        run.odd_since.reset();
+        return true;
+    }
+    if (!run.odd_since)
+        run.odd_since = now;
+    return now - *run.odd_since > figure_span;
+}
+
 /** Learns from the tail of one task: about the images that met, or about the job's own load. */
 void learn_tail(job_scheduler& state, open_job& job, const task_run& run, double tail,
                 const filling_load& used, time_point now)
 {
     if (is_fresh(job.tail, now))
         observe_tail(state.tails, run.image, tail / job.tail.latest, used);
-    const bool known = std::all_of(used.begin(), used.end(), [&](const auto& filling) {
-        return is_known_pair(state.tails, run.image, filling.first);
-    });
-    if (known || !is_fresh(job.tail, now))
+    if (all_known(state, run.image, used) || !is_fresh(job.tail, now))
         follow_tail(job.tail, tail / tail_factor(state.tails, run.image, used), now);
 }
 
@@ -79,45 +108,69 @@
 {
     longest_tail longest;
     for (const auto& running : list.running) {
-        const auto* task = running_task(state, running);
+        auto* task = running_task(state, running);
         if (task == nullptr || task->run->tail_target.count() == 0 || running.figure == 0)
             continue;
+        auto& job = *find_job(state, running.task.job);
         const auto tail = static_cast<double>(running.figure);
+        if (!is_believable(state, job, *task->run, tail, used, now))
+            continue;
+        learn_tail(state, job, *task->run, tail, used, now);
         const std::chrono::duration<double, std::milli> target{task->run->tail_target};
-        learn_tail(state, *find_job(state, running.task.job), *task->run, tail, used, now);
         if (longest.target == 0 || tail * longest.target > longest.tail * target.count())
-            longest = {task->run->image, tail, target.count()};
+            longest = {task->run->image, tail, target.count(), job.tail.latest};
     }
     return longest;
 }
 
-/** Returns the runs that fill, the one that presses most for each processor first. */
+/**
+ * Returns the runs that fill, the one that presses most for each processor first. Together they
+ * explain what the tail has beyond what it would be alone; the model tells how they share it.
+ */
 std::vector<pressing_run> pressing_runs(job_scheduler& state, const worker_list& list,
-                                        const std::string& serving, double alone_ms)
+                                        const longest_tail& longest)
 {
-    std::vector<std::pair<double, pressing_run>> runs;
+    struct ranked {
+        double slope{0};
+        double pressure{0};
+        pressing_run run;
+    };
+    std::vector<ranked> runs;
+    double total = 0;
     for (const auto& running : list.running) {
         auto* task = running_task(state, running);
         if (task == nullptr || task->run->filling.value() == 0 ||
             task->run->phase != run_phase::running)
             continue;
-        const auto slope = tail_slope(state.tails, serving, task->run->image);
+        const auto slope = tail_slope(state.tails, longest.image, task->run->image);
         const auto cores = static_cast<double>(task->run->filling.value()) / 1000;
         const auto& step = find_job(state, running.task.job)->spec.steps[running.task.step];
-        runs.emplace_back(slope,
-                          pressing_run{running.task, task, alone_ms * slope * cores / full_pace,
-                                       step.checkpoints});
+        runs.push_back({slope, slope * cores, {running.task, task, 0, step.checkpoints}});
+        total += slope * cores * task->run->pace / full_pace;
     }
     std::sort(runs.begin(), runs.end(), [](const auto& left, const auto& right) {
-        return std::tie(left.first, left.second.ref) > std::tie(right.first, right.second.ref);
+        return std::tie(left.slope, left.run.ref) > std::tie(right.slope, right.run.ref);
     });
+    const auto explained = std::max(0.0, longest.tail - longest.alone);
     std::vector<pressing_run> pressing;
     pressing.reserve(runs.size());
-    for (auto& [slope, run] : runs)
-        pressing.push_back(std::move(run));
+    for (auto& entry : runs) {
+        if (total > 0)
+            entry.run.per_hundredth = explained * entry.pressure / total / full_pace;
+        pressing.push_back(std::move(entry.run));
+    }
     return pressing;
 }
 
+/** Returns by how much the tail is to be shortened; nothing where it is too long by itself. */
+double excess_of(const longest_tail& longest)
+{
+    if (longest.tail <= longest.target || longest.alone > longest.target * own_fault_share)
+        return 0;
+    const auto halfway = (std::min(longest.alone, longest.target) + longest.target) / 2;
+    return longest.tail - std::max(longest.target * eased_share, halfway);
+}
+
 void set_pace(job_scheduler& state, job_worker& worker, const pressing_run& pressing, double pace,
               time_point now)
 {
@@ -175,24 +228,38 @@
     }
 }
 
+/** Returns whether a tail has been over its target for so long that the model may be wrong. */
+bool is_over_for_long(job_worker& worker, const longest_tail& longest, time_point now)
+{
+    if (longest.tail <= longest.target) {
+        worker.over_since.reset();
+        return false;
+    }
+    if (!worker.over_since)
+        worker.over_since = now;
+    return now - *worker.over_since >= longest_trust;
+}
+
 } // namespace
 
 void watch_tails(job_scheduler& state, job_worker& worker, const worker_list& list, time_point now)
 {
     const auto used = filling_in(state, list);
-    const auto longest = learn_tails(state, list, used, now);
+    auto longest = learn_tails(state, list, used, now);
+    if (is_over_for_long(worker, longest, now))
+        longest.alone = std::min(longest.alone, longest.target / 2);
     const bool settled =
         now - worker.relieved_at > figure_span && now - worker.paced_at > figure_span;
     if (used.empty() || !settled)
         return;
+    const auto pressing = pressing_runs(state, list, longest);
     if (worker.serving_images.empty())
-        return hasten(state, worker, pressing_runs(state, list, {}, 0), unlimited_ms, now);
+        return hasten(state, worker, pressing, unlimited_ms, now);
     if (longest.target == 0)
         return;
-    const auto alone = longest.tail / tail_factor(state.tails, longest.image, used);
-    const auto pressing = pressing_runs(state, list, longest.image, alone);
-    if (longest.tail > longest.target)
-        ease(state, worker, pressing, longest.tail - longest.target * eased_share, now);
+    const auto excess = excess_of(longest);
+    if (excess > 0)
+        ease(state, worker, pressing, excess, now);
     else if (longest.tail < longest.target * hasten_share)
         hasten(state, worker, pressing, longest.target * hasten_share - longest.tail, now);
 }
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -39,6 +39,10 @@
     CPPUNIT_TEST(what_saves_its_work_is_stopped_before_it_crawls);
     CPPUNIT_TEST(what_was_slowed_is_hastened_when_the_tail_is_back);
     CPPUNIT_TEST(what_was_slowed_is_hastened_when_nothing_serves_there);
+    CPPUNIT_TEST(what_does_not_press_is_left_alone);
+    CPPUNIT_TEST(a_tail_that_is_long_by_itself_stops_nothing);
+    CPPUNIT_TEST(a_tail_that_stays_too_long_is_relieved_whatever_the_cause);
+    CPPUNIT_TEST(a_single_odd_figure_is_not_believed);
     CPPUNIT_TEST(a_pace_without_an_answer_is_sent_again);
     CPPUNIT_TEST(a_new_leader_hastens_what_it_finds_slowed);
     CPPUNIT_TEST(slopes_are_learned_from_rough_figures);
@@ -651,6 +655,48 @@
         CPPUNIT_ASSERT_EQUAL(100U, paces.front().percent);
     }
 
+    void what_does_not_press_is_left_alone()
+    {
+        const auto orders = fill_beside_serving(false);
+        learn("light", 0);
+        tell_tail(orders, 19);
+        const auto paces = plan_paces(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, paces.size());
+        CPPUNIT_ASSERT_EQUAL(1U, paces.front().task.step);
+    }
+
+    void a_tail_that_is_long_by_itself_stops_nothing()
+    {
+        const auto orders = fill_beside_serving(true);
+        // The job's users press on it everywhere: its own tail goes to 24 of 18.
+        for (int told = 0; told < 4; ++told)
+            follow_tail(state_.jobs.at(orders[0].task.job).tail, 24,
+                        now_ + std::chrono::milliseconds{250 * told});
+        tell_tail(orders, 48);
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        CPPUNIT_ASSERT(plan_paces(state_, now_).empty());
+    }
+
+    void a_tail_that_stays_too_long_is_relieved_whatever_the_cause()
+    {
+        const auto orders = fill_beside_serving(true);
+        for (int told = 0; told < 4; ++told)
+            tell_tail(orders, 48);
+        CPPUNIT_ASSERT(!plan_stops(state_, now_).empty());
+    }
+
+    void a_single_odd_figure_is_not_believed()
+    {
+        const auto orders = fill_beside_serving(true);
+        tell_tail(orders, 90);
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        CPPUNIT_ASSERT(plan_paces(state_, now_).empty());
+        CPPUNIT_ASSERT(state_.jobs.at(orders[0].task.job).tail.latest < 10);
+        // It stays: there is something to it.
+        tell_tail(orders, 90);
+        CPPUNIT_ASSERT(state_.jobs.at(orders[0].task.job).tail.latest > 10);
+    }
+
     void a_pace_without_an_answer_is_sent_again()
     {
         const auto orders = fill_beside_serving(false);
