schedule: what lasts yields to what ends soon, for 1.5 s

A short task gives its room back within a second and is worth about four times as much for each processor-second.

--- a/src/libschedule/joborder.cpp
+++ b/src/libschedule/joborder.cpp
@@ -97,9 +97,30 @@
 
 namespace {
 
+/** What lasts waits so long behind what ends soon, and then comes first. */
+constexpr duration endless_patience = std::chrono::milliseconds{1500};
+constexpr double before_all = -1e9;
+/** In the yield of usual work; what ends soon gives its room back. */
+constexpr double endless_yield = 0.3;
+
+/** Returns whether tasks of the job have waited for long. */
+bool has_waited(open_job& job, time_point now)
+{
+    const bool waits = std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto& task) {
+        return !task.succeeded && !task.run && !task.recording;
+    });
+    if (!waits)
+        job.waits_since.reset();
+    else if (!job.waits_since)
+        job.waits_since = now;
+    return job.waits_since && now - *job.waits_since > endless_patience;
+}
+
 /** Lower comes first. */
-double place_among_equals(const job_scheduler& state, const open_job& job, prospect hope)
+double place_among_equals(const job_scheduler& state, open_job& job, prospect hope, time_point now)
 {
+    if (job.endless)
+        return has_waited(job, now) ? before_all : -endless_yield;
     // What is of no use to its caller any more is worked off as it came, so that it does end.
     if (hope == prospect::too_late)
         return std::chrono::duration<double>(job.arrived.time_since_epoch()).count();
@@ -123,7 +144,8 @@
         // Room goes first to what can still be in time: what cannot gains less by it. Among equals
         // it goes to what yields most for the work that is left, which finishes what was begun.
         const auto hope = prospect_of(job, now);
-        order.push_back({{job.queue.priority, hope, place_among_equals(state, job, hope)}, &job});
+        order.push_back(
+            {{job.queue.priority, hope, place_among_equals(state, job, hope, now)}, &job});
     }
     std::sort(order.begin(), order.end(),
               [](const ranked& left, const ranked& right) { return left.rank < right.rank; });
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -101,6 +101,8 @@
     bool started{false};
     /** Cancelled or ended: its runs are being stopped. */
     bool ending{false};
+    /** Since when a task of it that lasts has waited for room. */
+    std::optional<time_point> waits_since;
     /** When others were last stopped for it. */
     time_point room_made_at;
     /** Some step's tasks run until the job is cancelled. */
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(what_was_begun_goes_before_what_was_not);
     CPPUNIT_TEST(small_work_goes_before_large_work);
     CPPUNIT_TEST(what_is_too_late_is_worked_off_as_it_came);
+    CPPUNIT_TEST(what_lasts_yields_to_what_ends_but_not_for_long);
     CPPUNIT_TEST(an_image_without_room_leaves_room_to_others);
     CPPUNIT_TEST(images_that_serve_mix_where_they_are_mixed);
     CPPUNIT_TEST(a_task_that_lasts_makes_room_among_those_that_fill);
@@ -445,6 +446,23 @@
         CPPUNIT_ASSERT_EQUAL('f', orders[0].task.job.value().back());
     }
 
+    void what_lasts_yields_to_what_ends_but_not_for_long()
+    {
+        auto lasting = step(1, 4);
+        lasting.endless = true;
+        add_job(state_, job({lasting}, 'd'), now_);
+        add_job(state_, job({step(4, 4)}, 'e'), now_);
+        add_worker("w1", 4);
+        auto orders = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL('e', orders[0].task.job.value().back());
+        take_start_answer(state_, orders[0], order_answer::refused, now_);
+        now_ += std::chrono::seconds{3};
+        list("w1", {});
+        orders = plan();
+        CPPUNIT_ASSERT_EQUAL('d', orders.at(0).task.job.value().back());
+    }
+
     void an_image_without_room_leaves_room_to_others()
     {
         add_worker("w1", 8);
