core, daemon, deploy: logs that never wait and are bounded, metrics at a known place

Cause: a daemon wrote each line with a blocking write; a reader of its standard output that stands still would have stopped the scheduler with it. Nothing bounded the lines of one kind, and nothing named the metrics to who examines an incident.

Lines go to pipes and sockets without blocking: what does not fit is left out whole and counted in the next line that fits; a line that was cut is ended first. Each kind of event has 1,000 lines a second (half of the task starts of the target), and a line tells how many were left out. The setting metrics opens a further listener; a process does its work without it.

--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -1,11 +1,15 @@
 #include "log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "logbudget.h"
+#include "logsink.h"
+
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
 #include <memory>
+#include <mutex>
+#include <unistd.h>
 
 namespace galenaturn {
 
@@ -34,6 +38,18 @@
     return instance;
 }
 
+/** Half of the task starts of the users' peak (2,100 a second), for each kind of event. */
+constexpr std::uint32_t lines_a_second = 1000;
+
+/** Asks the budget of all threads whether a line of the event may be written. */
+log_budget::verdict ask_budget(std::string_view event)
+{
+    static std::mutex guard;
+    static log_budget budget{lines_a_second};
+    const std::lock_guard lock{guard};
+    return budget.ask(event, monotonic_now());
+}
+
 } // namespace
 
 void init_log(log_level threshold, log_target target)
@@ -41,7 +57,7 @@
     static const log4cplus::tstring pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n";
     log4cplus::initialize();
     log4cplus::SharedAppenderPtr appender{
-        new log4cplus::ConsoleAppender{target == log_target::standard_error, true}};
+        new log_sink{target == log_target::standard_error ? STDERR_FILENO : STDOUT_FILENO}};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     logger().removeAllAppenders();
     logger().addAppender(appender);
@@ -71,6 +87,13 @@
     const auto library_level = to_library_level(level);
     if (!logger().isEnabledFor(library_level))
         return;
+    const auto verdict = ask_budget(event);
+    if (verdict.left_out > 0)
+        logger().log(library_level,
+                     "event=log_lines_left_out cause=budget kind=" + log_quoted(event) +
+                         " count=" + std::to_string(verdict.left_out));
+    if (!verdict.write)
+        return;
     std::string line{"event="};
     line += event;
     for (const auto& field : fields) {
--- a/src/libcore/settings.cpp
+++ b/src/libcore/settings.cpp
@@ -76,6 +76,7 @@
     for (auto& domain : root.texts("refused_domains"))
         settings_.refused_domains.emplace_back(std::move(domain));
     settings_.readiness = root.endpoint("readiness", ip_endpoint{});
+    settings_.metrics = root.endpoint("metrics", ip_endpoint{});
     if (root.has("jobs")) {
         auto jobs = root.map("jobs");
         read_jobs(jobs);
--- a/src/libcore/settings.h
+++ b/src/libcore/settings.h
@@ -56,6 +56,8 @@
     job_settings jobs;
     /** A second listener that answers only readiness and metrics; port 0 for none. */
     ip_endpoint readiness;
+    /** A further listener at a known place for who collects metrics; port 0 for none. */
+    ip_endpoint metrics;
     /** Control only: the folder that holds the ledger. */
     std::string data_folder;
     /** The folder with the state charts; empty for those built into the program. */
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -125,6 +125,18 @@
     return true;
 }
 
+/** Opens the listener for metrics; the process does its work without it, too. */
+void open_metrics(const context& shared, http::server& collected)
+{
+    const auto& place = shared.settings.metrics;
+    if (place.port == 0)
+        return;
+    const auto opened = collected.listen(place);
+    if (!opened)
+        log_event(log_level::warning, "metrics_unreachable",
+                  {{"address", place}, {"error", opened.error().message()}});
+}
+
 int serve(process_settings settings, const service_factory& make_services)
 {
     context shared{std::move(settings)};
@@ -132,6 +144,7 @@
     limits.body = shared.settings.body_limit;
     http::server server{shared.io, shared.routes, limits, shared.metrics};
     http::server checks{shared.io, shared.routes, limits, shared.metrics};
+    http::server collected{shared.io, shared.routes, limits, shared.metrics};
     wire::frame_server peers{shared.channels, shared.frames};
     lifecycle life{shared, server, peers};
     findings found;
@@ -144,6 +157,7 @@
     auto services = make_services(shared);
     if (!open(shared, server, checks, peers, services))
         return exit_failure;
+    open_metrics(shared, collected);
 
     boost::asio::signal_set signals{shared.io, SIGTERM, SIGINT};
     signals.async_wait([&life](const boost::system::error_code& error, int /*signal*/) {
