--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -167,7 +167,7 @@
                   {{"version", queues_.version}, {"queues", queues_.queues.size()}});
     }
     if (!serving_)
-        return;
+        return asio::post(shared_.io, [this] { watch_leadership(); });
     const auto now = monotonic_now();
     for (const auto& id : change.jobs) {
         const auto job = state.jobs.find(id);
--- a/src/libdaemon/rosterservice.cpp
+++ b/src/libdaemon/rosterservice.cpp
@@ -11,6 +11,7 @@
 
 /** Often enough that a new leader is known everywhere well within a second. */
 constexpr duration exchange_interval = std::chrono::milliseconds{400};
+constexpr duration search_interval = std::chrono::milliseconds{100};
 /** Longer than any round trip between failure domains, shorter than presence_limit. */
 constexpr duration answer_limit = std::chrono::milliseconds{800};
 
@@ -74,7 +75,8 @@
 
 void roster_service::exchange_later()
 {
-    timer_.expires_after(exchange_interval);
+    // While nobody leads callers are turned away: who leads next is to be known soon.
+    timer_.expires_after(leader().empty() ? search_interval : exchange_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             exchange();
