schedule: several odd figures are believed at once; a job's own tail does not rise by a jump

Now figures of two tasks that are odd together are believed at once; a jump of more than half is never taken for the job's own load while that is known from the last six seconds; a tail counts as over for long after 1.2 s. Nothing is slowed for less than a tenth of a millisecond.

--- a/src/libschedule/owntail.cpp
+++ b/src/libschedule/owntail.cpp
@@ -15,6 +15,8 @@
 /** Of the target; expected of a job whose tail nobody has told. */
 constexpr double unknown_share = 0.5;
 constexpr duration fresh_span = std::chrono::seconds{2};
+/** Longer than a tail may be over its target. */
+constexpr duration memory_span = std::chrono::seconds{6};
 
 void approach(double& average, double sample, std::chrono::duration<double> passed,
               std::chrono::duration<double> span)
@@ -43,6 +45,11 @@
     return tail.latest > 0 && now - tail.at < fresh_span;
 }
 
+bool is_remembered(const own_tail& tail, time_point now)
+{
+    return tail.latest > 0 && now - tail.at < memory_span;
+}
+
 double tail_to_expect(const own_tail& tail, double target_ms)
 {
     if (tail.latest == 0)
--- a/src/libschedule/tailwatch.cpp
+++ b/src/libschedule/tailwatch.cpp
@@ -17,7 +17,7 @@
 /** A tail that is longer than this share of its target by itself is not ours to shorten. */
 constexpr double own_fault_share = 1.15;
 /** A tail that is over its target for so long on end is eased whatever the model says of it. */
-constexpr duration longest_trust = std::chrono::seconds{2};
+constexpr duration longest_trust = std::chrono::milliseconds{1200};
 /** Below this share of the target, what was slowed is hastened up to it. */
 constexpr double hasten_share = 0.8;
 /** In hundredths; what would have to go slower is stopped where that loses no work. */
@@ -27,6 +27,10 @@
 constexpr std::uint32_t full_pace = 100;
 /** A tail that is so many times as long as expected is odd. */
 constexpr double odd_factor = 3;
+/** A tail that is so many times as long as expected is no longer the job's own doing. */
+constexpr double most_own_rise = 1.5;
+/** Nothing is slowed or stopped for less. */
+constexpr double negligible_ms = 0.1;
 /** What a worker has left for tails where nothing serves. */
 constexpr double unlimited_ms = 1e9;
 
@@ -73,16 +77,42 @@
     return used;
 }
 
+/** Returns by how many times the tail is longer than what is known explains. */
+double unexplained_times(const job_scheduler& state, const open_job& job, const task_run& run,
+                         double tail, const filling_load& used)
+{
+    return tail / (job.tail.latest * tail_factor(state.tails, run.image, used));
+}
+
+bool is_odd(const job_scheduler& state, const open_job& job, const task_run& run, double tail,
+            const filling_load& used, time_point now)
+{
+    return is_fresh(job.tail, now) && all_known(state, run.image, used) &&
+           unexplained_times(state, job, run, tail, used) > odd_factor;
+}
+
+/** Returns whether more than one task of the worker tells an odd tail: then there is a cause. */
+bool are_several_odd(job_scheduler& state, const worker_list& list, const filling_load& used,
+                     time_point now)
+{
+    int odd = 0;
+    for (const auto& running : list.running) {
+        const auto* task = running_task(state, running);
+        if (task != nullptr && task->run->tail_target.count() > 0 && running.figure > 0)
+            odd += is_odd(state, *find_job(state, running.task.job), *task->run,
+                          static_cast<double>(running.figure), used, now)
+                       ? 1
+                       : 0;
+    }
+    return odd > 1;
+}
+
 /**
- * Returns whether the tail is to be taken as told: single figures are wrong by far at times, so
- * that one beyond explanation counts only when it stays.
+ * Returns whether an odd tail is to be taken as told: single figures are wrong by far at times,
+ * so that one beyond explanation counts only when it stays.
  */
-bool is_believable(const job_scheduler& state, const open_job& job, task_run& run, double tail,
-                   const filling_load& used, time_point now)
+bool has_stayed(task_run& run, bool odd, time_point now)
 {
-    const bool odd =
-        is_fresh(job.tail, now) && all_known(state, run.image, used) &&
-        tail > job.tail.latest * odd_factor * tail_factor(state.tails, run.image, used);
     if (!odd) {
         run.odd_since.reset();
         return true;
@@ -98,8 +128,14 @@
 {
     if (is_fresh(job.tail, now))
         observe_tail(state.tails, run.image, tail / job.tail.latest, used);
-    if (all_known(state, run.image, used) || !is_fresh(job.tail, now))
-        follow_tail(job.tail, tail / tail_factor(state.tails, run.image, used), now);
+    if (is_remembered(job.tail, now)) {
+        // Users come and go slowly: a tail that jumps is the doing of what is beside it.
+        const bool jumps =
+            !used.empty() && unexplained_times(state, job, run, tail, used) > most_own_rise;
+        if (jumps || (is_fresh(job.tail, now) && !all_known(state, run.image, used)))
+            return;
+    }
+    follow_tail(job.tail, tail / tail_factor(state.tails, run.image, used), now);
 }
 
 /** Learns from all tails and returns the one that is longest in relation to its target. */
@@ -107,13 +143,15 @@
                          time_point now)
 {
     longest_tail longest;
+    const bool several_odd = are_several_odd(state, list, used, now);
     for (const auto& running : list.running) {
         auto* task = running_task(state, running);
         if (task == nullptr || task->run->tail_target.count() == 0 || running.figure == 0)
             continue;
         auto& job = *find_job(state, running.task.job);
         const auto tail = static_cast<double>(running.figure);
-        if (!is_believable(state, job, *task->run, tail, used, now))
+        const bool odd = is_odd(state, job, *task->run, tail, used, now);
+        if (!has_stayed(*task->run, odd, now) && !several_odd)
             continue;
         learn_tail(state, job, *task->run, tail, used, now);
         const std::chrono::duration<double, std::milli> target{task->run->tail_target};
@@ -190,13 +228,12 @@
     worker.relieved_at = now;
 }
 
-/** Shortens the tail by `excess_ms`: by slowing what presses most, and by stopping as a last way.
- */
+/** Shortens the tail by `excess_ms`: slows what presses most, and stops as a last way. */
 void ease(job_scheduler& state, job_worker& worker, const std::vector<pressing_run>& pressing,
           double excess_ms, time_point now)
 {
     for (const auto& run : pressing) {
-        if (excess_ms <= 0 || run.per_hundredth <= 0)
+        if (excess_ms <= negligible_ms || run.per_hundredth <= 0)
             return;
         const double before = run.task->run->pace;
         const double wanted = before - excess_ms / run.per_hundredth;
@@ -210,7 +247,8 @@
         excess_ms -= (before - pace) * run.per_hundredth;
     }
     // Everything goes as slowly as it may, and the tail is still too long.
-    if (excess_ms > 0 && !pressing.empty() && pressing.front().task->run->pace <= least_pace)
+    if (excess_ms > negligible_ms && !pressing.empty() &&
+        pressing.front().task->run->pace <= least_pace)
         stop_for_tail(state, worker, pressing.front(), now);
 }
 
