schedule: room that is made for a task that lasts is not filled again

Cause, by reading and by a test of the decision: what is stopped for a task that lasts ends one run after the other, and each came free to tasks that fill in the pass in between. Since room that comes back is no longer made again, nothing further was stopped, and the task waited as long as others did. The worker is now kept from filling until a second after the last attempt.

Ruled out: an unread worker, a lapsed lease (both end within 8 s), a farewell that was lost. Test: room_that_is_made_is_not_given_away (fails without the change).

--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -18,6 +18,8 @@
 constexpr double most_tail_share = 0.75;
 /** Workers on which unknown pairs are tried at once. */
 constexpr std::size_t most_trials = 12;
+/** Stops end within half a second; until then what comes free is not given away again. */
+constexpr duration keep_span = std::chrono::seconds{1};
 /** Time for a tail to settle, and to be told, before a relieved worker is filled again. */
 constexpr duration relief_pause = std::chrono::milliseconds{1500};
 
@@ -82,6 +84,8 @@
               const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
+    if (now < worker.kept_until)
+        return false;
     const bool serves = !worker.serving_images.empty();
     const auto crowding = request.starving && !serves
                               ? worker.record.capacity.processors.value() * crowding_percent / 100
@@ -250,15 +254,19 @@
 {
     const auto wanted = reserved_by(*request.step);
     std::optional<std::vector<wire::task_ref>> fewest;
-    for (const auto& [id, worker] : state.workers) {
+    job_worker* chosen = nullptr;
+    for (auto& [id, worker] : state.workers) {
         if (!suits(state, worker, request, now))
             continue;
         auto stopped = runs_in_the_way(state, worker, wanted);
-        if (stopped && (!fewest || stopped->size() < fewest->size()))
-            fewest = std::move(stopped);
+        if (!stopped || (fewest && stopped->size() >= fewest->size()))
+            continue;
+        fewest = std::move(stopped);
+        chosen = &worker;
     }
-    if (!fewest)
+    if (chosen == nullptr)
         return;
+    chosen->kept_until = now + keep_span;
     for (const auto& ref : *fewest)
         stop_run(state, ref, *find_task(state, ref), now);
 }
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -135,6 +135,8 @@
     std::map<std::string, tail_outlook> tails;
     /** Filled to learn how images get on with each other. */
     bool on_trial{false};
+    /** Nothing fills it before: its room is being made for a task that lasts. */
+    time_point kept_until;
     /** When runs were last stopped here for the sake of a tail. */
     time_point relieved_at;
     /** Since when a tail here has been over its target on end. */
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(images_that_serve_mix_where_they_are_mixed);
     CPPUNIT_TEST(a_task_that_lasts_makes_room_among_those_that_fill);
     CPPUNIT_TEST(room_that_comes_back_is_not_made_again);
+    CPPUNIT_TEST(room_that_is_made_is_not_given_away);
     CPPUNIT_TEST(a_task_that_lasts_leaves_a_worker_that_is_leaving);
     CPPUNIT_TEST(a_starving_job_gets_a_share_of_a_full_worker);
     CPPUNIT_TEST(images_that_get_on_share_a_worker);
@@ -537,6 +538,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
     }
 
+    /** bcs-tags, workers-leave --seed 194959485113: what came free was filled again, for 18 s. */
+    void room_that_is_made_is_not_given_away()
+    {
+        add_worker("w1", 8);
+        auto filling = filling_step(12, "any");
+        filling.demand.processors = millicores{500};
+        filling.demand.memory = bytes{std::int64_t{16} << 30};
+        add_job(state_, job({filling}, 'e'), now_);
+        const auto filled = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, filled.size());
+        accept(filled);
+        auto serving = serving_step(1);
+        serving.demand.memory = bytes{std::int64_t{32} << 30};
+        add_job(state_, job({serving}), now_);
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan_stops(state_, now_).size());
+        // One of the two has ended: its room alone is too little for the task that lasts.
+        now_ += std::chrono::milliseconds{200};
+        worker_list listed;
+        for (std::size_t at = 0; at < 3; ++at)
+            listed.running.push_back({filled[at].task, filled[at].run, "", 10, 500});
+        listed.ended.push_back({++last_end_, filled[3].task, filled[3].run, run_end::stopped, ""});
+        list("w1", listed);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
     void a_task_that_lasts_leaves_a_worker_that_is_leaving()
     {
         add_worker("w1", 8);
