schedule, controld: show how busy a leader is and how long jobs wait

Cause: neither logs nor metrics told apart a leader that lacks processor time, a slow ledger and a full fleet: all three show as jobs that complete late. There was no figure for scheduling passes, and none for the time to the first start.

No decision changes.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -56,7 +56,10 @@
       pass_timer_{shared.io}, share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge(
                                                            "galenaturn_jobs_open")},
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
-      accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")}
+      accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
+      record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
+      pass_latency_{shared.metrics.make_latency("galenaturn_job_pass_seconds")},
+      tick_delay_{shared.metrics.make_latency("galenaturn_job_tick_delay_seconds")}
 {
     for (const auto status : wire::all_job_responses)
         response_counters_[status] = &shared.metrics.make_counter(
@@ -74,6 +77,8 @@
     counters_.add(name, {{"event", "stray"}}, counts_.orphans);
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
     counters_.add(name, {{"event", "paced"}}, counts_.pace_changes);
+    counters_.add("galenaturn_job_passes_total", {}, counts_.passes);
+    counters_.add("galenaturn_placement_candidates_total", {}, counts_.candidates);
     hub_.applied.emplace_back([this](const auto& change) { on_applied_change(change); });
     hub_.leadership.emplace_back([this](bool leads) {
         if (!leads)
@@ -143,6 +148,7 @@
     scheduler_ =
         schedule::take_over(state.jobs, state.workers, shared_.settings.jobs, now, wall_now());
     scheduler_.interference = last_model_;
+    load_ = {};
     log_event(log_level::info, "term_begun",
               {{"token", token_},
                {"open_jobs", scheduler_.jobs.size()},
@@ -318,6 +324,20 @@
 {
     const auto ended = monotonic_now();
     next_pass_ = ended + std::max(min_pass_pause, (ended - began) * pass_pause_factor);
+    pass_latency_.record(ended - began);
+    load_.passing += ended - began;
+    load_.longest_pass = std::max(load_.longest_pass, ended - began);
+}
+
+void job_service::log_first_start(const schedule::start_command& command) const
+{
+    const auto job = scheduler_.jobs.find(command.task.job);
+    if (!command.job_wait || job == scheduler_.jobs.end())
+        return;
+    log_event(log_level::info, "job_started",
+              {{"job", job->first},
+               {"queue", job->second.queue.name},
+               {"waited_us", command.job_wait->count()}});
 }
 
 template <class Command>
@@ -343,6 +363,7 @@
     queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
     queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
     for (auto& command : schedule::plan_starts(scheduler_, now, wall_now())) {
+        log_first_start(command);
         const auto worker = command.worker;
         connections_[worker].starts.push_back(std::move(command));
         send_commands(worker);
@@ -352,10 +373,14 @@
 
 void job_service::schedule_tick()
 {
-    tick_timer_.expires_after(tick_interval);
+    tick_due_ = monotonic_now() + tick_interval;
+    tick_timer_.expires_at(tick_due_);
     tick_timer_.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
+        const auto delay = monotonic_now() - tick_due_;
+        tick_delay_.record(delay);
+        load_.longest_tick_delay = std::max(load_.longest_tick_delay, delay);
         begin_term_if_leading();
         pass();
         log_capacity();
@@ -399,6 +424,24 @@
                {"relieved", scheduler_.counts.stopped_for_tail},
                {"paced", scheduler_.counts.pace_changes},
                {"trials", scheduler_.counts.trials}});
+    log_load();
+}
+
+void job_service::log_load()
+{
+    const auto& counts = scheduler_.counts;
+    log_event(log_level::info, "leader_load",
+              {{"token", token_},
+               {"passes", counts.passes - load_.passes},
+               {"candidates", counts.candidates - load_.candidates},
+               {"passing_us", load_.passing.count()},
+               {"longest_pass_us", load_.longest_pass.count()},
+               {"longest_accept_us", load_.longest_accept.count()},
+               {"longest_record_us", load_.longest_record.count()},
+               {"longest_tick_delay_us", load_.longest_tick_delay.count()}});
+    load_ = {};
+    load_.passes = counts.passes;
+    load_.candidates = counts.candidates;
 }
 
 // Requests of callers.
@@ -431,8 +474,10 @@
     }
     response_counters_[response.status]->add();
     const auto elapsed = monotonic_now() - arrived;
-    if (verb == wire::job_verb::submit)
+    if (verb == wire::job_verb::submit) {
         accept_latency_.record(elapsed);
+        load_.longest_accept = std::max(load_.longest_accept, elapsed);
+    }
     if (verb == wire::job_verb::submit || response.status != job_response_status::ok)
         log_event(log_level::info, "job_answered",
                   {{"request", request_id},
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -50,6 +50,17 @@
         bool sending{false};
     };
 
+    /** Work and delays since the last `leader_load` event. */
+    struct interval_load {
+        std::uint64_t passes{0};
+        std::uint64_t candidates{0};
+        duration passing{};
+        duration longest_pass{};
+        duration longest_accept{};
+        duration longest_record{};
+        duration longest_tick_delay{};
+    };
+
     // Terms of leadership.
     void begin_term_if_leading();
     void begin_term();
@@ -104,8 +115,10 @@
     void queue_commands(const std::vector<Command>& commands,
                         std::deque<Command> worker_connection::*queue);
     void set_next_pass(time_point began);
+    void log_first_start(const schedule::start_command& command) const;
     void schedule_tick();
     void log_capacity();
+    void log_load();
     void share_tail_model();
 
     // Requests of callers.
@@ -151,6 +164,12 @@
     gauge& known_workers_;
     std::map<wire::job_response_status, counter*> response_counters_;
     latency_summary& accept_latency_;
+    latency_summary& record_latency_;
+    latency_summary& pass_latency_;
+    latency_summary& tick_delay_;
+    /** When the tick timer is due; its delay shows how busy this process is. */
+    time_point tick_due_;
+    interval_load load_;
 };
 
 } // namespace galenaturn::controld
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -186,6 +186,7 @@
 job_service::record_completions(std::vector<wire::record_completions::item> items,
                                 std::uint64_t generation)
 {
+    const auto began = monotonic_now();
     while (in_term(generation)) {
         wire::record_completions completions;
         completions.items = items;
@@ -199,6 +200,9 @@
                   {{"items", items.size()}, {"status", wire::to_string(outcome.status)}});
         co_await pause(shared_.io, record_retry_pause);
     }
+    const auto elapsed = monotonic_now() - began;
+    record_latency_.record(elapsed);
+    load_.longest_record = std::max(load_.longest_record, elapsed);
     if (in_term(generation))
         schedule::on_completions_recorded(scheduler_, items);
 }
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace galenaturn::schedule {
 
@@ -103,9 +104,12 @@
     set_in_trial(pass.state, worker, worker.in_trial || is_trial);
     pass.state.counts.trials += is_trial ? 1 : 0;
     begin_run(pass.state, ref, task, std::move(run));
-    job.started = true;
+    std::optional<duration> job_wait;
+    if (!std::exchange(job.started, true))
+        job_wait = pass.now - job.arrived;
     ++pass.state.counts.starts;
-    pass.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint});
+    pass.commands.push_back(
+        {ref, run_number, worker.record.id, job.spec.text, task.checkpoint, job_wait});
 }
 
 /**
@@ -257,6 +261,7 @@
 
 std::vector<start_command> plan_starts(job_scheduler& state, time_point now, wall_time wall)
 {
+    ++state.counts.passes;
     for (auto& [id, worker] : state.workers) {
         if (!worker.serving_images.empty())
             update_tail_forecasts(state, worker);
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -287,6 +287,7 @@
     const auto wanted = reservation_of(*request.step);
     std::optional<std::vector<wire::task_ref>> fewest_preempted;
     job_worker* chosen = nullptr;
+    state.counts.candidates += state.workers.size();
     for (auto& [id, worker] : state.workers) {
         if (!is_eligible(state, worker, request, now))
             continue;
@@ -309,6 +310,7 @@
     std::int64_t best_cost = 0;
     const bool many_non_serving =
         request.step->tail_target.count() > 0 && has_many_non_serving(state);
+    state.counts.candidates += state.workers.size();
     for (auto& [id, worker] : state.workers) {
         if (!can_run(state, worker, request, now))
             continue;
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -11,6 +11,8 @@
     worker_id worker;
     std::string text;
     std::string checkpoint;
+    /** How long the job has waited; set for its first start only. */
+    std::optional<duration> job_wait{};
 };
 
 /** Command to stop a run. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -197,6 +197,9 @@
     std::uint64_t stopped_for_tail{0};
     std::uint64_t pace_changes{0};
     std::uint64_t trials{0};
+    std::uint64_t passes{0};
+    /** Workers examined to place a task. */
+    std::uint64_t candidates{0};
 };
 
 /** Average work of the jobs of a queue, in processor seconds. */
