controld: the periodic tick requests a scheduling pass instead of running one

Cause: a pass is followed by a pause of four times its duration, so that passes take at most a fifth of the time, but the tick ran a pass every 100 ms whatever the pause. With passes of 90 ms they took up to two thirds of the time.

Change: the tick requests a pass, which begins when the pause is over.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -17,7 +17,7 @@
 using wire::job_response_status;
 
 /**
- * Interval of the periodic check of leases and command timeouts; completions and replies trigger a
+ * Interval of the periodic check of leases and command timeouts; completions and replies request a
  * pass at once.
  */
 constexpr duration tick_interval = std::chrono::milliseconds{100};
@@ -382,7 +382,7 @@
         tick_delay_.record(delay);
         load_.longest_tick_delay = std::max(load_.longest_tick_delay, delay);
         begin_term_if_leading();
-        pass();
+        schedule_pass();
         log_capacity();
         schedule::forget_silent_workers(announcements_, monotonic_now());
         share_tail_model();
