schedule: leave a share of a full fleet to finite jobs

Cause: long-running jobs came before all others of their priority once they had waited for 1.5 s. On a full fleet some always have, so each processor that a finite task returned went to a task that does not return it. The class of the fault: a wait limit without a limit of what it may take.

Change: finite jobs that can be in time, or are late and have begun, come before long-running ones while finite tasks hold less than a quarter of the processors of the service; above it the order is as before. Nothing is kept idle.

Both new tests failed before (the long-running job got the freed processor).

--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -231,6 +231,7 @@
     run.reserved = reservation_of(step);
     run.best_effort_processors = best_effort_demand_of(step);
     run.serving_processors = step.tail_target.count() > 0 ? step.demand.processors : millicores{};
+    run.finite_processors = step.long_running ? millicores{} : run.reserved.processors;
     run.tail_target = step.tail_target;
     run.image = step.image;
 }
--- a/src/libschedule/jobpriority.cpp
+++ b/src/libschedule/jobpriority.cpp
@@ -3,7 +3,8 @@
 #include "jobruns.h"
 
 #include <algorithm>
-#include <tuple>
+#include <set>
+#include <utility>
 
 namespace galenaturn::schedule {
 
@@ -58,8 +59,6 @@
 
 deadline_outlook deadline_outlook_of(const open_job& job, time_point now)
 {
-    if (job.long_running)
-        return deadline_outlook::in_time;
     const auto completion = now + job.remaining_critical_path;
     if (completion <= job.target_completion)
         return deadline_outlook::in_time;
@@ -88,14 +87,50 @@
 namespace {
 
 /**
- * Jobs with long-running tasks usually come after finite jobs; once they have waited this long,
- * they come first.
+ * Finite tasks return their capacity soon, so finite jobs that can be in time or have begun come
+ * before long-running jobs while finite tasks hold less than this share of the processors of the
+ * service. Above it long-running jobs come first once they have waited for
+ * `max_long_running_wait`.
  */
+constexpr std::int64_t finite_share_percent = 25;
 constexpr duration max_long_running_wait = std::chrono::milliseconds{1500};
-constexpr double rank_before_all = -1e9;
 /** Relative to an average job. Below 1, because long-running tasks do not return their capacity. */
 constexpr double long_running_value_density = 0.3;
 
+/** Groups of jobs of equal priority, in the order in which they are placed. */
+enum class placement_group : std::uint8_t {
+    long_running_waited,
+    in_time,
+    begun_and_late,
+    long_running,
+    late,
+    too_late
+};
+
+/** Position of a job among those of equal priority; lower comes first. */
+using job_rank = std::pair<placement_group, double>;
+
+/** Returns the services on which finite tasks hold their share of the processors. */
+std::set<service_id> services_with_finite_share(const job_scheduler& state)
+{
+    struct processors {
+        std::int64_t finite{0};
+        std::int64_t capacity{0};
+    };
+    std::map<service_id, processors> services;
+    for (const auto& [id, worker] : state.workers) {
+        auto& service = services[worker.record.service];
+        service.finite += worker.finite_processors.value();
+        service.capacity += worker.record.capacity.processors.value();
+    }
+    std::set<service_id> with_share;
+    for (const auto& [id, service] : services) {
+        if (service.finite * 100 >= service.capacity * finite_share_percent)
+            with_share.insert(id);
+    }
+    return with_share;
+}
+
 /** Returns whether the job has had tasks to place for longer than `max_long_running_wait`. */
 bool has_waited_too_long(open_job& job, time_point now)
 {
@@ -106,18 +141,42 @@
     return job.waiting_since && now - *job.waiting_since > max_long_running_wait;
 }
 
-/** Returns the rank among jobs of equal priority and outlook; lower comes first. */
-double rank_among_equals(const job_scheduler& state, open_job& job, deadline_outlook outlook,
-                         time_point now)
+job_rank rank_of_long_running(open_job& job, bool finite_tasks_have_share, time_point now)
+{
+    const bool waited = has_waited_too_long(job, now);
+    if (!finite_tasks_have_share)
+        return {placement_group::long_running, 0};
+    if (waited)
+        return {placement_group::long_running_waited, 0};
+    return {placement_group::in_time, -long_running_value_density};
+}
+
+/** Returns whether some of the job's work is done or in progress. */
+bool has_begun(const open_job& job)
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(),
+                       [](const auto& task) { return task.succeeded || task.run; });
+}
+
+/**
+ * Jobs that can still meet their objective come first: late jobs gain less from capacity. Within a
+ * group, jobs with more value per remaining work come first, which also favours completing the jobs
+ * that have begun.
+ */
+job_rank rank_of_finite(const job_scheduler& state, const open_job& job, time_point now)
 {
-    if (job.long_running)
-        return has_waited_too_long(job, now) ? rank_before_all : -long_running_value_density;
+    const auto outlook = deadline_outlook_of(job, now);
     // Jobs that are too late for their caller run in order of arrival, so that each of them
     // completes.
     if (outlook == deadline_outlook::too_late)
-        return std::chrono::duration<double>(job.arrived.time_since_epoch()).count();
+        return {placement_group::too_late,
+                std::chrono::duration<double>(job.arrived.time_since_epoch()).count()};
     const auto average = state.average_work.find(job.queue.name);
-    return -value_density(job, average == state.average_work.end() ? 0 : average->second.average);
+    const auto density =
+        value_density(job, average == state.average_work.end() ? 0 : average->second.average);
+    if (outlook == deadline_outlook::in_time)
+        return {placement_group::in_time, -density};
+    return {has_begun(job) ? placement_group::begun_and_late : placement_group::late, -density};
 }
 
 } // namespace
@@ -125,20 +184,20 @@
 std::vector<open_job*> order_jobs(job_scheduler& state, time_point now)
 {
     struct ranked_job {
-        std::tuple<std::uint32_t, deadline_outlook, double> rank;
+        std::pair<std::uint32_t, job_rank> rank;
         open_job* job;
     };
     std::vector<ranked_job> ranked_jobs;
     ranked_jobs.reserve(state.jobs.size());
+    const auto with_finite_share = services_with_finite_share(state);
     for (auto& [id, job] : state.jobs) {
         if (job.ending)
             continue;
-        // Jobs that can still meet their objective come first: late jobs gain less from capacity.
-        // Within the same outlook, jobs with more value per remaining work come first, which also
-        // favours completing the jobs that have begun.
-        const auto outlook = deadline_outlook_of(job, now);
-        ranked_jobs.push_back(
-            {{job.queue.priority, outlook, rank_among_equals(state, job, outlook, now)}, &job});
+        const auto rank =
+            job.long_running
+                ? rank_of_long_running(job, with_finite_share.contains(job.queue.service), now)
+                : rank_of_finite(state, job, now);
+        ranked_jobs.push_back({{job.queue.priority, rank}, &job});
     }
     std::sort(
         ranked_jobs.begin(), ranked_jobs.end(),
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -41,6 +41,7 @@
     if (is_reclaimable(run))
         worker.reclaimable -= run.reserved;
     worker.serving_processors -= run.serving_processors;
+    worker.finite_processors -= run.finite_processors;
     if (run.tail_target.count() > 0)
         release_serving(worker, job, run);
     if (worker.serving_images.empty())
@@ -83,6 +84,7 @@
     if (is_reclaimable(run))
         worker.reclaimable += run.reserved;
     worker.serving_processors += run.serving_processors;
+    worker.finite_processors += run.finite_processors;
     if (run.tail_target.count() > 0) {
         ++worker.serving_images[run.image][ref.job];
         worker.tail_target = std::min(worker.tail_target, run.tail_target);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -37,6 +37,8 @@
     millicores best_effort_processors;
     /** Processors reserved by a latency-critical task. */
     millicores serving_processors;
+    /** Processors reserved by a task that ends by itself. */
+    millicores finite_processors;
     duration tail_target{};
     std::string image;
     run_phase phase{run_phase::commanded};
@@ -143,6 +145,8 @@
     best_effort_load best_effort_by_image;
     /** Processors reserved by latency-critical tasks. */
     millicores serving_processors;
+    /** Processors reserved by tasks that end by themselves. */
+    millicores finite_processors;
     /**
      * Number of latency-critical tasks by image and job, and the shortest of their tail targets.
      */
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(small_job_comes_before_large_job);
     CPPUNIT_TEST(too_late_jobs_run_in_order_of_arrival);
     CPPUNIT_TEST(long_running_job_waits_for_finite_jobs_for_a_limited_time);
+    CPPUNIT_TEST(long_running_jobs_leave_a_share_of_a_full_fleet_to_finite_jobs);
+    CPPUNIT_TEST(finite_jobs_beyond_their_share_do_not_starve_long_running_jobs);
     CPPUNIT_TEST(unplaceable_image_does_not_block_other_images);
     CPPUNIT_TEST(further_latency_critical_images_go_to_mixed_workers);
     CPPUNIT_TEST(long_running_task_preempts_best_effort_tasks);
@@ -467,6 +469,75 @@
         CPPUNIT_ASSERT_EQUAL('d', commands.at(0).task.job.value().back());
     }
 
+    static wire::job_step long_running_step(std::uint32_t count)
+    {
+        auto new_step = step(count, 1);
+        new_step.long_running = true;
+        return new_step;
+    }
+
+    static worker_report report_of_running(const std::vector<start_command>& commands)
+    {
+        worker_report reported;
+        for (const auto& command : commands)
+            reported.running.push_back({command.task, command.run, "", 50});
+        return reported;
+    }
+
+    /** Reports that a run has ended and that the others of its worker are still running. */
+    void end_run(const start_command& ended_run, const std::vector<start_command>& commands)
+    {
+        auto reported = ended(ended_run, run_outcome::stopped);
+        for (const auto& command : commands) {
+            if (command.task != ended_run.task)
+                reported.running.push_back({command.task, command.run, "", 50});
+        }
+        report(ended_run.worker.value(), reported);
+    }
+
+    /**
+     * Guards against finite jobs waiting for half a minute on a full fleet, while each piece of
+     * capacity that was freed went to long-running jobs that had waited for 1.5 s.
+     */
+    void long_running_jobs_leave_a_share_of_a_full_fleet_to_finite_jobs()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({long_running_step(12)}, 'd'), now_);
+        const auto running = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, running.size());
+        accept(running);
+        now_ += std::chrono::seconds{2};
+        report("w1", report_of_running(running));
+        plan();
+        now_ += std::chrono::seconds{2};
+        add_job(state_, job({step(1, 1)}, 'e'), now_);
+        end_run(running[0], running);
+        assert_single_start_of('e');
+    }
+
+    void finite_jobs_beyond_their_share_do_not_starve_long_running_jobs()
+    {
+        add_worker("w1", 8);
+        add_job(state_, job({long_running_step(12)}, 'd'), now_);
+        auto running = plan();
+        accept(running);
+        now_ += std::chrono::seconds{2};
+        plan();
+        add_job(state_, job({step(9, 1)}, 'e'), now_);
+        for (int freed = 0; freed < 2; ++freed) {
+            end_run(running[0], running);
+            running.erase(running.begin());
+            const auto started = plan();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started.size());
+            CPPUNIT_ASSERT_EQUAL('e', started[0].task.job.value().back());
+            accept(started);
+            running.push_back(started[0]);
+        }
+        // Two of eight processors are a quarter.
+        end_run(running[0], running);
+        assert_single_start_of('d');
+    }
+
     void unplaceable_image_does_not_block_other_images()
     {
         add_worker("w1", 8);
