schedule: reject workers in a pass by bounds kept in one array

Change: a pass first lists the workers that accept tasks, the most recently changed first, with upper bounds of what they can run, and looks at a worker's record only where a demand is within them. Capacity only shrinks within a pass, so a bound never hides a worker.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -30,6 +30,7 @@
     job_scheduler& state;
     time_point now;
     wall_time wall;
+    std::vector<placement_candidate> candidates;
     std::vector<start_command> commands;
     /** The job being placed is starving, and none of its tasks has been placed in this pass. */
     bool starving{false};
@@ -80,7 +81,7 @@
     if (!needs_run(task))
         return true;
     const placement_request request{&job, ref, &step, {}, pass.starving};
-    auto* worker = choose_worker(pass.state, request, pass.now);
+    auto* worker = choose_worker(pass.state, pass.candidates, request, pass.now);
     if (worker == nullptr) {
         if (step.long_running && job.last_preemption + preemption_interval <= pass.now) {
             job.last_preemption = pass.now;
@@ -112,7 +113,8 @@
         ref.index = index;
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
-        auto* worker = choose_worker(pass.state, {&job, ref, &step, rack, false}, pass.now);
+        auto* worker =
+            choose_worker(pass.state, pass.candidates, {&job, ref, &step, rack, false}, pass.now);
         if (worker != nullptr) {
             start_run(pass, job, ref, member, *worker, run_number);
             continue;
@@ -177,9 +179,10 @@
 /** Updates the tail forecasts of the workers that have changed since the last pass. */
 void update_changed_forecasts(job_scheduler& state)
 {
-    for (auto changed = state.changed_workers.upper_bound(state.last_forecast_change);
-         changed != state.changed_workers.end(); ++changed)
-        update_tail_forecasts(state, *changed->second);
+    for (auto& [id, worker] : state.workers) {
+        if (worker.change > state.last_forecast_change)
+            update_tail_forecasts(state, worker);
+    }
     state.last_forecast_change = state.last_change;
 }
 
@@ -195,6 +198,13 @@
 
 void drain_leaving_workers(job_scheduler& state, time_point now)
 {
+    const auto is_leaving = [](const auto& entry) {
+        return entry.second.leaving && !entry.second.runs.empty();
+    };
+    if (std::none_of(state.workers.begin(), state.workers.end(), is_leaving))
+        return;
+    mark_ended_pauses(state, now);
+    const auto candidates = placement_candidates(state, now);
     for (auto& [id, worker] : state.workers) {
         if (!worker.leaving)
             continue;
@@ -208,7 +218,7 @@
             // A finite task ends before the worker leaves; a long-running one moves as soon as
             // another worker can run it.
             if (step.long_running &&
-                choose_worker(state, {job, ref, &step, {}, false}, now) != nullptr)
+                choose_worker(state, candidates, {job, ref, &step, {}, false}, now) != nullptr)
                 stop_run(state, ref, *task, now);
         }
     }
@@ -219,7 +229,7 @@
     ++state.counts.passes;
     update_changed_forecasts(state);
     mark_ended_pauses(state, now);
-    scheduling_pass pass{state, now, wall, {}, false};
+    scheduling_pass pass{state, now, wall, placement_candidates(state, now), {}, false};
     const bool runs_known = are_inherited_runs_known(state, now);
     for (auto* job : order_jobs(state, now)) {
         if (runs_known || !job->inherited)
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -116,26 +116,30 @@
         [&](const auto& serving) { return !slopes.slope_of(serving.second.estimate).trusted; });
 }
 
-bool has_best_effort_processors(const job_worker& worker, const placement_request& request)
+/** Returns the processors that a best-effort task of a starving job may use. */
+millicores oversubscribed_processors(const job_worker& worker)
 {
-    const auto oversubscribed =
-        request.starving && worker.serving_images.empty()
-            ? worker.record.capacity.processors.value() * oversubscription_percent / 100
-            : 0;
-    return idle_processors(worker) + millicores{oversubscribed} >= request.step->demand.processors;
+    const auto added = worker.serving_images.empty() ? worker.record.capacity.processors.value() *
+                                                           oversubscription_percent / 100
+                                                     : 0;
+    return idle_processors(worker) + millicores{added};
+}
+
+/** Returns whether the worker may get best-effort tasks now. */
+bool accepts_best_effort(const job_worker& worker, time_point now)
+{
+    if (now < worker.best_effort_blocked_until)
+        return false;
+    return worker.serving_images.empty() || now - worker.stopped_for_tail_at >= tail_settling_pause;
 }
 
 /** Returns whether the latency-critical tasks on the worker tolerate a run of the step now. */
 bool tolerates_best_effort(const job_scheduler& state, const job_worker& worker,
                            const wire::job_step& step, slope_cache& slopes, time_point now)
 {
-    if (now < worker.best_effort_blocked_until)
-        return false;
-    if (worker.serving_images.empty())
-        return true;
-    if (now - worker.stopped_for_tail_at < tail_settling_pause)
+    if (!accepts_best_effort(worker, now))
         return false;
-    return tail_share(worker, step, slopes) <= max_tail_share ||
+    return worker.serving_images.empty() || tail_share(worker, step, slopes) <= max_tail_share ||
            can_start_trial(state, worker, slopes);
 }
 
@@ -238,16 +242,19 @@
 
 namespace {
 
-/** Returns whether the worker is eligible for the task, regardless of its free capacity. */
-bool is_eligible(const job_scheduler& state, const job_worker& worker,
-                 const placement_request& request, time_point now)
+/** Returns whether the worker may get new tasks. */
+bool accepts_tasks(const job_scheduler& state, const job_worker& worker, time_point now)
 {
-    const auto& step = *request.step;
-    const auto& record = worker.record;
     if (!worker.admitted || !worker.report_read || worker.leaving || now < worker.avoid_until)
         return false;
-    if (now - worker.last_reply_at > state.settings.lease - min_lease_left)
-        return false;
+    return now - worker.last_reply_at <= state.settings.lease - min_lease_left;
+}
+
+/** Returns whether the worker meets the conditions of the task, regardless of its capacity. */
+bool is_suitable(const job_worker& worker, const placement_request& request)
+{
+    const auto& step = *request.step;
+    const auto& record = worker.record;
     if (record.service != request.job->queue.service || !has_label(worker, step.required_label))
         return false;
     if (!request.rack.empty() && record.rack != request.rack)
@@ -292,17 +299,18 @@
     return preempted;
 }
 
-/** Returns whether the worker is eligible for the task and has the capacity. */
 bool can_run(const job_scheduler& state, const job_worker& worker, const placement_request& request,
              slope_cache& slopes, time_point now)
 {
     const auto& step = *request.step;
-    if (!fits(reservation_of(step), free_capacity(worker)))
+    if (!fits(reservation_of(step), free_capacity(worker)) || !is_suitable(worker, request))
         return false;
-    if (step.best_effort && !has_best_effort_processors(worker, request))
-        return false;
-    return is_eligible(state, worker, request, now) &&
-           (!step.best_effort || tolerates_best_effort(state, worker, step, slopes, now));
+    if (!step.best_effort)
+        return true;
+    const auto available =
+        request.starving ? oversubscribed_processors(worker) : idle_processors(worker);
+    return available >= step.demand.processors &&
+           tolerates_best_effort(state, worker, step, slopes, now);
 }
 
 } // namespace
@@ -313,7 +321,7 @@
     std::optional<std::vector<wire::task_ref>> fewest_preempted;
     job_worker* chosen = nullptr;
     for (auto& [id, worker] : state.workers) {
-        if (!is_eligible(state, worker, request, now))
+        if (!accepts_tasks(state, worker, now) || !is_suitable(worker, request))
             continue;
         auto preempted = runs_to_preempt(state, worker, wanted);
         if (!preempted || (fewest_preempted && preempted->size() >= fewest_preempted->size()))
@@ -330,9 +338,7 @@
 
 void mark_changed(job_scheduler& state, job_worker& worker)
 {
-    state.changed_workers.erase(worker.change);
     worker.change = ++state.last_change;
-    state.changed_workers.emplace(worker.change, &worker);
 }
 
 void mark_ended_pauses(job_scheduler& state, time_point now)
@@ -348,31 +354,53 @@
     state.pauses_checked_at = now;
 }
 
-job_worker* choose_worker(job_scheduler& state, const placement_request& request, time_point now)
+std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now)
+{
+    std::vector<placement_candidate> candidates;
+    candidates.reserve(state.workers.size());
+    for (auto& [id, worker] : state.workers) {
+        if (!accepts_tasks(state, worker, now))
+            continue;
+        auto& candidate = candidates.emplace_back();
+        candidate.worker = &worker;
+        candidate.change = worker.change;
+        candidate.free = free_capacity(worker);
+        if (accepts_best_effort(worker, now)) {
+            candidate.best_effort_processors = idle_processors(worker);
+            candidate.oversubscribed_processors = oversubscribed_processors(worker);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto& left, const auto& right) { return left.change > right.change; });
+    return candidates;
+}
+
+job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
+                          const placement_request& request, time_point now)
 {
+    const auto& step = *request.step;
+    const auto demand = reservation_of(step);
+    const auto best_effort = best_effort_demand_of(step);
+    const auto failed_at = last_failure(state.failed, request);
+    const bool many_non_serving = step.tail_target.count() > 0 && has_many_non_serving(state);
+    slope_cache slopes{step};
     job_worker* best = nullptr;
     std::int64_t best_cost = 0;
-    const bool many_non_serving =
-        request.step->tail_target.count() > 0 && has_many_non_serving(state);
-    slope_cache slopes{*request.step};
-    const auto consider = [&](job_worker& worker) {
+    for (const auto& candidate : candidates) {
+        if (failed_at != 0 && candidate.change <= failed_at)
+            break;
         ++state.counts.candidates;
-        if (!can_run(state, worker, request, slopes, now))
-            return;
-        const auto cost = placement_cost(worker, request, slopes, many_non_serving);
+        const auto available = request.starving ? candidate.oversubscribed_processors
+                                                : candidate.best_effort_processors;
+        if (!fits(demand, candidate.free) || (step.best_effort && available < best_effort) ||
+            !can_run(state, *candidate.worker, request, slopes, now))
+            continue;
+        const auto cost = placement_cost(*candidate.worker, request, slopes, many_non_serving);
         if (best != nullptr && cost >= best_cost)
-            return;
-        best = &worker;
+            continue;
+        best = candidate.worker;
         best_cost = cost;
-    };
-    const auto failed_at = last_failure(state.failed, request);
-    if (failed_at == 0) {
-        for (auto& [id, worker] : state.workers)
-            consider(worker);
     }
-    for (auto changed = state.changed_workers.upper_bound(failed_at);
-         failed_at != 0 && changed != state.changed_workers.end(); ++changed)
-        consider(*changed->second);
     if (best == nullptr && request.rack.empty())
         record_failure(state.failed, request, state.last_change);
     return best;
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -2,6 +2,8 @@
 
 #include "jobstate.h"
 
+#include <vector>
+
 namespace galenaturn::schedule {
 
 /** A task to place on a worker. */
@@ -38,11 +40,27 @@
  * needs the fewest preemptions; does nothing where no worker would suffice.
  */
 void preempt_best_effort(job_scheduler& state, const placement_request& request, time_point now);
+/**
+ * A worker that accepts tasks, with upper bounds of what it can run. During a pass its free
+ * capacity only shrinks, so what exceeds the bounds does not fit until the worker changes.
+ */
+struct placement_candidate {
+    job_worker* worker{nullptr};
+    std::uint64_t change{0};
+    resources free;
+    millicores best_effort_processors;
+    /** The same for a starving job. */
+    millicores oversubscribed_processors;
+};
+
+/** Returns the workers that accept tasks, the most recently changed first. */
+std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now);
 /**
  * Returns the worker with the lowest placement cost, or null where none can run the task now.
  * Failures are remembered: a request that failed before is compared only with the workers that have
  * changed since.
  */
-job_worker* choose_worker(job_scheduler& state, const placement_request& request, time_point now);
+job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
+                          const placement_request& request, time_point now);
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -231,8 +231,7 @@
 
     std::map<submission_id, open_job> jobs;
     std::map<worker_id, job_worker> workers;
-    /** The workers by the number of their last change. */
-    std::map<std::uint64_t, job_worker*> changed_workers;
+    /** Number of the last change of a worker. */
     std::uint64_t last_change{0};
     /** The newest change that the tail forecasts take into account. */
     std::uint64_t last_forecast_change{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -205,7 +205,6 @@
     if (worker == state.workers.end())
         return;
     end_all_runs(state, worker->second);
-    state.changed_workers.erase(worker->second.change);
     state.workers.erase(worker);
 }
 
