schedule: a starving job is not held to failures from before it starved

A starving job with a limit of tasks per worker could have waited for the next change of each worker although it may oversubscribe one.

Cause: failures of steps with such a limit were remembered by job and step, without whether the job was starving.

Change: the key says whether the job was starving. New: a randomised run of the job scheduler on a fleet with refusals, lost answers, silences, expired leases, departures and cancellations. Each pass is followed by one that remembers nothing, which must start nothing more; and no start exceeds a worker.

Latency-critical tasks are not in this run.

--- a/src/libschedule/failedplacements.cpp
+++ b/src/libschedule/failedplacements.cpp
@@ -25,10 +25,12 @@
     return fits(failure.demand, demand) && failure.best_effort <= best_effort;
 }
 
-std::size_t step_index_of(const placement_request& request)
+/** Returns the key of a step in failed_placements::by_job. */
+std::pair<std::size_t, bool> step_key_of(const placement_request& request)
 {
-    return std::size_t{request.task.occurrence} * request.job->spec.steps.size() +
-           request.task.step;
+    const auto index =
+        std::size_t{request.task.occurrence} * request.job->spec.steps.size() + request.task.step;
+    return {index, request.starving};
 }
 
 } // namespace
@@ -49,7 +51,7 @@
 {
     const auto& step = *request.step;
     if (step.max_per_worker > 0) {
-        failed.by_job[request.job->id][step_index_of(request)] = change;
+        failed.by_job[request.job->id][step_key_of(request)] = change;
         return;
     }
     if (failed.by_kind.size() >= max_kinds)
@@ -75,7 +77,7 @@
     if (step.max_per_worker > 0) {
         const auto job = failed.by_job.find(request.job->id);
         if (job != failed.by_job.end()) {
-            const auto found = job->second.find(step_index_of(request));
+            const auto found = job->second.find(step_key_of(request));
             change = found == job->second.end() ? 0 : found->second;
         }
     }
--- a/src/libschedule/failedplacements.h
+++ b/src/libschedule/failedplacements.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace galenaturn::schedule {
@@ -59,8 +60,11 @@
  */
 struct failed_placements {
     std::map<placement_kind, std::vector<failed_placement>, placement_kind_less> by_kind;
-    /** Change numbers of steps with a limit of tasks per worker, by job and step. */
-    std::map<submission_id, std::map<std::size_t, std::uint64_t>> by_job;
+    /**
+     * Change numbers of steps with a limit of tasks per worker, by job, and by step and whether the
+     * job was starving.
+     */
+    std::map<submission_id, std::map<std::pair<std::size_t, bool>, std::uint64_t>> by_job;
 };
 
 /** Records that no worker could run the request at the time of `change`. */
--- a/tests/schedule/schedulingpasstest.cpp
+++ b/tests/schedule/schedulingpasstest.cpp
@@ -1,3 +1,5 @@
+#include "placementsimulation.h"
+
 #include <galenaturn/schedule.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +15,7 @@
     CPPUNIT_TEST(waiting_task_starts_once_the_pause_of_its_worker_is_over);
     CPPUNIT_TEST(spread_task_starts_once_its_sibling_has_ended);
     CPPUNIT_TEST(leaving_worker_is_drained_to_a_worker_with_freed_capacity);
+    CPPUNIT_TEST(remembered_failures_hide_no_capacity);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 450;
@@ -243,6 +246,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, drained.size());
         CPPUNIT_ASSERT_EQUAL(moving.front().task, drained.front().task);
     }
+
+    void remembered_failures_hide_no_capacity()
+    {
+        placement_counts sum;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            const auto counts = run_placement_simulation(seed, 600);
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.missed_starts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.oversized_starts);
+            sum.starts += counts.starts;
+            sum.remembered += counts.remembered;
+            sum.refusals += counts.refusals;
+            sum.unanswered += counts.unanswered;
+            sum.departures += counts.departures;
+            sum.silences += counts.silences;
+            sum.cancellations += counts.cancellations;
+        }
+        // The runs must have exercised the faults.
+        CPPUNIT_ASSERT(sum.starts > 10'000);
+        CPPUNIT_ASSERT(sum.remembered > 10'000);
+        CPPUNIT_ASSERT(sum.refusals > 100);
+        CPPUNIT_ASSERT(sum.unanswered > 100);
+        CPPUNIT_ASSERT(sum.departures > 20);
+        CPPUNIT_ASSERT(sum.silences > 100);
+        CPPUNIT_ASSERT(sum.cancellations > 100);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(scheduling_pass_test);
