controld: log the end of each job with its lateness and its estimated work

Cause: whether the largest jobs of a queue end in time could not be told from logs or metrics.

Change: event=job_ended with phase, time since submission, time after the target and estimated work. No decision changes.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -192,8 +192,10 @@
     const auto now = monotonic_now();
     for (const auto& id : change.jobs) {
         const auto job = state.jobs.find(id);
-        if (job != state.jobs.end())
-            schedule::on_job_record(scheduler_, job->second, now);
+        if (job == state.jobs.end())
+            continue;
+        log_end(job->second, now);
+        schedule::on_job_record(scheduler_, job->second, now);
     }
     if (change.workers) {
         for (const auto& [id, record] : state.workers) {
@@ -340,6 +342,20 @@
                {"waited_us", command.job_wait->count()}});
 }
 
+void job_service::log_end(const wire::job_record& record, time_point now) const
+{
+    const auto job = scheduler_.jobs.find(record.id);
+    if (record.phase == wire::job_phase::open || job == scheduler_.jobs.end() || job->second.ending)
+        return;
+    log_event(log_level::info, "job_ended",
+              {{"job", record.id},
+               {"queue", job->second.queue.name},
+               {"phase", wire::to_string(record.phase)},
+               {"took_us", (now - job->second.arrived).count()},
+               {"after_target_us", (now - job->second.target_completion).count()},
+               {"work_core_s", job->second.work}});
+}
+
 template <class Command>
 void job_service::queue_commands(const std::vector<Command>& commands,
                                  std::deque<Command> worker_connection::*queue)
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -116,6 +116,8 @@
                         std::deque<Command> worker_connection::*queue);
     void set_next_pass(time_point began);
     void log_first_start(const schedule::start_command& command) const;
+    /** Logs the end of a job that is still open in the scheduler. */
+    void log_end(const wire::job_record& record, time_point now) const;
     void schedule_tick();
     void log_capacity();
     void log_load();
