schedule: underserved large jobs of an overloaded queue come first

Cause: among equals the job with the highest value per remaining work comes first, which nearly always is a small one. With more work than capacity the largest never come first. The class of the fault: an order without a bound on how long it may pass something over. Faster passes hide it on this site, since more jobs are served there; it is not gone.

Change: each queue estimates how often all its jobs, the largest tenth and the largest third complete while they are useful.

--- a/src/libschedule/jobpriority.cpp
+++ b/src/libschedule/jobpriority.cpp
@@ -108,7 +108,14 @@
 };
 
 /** Position of a job among those of equal priority; lower comes first. */
-using job_rank = std::pair<placement_group, double>;
+struct job_rank {
+    placement_group group{placement_group::in_time};
+    /** Jobs that are not ranked by size come before the others of the group. */
+    bool by_size{true};
+    double rank{0};
+
+    auto operator<=>(const job_rank&) const = default;
+};
 
 /** Returns the services on which finite tasks hold their share of the processors. */
 std::set<service_id> services_with_finite_share(const job_scheduler& state)
@@ -145,10 +152,10 @@
 {
     const bool waited = has_waited_too_long(job, now);
     if (!finite_tasks_have_share)
-        return {placement_group::long_running, 0};
+        return {placement_group::long_running, true, 0};
     if (waited)
-        return {placement_group::long_running_waited, 0};
-    return {placement_group::in_time, -long_running_value_density};
+        return {placement_group::long_running_waited, true, 0};
+    return {placement_group::in_time, true, -long_running_value_density};
 }
 
 /** Returns whether some of the job's work is done or in progress. */
@@ -158,29 +165,53 @@
                        [](const auto& task) { return task.succeeded || task.run; });
 }
 
+double seconds_of(time_point time)
+{
+    return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
+/**
+ * Jobs that have begun come first, in order of arrival. Of the others the newest comes first:
+ * under overload the older ones would complete just too late.
+ */
+double rank_regardless_of_size(const open_job& job)
+{
+    constexpr double begun = -1e12;
+    return has_begun(job) ? begun + seconds_of(job.arrived) : -seconds_of(job.arrived);
+}
+
 /**
  * Jobs that can still meet their objective come first: late jobs gain less from capacity. Within a
  * group, jobs with more value per remaining work come first, which also favours completing the jobs
  * that have begun.
  */
-job_rank rank_of_finite(const job_scheduler& state, const open_job& job, time_point now)
+job_rank rank_of_finite(job_scheduler& state, open_job& job, time_point now)
 {
     const auto outlook = deadline_outlook_of(job, now);
     // Jobs that are too late for their caller run in order of arrival, so that each of them
     // completes.
-    if (outlook == deadline_outlook::too_late)
-        return {placement_group::too_late,
-                std::chrono::duration<double>(job.arrived.time_since_epoch()).count()};
-    const auto average = state.average_work.find(job.queue.name);
-    const auto density =
-        value_density(job, average == state.average_work.end() ? 0 : average->second.average);
-    if (outlook == deadline_outlook::in_time)
-        return {placement_group::in_time, -density};
-    return {has_begun(job) ? placement_group::begun_and_late : placement_group::late, -density};
+    if (outlook == deadline_outlook::too_late) {
+        count_outcome_once(state, job, false);
+        return {placement_group::too_late, true, seconds_of(job.arrived)};
+    }
+    const auto group = outlook == deadline_outlook::in_time ? placement_group::in_time
+                       : has_begun(job)                     ? placement_group::begun_and_late
+                                                            : placement_group::late;
+    if (!job.ranked_by_size)
+        return {group, false, rank_regardless_of_size(job)};
+    const auto queue = state.queue_sizes_of.find(job.queue.name);
+    const auto average = queue == state.queue_sizes_of.end() ? 0 : queue->second.average_work;
+    return {group, true, -value_density(job, average)};
 }
 
 } // namespace
 
+void count_outcome_once(job_scheduler& state, open_job& job, bool useful)
+{
+    if (!job.long_running && !std::exchange(job.outcome_counted, true))
+        count_outcome(state.queue_sizes_of[job.queue.name], job.work, useful);
+}
+
 std::vector<open_job*> order_jobs(job_scheduler& state, time_point now)
 {
     struct ranked_job {
--- a/src/libschedule/jobpriority.h
+++ b/src/libschedule/jobpriority.h
@@ -23,6 +23,8 @@
  * nothing is done.
  */
 double value_density(const open_job& job, double average_work);
+/** Counts in its queue whether the job completes while it is useful. */
+void count_outcome_once(job_scheduler& state, open_job& job, bool useful);
 /** Returns the open jobs in the order in which their tasks are placed. */
 std::vector<open_job*> order_jobs(job_scheduler& state, time_point now);
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "failedplacements.h"
+#include "queuesizes.h"
 #include "tailmodel.h"
 
 #include <galenaturn/messages.h>
@@ -120,6 +121,10 @@
     time_point last_preemption;
     /** The job has tasks that run until it is cancelled. */
     bool long_running{false};
+    /** Among equals, less work comes first; otherwise the size of the job does not count. */
+    bool ranked_by_size{true};
+    /** Its completion, or that it will be too late, is counted in its queue_sizes. */
+    bool outcome_counted{false};
 };
 
 /** Longest tail expected among the tasks of one image on a worker, in milliseconds. */
@@ -213,12 +218,6 @@
     std::uint64_t candidates{0};
 };
 
-/** Average work of the jobs of a queue, in processor seconds. */
-struct queue_work {
-    double average{0};
-    std::uint64_t jobs{0};
-};
-
 /**
  * State of the job scheduler during one term of a leader. It refers to its own elements, so it can
  * be moved but not copied.
@@ -252,8 +251,8 @@
     tail_model interference;
     /** Number of workers with a colocation trial. */
     std::size_t trials{0};
-    /** Average work of the jobs, by queue. */
-    std::map<std::string, queue_work> average_work;
+    /** Sizes of the finite jobs, by queue. */
+    std::map<std::string, queue_sizes> queue_sizes_of;
     job_counts counts;
     job_settings settings;
 };
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -73,11 +73,14 @@
     return job;
 }
 
-void update_average_work(job_scheduler& state, const open_job& job)
+/** Counts the job in its queue, and decides whether it is ranked by its size there. */
+void count_job(job_scheduler& state, open_job& job)
 {
-    auto& queue = state.average_work[job.queue.name];
-    ++queue.jobs;
-    queue.average += (job.work - queue.average) / static_cast<double>(queue.jobs);
+    if (job.long_running)
+        return;
+    auto& queue = state.queue_sizes_of[job.queue.name];
+    count_arrival(queue, job.work);
+    job.ranked_by_size = !is_underserved(queue, job.work);
 }
 
 } // namespace
@@ -97,7 +100,7 @@
         job.inherited = true;
         for (auto& task : job.tasks)
             task.last_run += max_unrecorded_runs;
-        update_average_work(state, job);
+        count_job(state, job);
         state.jobs.emplace(id, std::move(job));
     }
     for (const auto& [id, record] : workers) {
@@ -115,7 +118,7 @@
     if (record.phase != wire::job_phase::open || state.jobs.contains(record.id))
         return;
     auto job = make_job(record, now);
-    update_average_work(state, job);
+    count_job(state, job);
     state.jobs.emplace(record.id, std::move(job));
 }
 
@@ -127,6 +130,8 @@
     auto& job = recorded->second;
     if (record.phase == wire::job_phase::open)
         return apply_progress(job, record);
+    if (record.phase == wire::job_phase::succeeded)
+        count_outcome_once(state, job, now <= job.latest_useful_completion);
     job.ending = true;
     for_each_task(job, [&](const wire::task_ref& ref, open_task& task) {
         if (task.run)
