schedule: a gang that stays incomplete hides no capacity from later jobs

A job placed after a gang that could not be completed would have found no worker, pass after pass, although the gang had given its capacity back.

Cause: the failure of a gang's last member was remembered while the others held capacity, and the workers that got it back count as changed only from the next pass on, where the gang failed first again.

Change: failures of gang members are not remembered.

Evidence: incomplete_gang_hides_no_capacity_from_later_jobs started 0 tasks instead of 2 before.

--- a/src/libschedule/failedplacements.cpp
+++ b/src/libschedule/failedplacements.cpp
@@ -19,7 +19,7 @@
         step.tail_target.count() > 0,       request.starving};
 }
 
-/** Returns whether `other` fails wherever `failure` does. */
+/** Returns whether the demand fails wherever the one of `failure` has failed. */
 bool covers(const failed_placement& failure, const resources& demand, millicores best_effort)
 {
     return fits(failure.demand, demand) && failure.best_effort <= best_effort;
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -401,7 +401,8 @@
         best = candidate.worker;
         best_cost = cost;
     }
-    if (best == nullptr && request.rack.empty())
+    // A member of a gang fails beside the others, which give their capacity back.
+    if (best == nullptr && !step.gang)
         record_failure(state.failed, request, state.last_change);
     return best;
 }
--- a/tests/schedule/schedulingpasstest.cpp
+++ b/tests/schedule/schedulingpasstest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(waiting_task_starts_once_the_pause_of_its_worker_is_over);
     CPPUNIT_TEST(spread_task_starts_once_its_sibling_has_ended);
     CPPUNIT_TEST(leaving_worker_is_drained_to_a_worker_with_freed_capacity);
+    CPPUNIT_TEST(incomplete_gang_hides_no_capacity_from_later_jobs);
     CPPUNIT_TEST(remembered_failures_hide_no_capacity);
     CPPUNIT_TEST_SUITE_END();
 
@@ -247,6 +248,17 @@
         CPPUNIT_ASSERT_EQUAL(moving.front().task, drained.front().task);
     }
 
+    void incomplete_gang_hides_no_capacity_from_later_jobs()
+    {
+        add_worker(0, 2);
+        auto gang = step(3, 1000);
+        gang.gang = true;
+        add({gang});
+        add({step(8, 1000)});
+        // The larger job comes after the gang, whose third member finds no capacity.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pass().size());
+    }
+
     void remembered_failures_hide_no_capacity()
     {
         placement_counts sum;
