--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -14,7 +14,6 @@
 
 using schedule::announcement_effect;
 using wire::command_status;
-using wire::job_response_status;
 
 /**
  * Interval of the periodic check of leases and command timeouts; completions and replies request a
@@ -44,8 +43,6 @@
 constexpr duration tail_model_share_interval = std::chrono::seconds{2};
 /** Interval of the capacity log event. */
 constexpr duration capacity_log_interval = std::chrono::seconds{3};
-/** Maximum time that a caller waits for the ledger. */
-constexpr duration ledger_command_timeout = std::chrono::milliseconds{1500};
 
 } // namespace
 
@@ -460,119 +457,4 @@
     load_.candidates = counts.candidates;
 }
 
-// Requests of callers.
-
-asio::awaitable<wire::job_response> job_service::handle_request(wire::job_request request)
-{
-    const auto arrived = monotonic_now();
-    const auto request_id = request.request;
-    const auto verb = request.verb;
-    const auto job = request.job;
-    wire::job_response response;
-    const auto* queue = find_queue(queues_, request.host, request.path);
-    // The table may be replaced while the ledger request is pending.
-    const auto queue_name = queue == nullptr ? std::string{} : queue->name;
-    if (!term_active_ || !hub_.leads())
-        response = wire::unavailable_response("this process does not lead");
-    else if (queues_.version == 0)
-        response = wire::unavailable_response("no queues were published yet");
-    else if (queue == nullptr)
-        response.status = job_response_status::unknown_queue;
-    else if (verb == wire::job_verb::submit)
-        response = co_await submit(std::move(request), *queue);
-    else if (verb == wire::job_verb::cancel)
-        response = co_await cancel(std::move(request));
-    else if (verb == wire::job_verb::show)
-        response = show(request);
-    else {
-        response.status = job_response_status::ok;
-        response.waiting = schedule::jobs_waiting(scheduler_, queue_name);
-    }
-    response_counters_[response.status]->add();
-    const auto elapsed = monotonic_now() - arrived;
-    if (verb == wire::job_verb::submit) {
-        accept_latency_.record(elapsed);
-        load_.longest_accept = std::max(load_.longest_accept, elapsed);
-    }
-    if (verb == wire::job_verb::submit || response.status != job_response_status::ok)
-        log_event(log_level::info, "job_answered",
-                  {{"request", request_id},
-                   {"verb", wire::to_string(verb)},
-                   {"job", job},
-                   {"queue", queue_name},
-                   {"status", wire::to_string(response.status)},
-                   {"queues_version", queues_.version},
-                   {"token", token_},
-                   {"reason", response.reason},
-                   {"took_us", elapsed.count()}});
-    co_return response;
-}
-
-asio::awaitable<wire::job_response> job_service::submit(wire::job_request request,
-                                                        wire::queue_settings queue)
-{
-    wire::job_response response;
-    response.status = job_response_status::ok;
-    if (hub_.state().jobs.contains(request.job))
-        co_return response;
-    wire::submit_job body;
-    body.id = request.job;
-    body.queue = std::move(queue);
-    body.spec = std::move(request.spec);
-    body.submitted = wall_now();
-    wire::command command{std::move(body)};
-    const auto outcome =
-        co_await hub_.submit(std::move(command), monotonic_now() + ledger_command_timeout);
-    const auto status = outcome.status;
-    response.reason = outcome.reason;
-    if (status == command_status::accepted || status == command_status::duplicate)
-        co_return response;
-    if (status == command_status::rejected)
-        response.status = job_response_status::rejected;
-    else if (status == command_status::unknown)
-        response.status = job_response_status::unknown;
-    else
-        response = wire::unavailable_response(outcome.reason);
-    co_return response;
-}
-
-asio::awaitable<wire::job_response> job_service::cancel(wire::job_request request)
-{
-    wire::job_response response;
-    const auto found = hub_.state().jobs.find(request.job);
-    if (found == hub_.state().jobs.end()) {
-        response.status = job_response_status::unknown_job;
-        co_return response;
-    }
-    response.status = job_response_status::ok;
-    if (found->second.phase != wire::job_phase::open)
-        co_return response;
-    wire::cancel_job cancelled;
-    cancelled.id = request.job;
-    cancelled.now = wall_now();
-    wire::command body{std::move(cancelled)};
-    const auto outcome =
-        co_await hub_.submit(std::move(body), monotonic_now() + ledger_command_timeout);
-    const auto status = outcome.status;
-    if (status == command_status::unknown)
-        response.status = job_response_status::unknown;
-    else if (status != command_status::accepted && status != command_status::duplicate)
-        response = wire::unavailable_response(outcome.reason);
-    co_return response;
-}
-
-wire::job_response job_service::show(const wire::job_request& request) const
-{
-    wire::job_response response;
-    const auto found = hub_.state().jobs.find(request.job);
-    if (found == hub_.state().jobs.end()) {
-        response.status = job_response_status::unknown_job;
-        return response;
-    }
-    response.status = job_response_status::ok;
-    response.phase = found->second.phase;
-    response.started = schedule::has_started(scheduler_, request.job);
-    return response;
-}
-
 } // namespace galenaturn::controld
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -18,6 +18,9 @@
 
 namespace galenaturn::controld {
 
+/** Maximum time that a caller waits for the ledger. */
+inline constexpr duration ledger_command_timeout = std::chrono::milliseconds{1500};
+
 /**
  * Accepts jobs and runs their tasks on workers while this process leads the ledger. The term of the
  * leader is the fencing token of all its commands. Every control process receives announcements and
