schedule: interrupted long-running tasks resume before finite jobs

Cause: that share came before every long-running job. What is held by finite tasks counts as capacity for a task that has to keep running, so a new watcher may wait for it, but not one that was running.

Change: a long-running job with a task that has run before, or may have under an earlier leader, comes first once it has waited for 1.5 s, as before the share.

--- a/src/libschedule/jobpriority.cpp
+++ b/src/libschedule/jobpriority.cpp
@@ -88,9 +88,9 @@
 
 /**
  * Finite tasks return their capacity soon, so finite jobs that can be in time or have begun come
- * before long-running jobs while finite tasks hold less than this share of the processors of the
- * service. Above it long-running jobs come first once they have waited for
- * `max_long_running_wait`.
+ * before new long-running jobs while finite tasks hold less than this share of the processors of
+ * the service. Above it, and where a task that was running has to continue elsewhere, long-running
+ * jobs come first once they have waited for `max_long_running_wait`.
  */
 constexpr std::int64_t finite_share_percent = 25;
 constexpr duration max_long_running_wait = std::chrono::milliseconds{1500};
@@ -148,13 +148,20 @@
     return job.waiting_since && now - *job.waiting_since > max_long_running_wait;
 }
 
+/** Returns whether a task of the job has run before, or may have under an earlier leader. */
+bool is_interrupted(const open_job& job)
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(),
+                       [](const auto& task) { return needs_run(task) && task.last_run > 0; });
+}
+
 job_rank rank_of_long_running(open_job& job, bool finite_tasks_have_share, time_point now)
 {
     const bool waited = has_waited_too_long(job, now);
+    if (waited && (finite_tasks_have_share || is_interrupted(job)))
+        return {placement_group::long_running_waited, true, 0};
     if (!finite_tasks_have_share)
         return {placement_group::long_running, true, 0};
-    if (waited)
-        return {placement_group::long_running_waited, true, 0};
     return {placement_group::in_time, true, -long_running_value_density};
 }
 
