schedule: a late success of a gang keeps the capacity of its next run

Tasks could have been started beyond a worker's capacity; workers that check their room would have refused them.

Cause: one success of a gang cleared all its members whatever their run. Where the success is read late, after the lease had expired and a later run had begun, that run's capacity was given away while it was running.

Change: members of the run that has ended are cleared, those of another run are stopped.

--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -73,13 +73,18 @@
 
 /**
  * One success completes the whole gang: the worker reports of the other members no longer list
- * them.
+ * them. Members of a later run are still running and are stopped.
  */
-void clear_gang(report_context& context, open_job& job, const wire::task_ref& ref)
+void end_gang(report_context& context, open_job& job, const worker_report::ended_run& ended)
 {
-    auto member = ref;
-    for (member.index = 0; member.index < job.spec.steps[ref.step].count; ++member.index)
-        clear_run(context.state, member, *find_task(context.state, member));
+    auto member = ended.task;
+    for (member.index = 0; member.index < job.spec.steps[member.step].count; ++member.index) {
+        auto* task = find_task(context.state, member);
+        if (task->run && task->run->number == ended.run)
+            clear_run(context.state, member, *task);
+        else if (task->run)
+            stop_run(context.state, member, *task, context.now);
+    }
 }
 
 void update_failure_streak(report_context& context, run_outcome outcome)
@@ -122,7 +127,7 @@
     if (!is_final_outcome || step.long_running || task->succeeded || job->ending)
         return forget_if_ended(context.state, ended.task.job);
     if (step.gang && ended.outcome == run_outcome::succeeded)
-        clear_gang(context, *job, ended.task);
+        end_gang(context, *job, ended);
     // Another run of the task may be in flight elsewhere; the task is done nevertheless.
     if (task->run && ended.outcome == run_outcome::succeeded)
         stop_run(context.state, ended.task, *task, context.now);
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(orphan_run_is_stopped);
     CPPUNIT_TEST(long_running_task_is_restarted_from_its_checkpoint);
     CPPUNIT_TEST(gang_is_placed_all_or_nothing);
+    CPPUNIT_TEST(late_success_of_a_gang_keeps_the_capacity_of_its_next_run);
     CPPUNIT_TEST(placement_respects_spread_and_labels);
     CPPUNIT_TEST(occurrence_never_starts_early);
     CPPUNIT_TEST(interfering_best_effort_tasks_avoid_latency_critical_tasks);
@@ -319,6 +320,30 @@
         CPPUNIT_ASSERT(commands[0].run == commands[1].run && commands[1].run == commands[2].run);
     }
 
+    /**
+     * Guards against giving away the capacity of a gang's run that is in progress when the success
+     * of its run before is read late (soak_schedule, seed 1085).
+     */
+    void late_success_of_a_gang_keeps_the_capacity_of_its_next_run()
+    {
+        add_worker("w1", 1);
+        auto gang = step(1, 1);
+        gang.gang = true;
+        add_job(state_, job({gang}), now_);
+        const auto first = plan();
+        accept(first);
+        now_ += std::chrono::seconds{20};
+        expire_leases(state_, now_);
+        add_worker("w2", 1);
+        const auto second = plan();
+        CPPUNIT_ASSERT_EQUAL(worker_id{"w2"}, second.at(0).worker);
+        accept(second);
+        report("w1", ended(first.at(0), run_outcome::succeeded));
+        CPPUNIT_ASSERT_EQUAL(millicores{1000}.value(),
+                             state_.workers.at(worker_id{"w2"}).reserved.processors.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+    }
+
     void placement_respects_spread_and_labels()
     {
         add_worker("w1", 8);
