schedule: colocation trials are bounded by the harm they may do

Cause: images that may share a worker were learned by at most twelve trials at a time, whatever the size of the fleet, so 540 workers needed a minute for what 48 learn in seconds, while thousands of tasks waited beside half-idle workers. A pair that did harm was stopped before it had enough samples to be trusted, and was tried again.

Change: the number of trials follows from the share of latency-critical tasks that all of them may be expected to harm (1.5%); the expectation uses the room above the baseline and the verdicts of the two images with others. Two trials of a pair at a time, a worker rests after a trial, no trial beside an image that is known not to tolerate it, a pair with a high slope is known early, a trial ends when its pairs are known. Placement adds a standard deviation to known slopes. Stops have a cause in the log. Ratios below zero are clipped.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -435,6 +435,12 @@
                {"filled_beside_serving", capacity.best_effort_beside_serving},
                {"filled_elsewhere", capacity.best_effort_elsewhere},
                {"relieved", scheduler_.counts.stopped_for_tail},
+               {"relieved_in_trials", scheduler_.counts.stopped_in_trial},
+               {"trials_running", scheduler_.trials.running},
+               {"trial_harm", scheduler_.trials.harm},
+               {"pairs_known",
+                scheduler_.interference.known.tolerant + scheduler_.interference.known.interfering},
+               {"pairs_interfering", scheduler_.interference.known.interfering},
                {"paced", scheduler_.counts.pace_changes},
                {"trials", scheduler_.counts.trials}});
     log_load();
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -56,12 +56,10 @@
     return command;
 }
 
-/** Logs a start or stop command with its result. */
-template <class Command>
-void log_command(std::string_view event, const Command& command, term token,
-                 const command_reply& reply)
+/** Logs a start command with its result. */
+void log_start(const schedule::start_command& command, term token, const command_reply& reply)
 {
-    log_event(log_level::info, event,
+    log_event(log_level::info, "task_started",
               {{"task", command.task},
                {"run", command.run},
                {"worker", command.worker},
@@ -273,7 +271,7 @@
     }
     if (!in_term(generation))
         co_return;
-    log_command("task_started", command, token_, reply);
+    log_start(command, token_, reply);
     schedule::on_start_result(scheduler_, command, reply.result, monotonic_now());
     if (reply.result == command_result::other_incarnation)
         co_return retire_worker(worker, "other_life");
@@ -326,7 +324,14 @@
     const auto reply = co_await send_command(worker, generation, command, &worker_commands::stop);
     if (!reply)
         co_return;
-    log_command("task_stopped", command, token_, *reply);
+    log_event(log_level::info, "task_stopped",
+              {{"task", command.task},
+               {"run", command.run},
+               {"worker", command.worker},
+               {"cause", schedule::to_string(command.cause)},
+               {"token", token_},
+               {"answer", schedule::to_string(reply->result)},
+               {"reason", reply->reason}});
     schedule::on_stop_result(scheduler_, command, reply->result, monotonic_now());
     if (reply->result == command_result::other_incarnation)
         retire_worker(worker, "other_life");
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -1,3 +1,4 @@
+#include "colocationtrial.h"
 #include "jobplacement.h"
 #include "jobpriority.h"
 #include "jobruns.h"
@@ -42,17 +43,20 @@
     task_run run;
     run.number = run_number;
     run.worker = worker.record.id;
-    set_demand(run, job.spec.steps[ref.step]);
+    const auto& step = job.spec.steps[ref.step];
+    set_demand(run, step);
     run.phase_since = pass.now;
     run.commanded_at = pass.now;
     run.progressed_at = pass.now;
     // A placement that the forecast does not allow is a trial, made to learn how the images
     // interfere.
     const bool is_trial = run.best_effort_processors.value() > 0 &&
-                          !worker.serving_images.empty() &&
-                          !keeps_tail_targets(worker, job.spec.steps[ref.step]);
-    set_in_trial(pass.state, worker, worker.in_trial || is_trial);
-    pass.state.counts.trials += is_trial ? 1 : 0;
+                          !worker.serving_images.empty() && !keeps_tail_targets(worker, step);
+    if (is_trial) {
+        const auto harm = expected_trial_harm(pass.state, worker, step, pass.now);
+        begin_trial(pass.state, worker, step, harm.value_or(0), pass.now);
+        ++pass.state.counts.trials;
+    }
     begin_run(pass.state, ref, task, std::move(run));
     std::optional<duration> job_wait;
     if (!std::exchange(job.started, true))
@@ -176,11 +180,23 @@
     }
 }
 
+/** Returns whether an image of the worker was observed for the first time since its forecast. */
+bool has_new_estimate(const job_scheduler& state, const job_worker& worker)
+{
+    return std::any_of(worker.tail_forecasts.begin(), worker.tail_forecasts.end(),
+                       [&](const auto& entry) {
+                           return entry.second.estimate == nullptr &&
+                                  find_estimate(state.interference, entry.first) != nullptr;
+                       });
+}
+
 /** Updates the tail forecasts of the workers that have changed since the last pass. */
 void update_changed_forecasts(job_scheduler& state)
 {
+    state.serving_workers = 0;
     for (auto& [id, worker] : state.workers) {
-        if (worker.change > state.last_forecast_change)
+        state.serving_workers += worker.serving_images.empty() ? 0 : 1;
+        if (worker.change > state.last_forecast_change || has_new_estimate(state, worker))
             update_tail_forecasts(state, worker);
     }
     state.last_forecast_change = state.last_change;
@@ -219,7 +235,7 @@
             // another worker can run it.
             if (step.long_running &&
                 choose_worker(state, candidates, {job, ref, &step, {}, false}, now) != nullptr)
-                stop_run(state, ref, *task, now);
+                stop_run(state, ref, *task, stop_cause::worker_leaving, now);
         }
     }
 }
@@ -250,10 +266,10 @@
         run.stop_sent = true;
         run.phase_since = now;
         ++state.counts.stops;
-        commands.push_back({ref, run.number, run.worker});
+        commands.push_back({ref, run.number, run.worker, run.cause});
     }
     for (const auto& orphan : state.orphans)
-        commands.push_back({orphan.task, orphan.run, orphan.worker});
+        commands.push_back({orphan.task, orphan.run, orphan.worker, stop_cause::orphan});
     state.orphans.clear();
     return commands;
 }
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -1,5 +1,6 @@
 #include "jobplacement.h"
 
+#include "colocationtrial.h"
 #include "jobruns.h"
 
 #include <algorithm>
@@ -24,8 +25,6 @@
  * varies.
  */
 constexpr double max_tail_share = 0.75;
-/** Maximum number of workers with a colocation trial at a time. */
-constexpr std::size_t max_trials = 12;
 /**
  * Preempted runs end within half a second; until then the freed capacity is not given to other
  * best-effort tasks.
@@ -106,16 +105,6 @@
     return longest_ms / target.count();
 }
 
-/** Returns whether the worker may start a colocation trial of an image. */
-bool can_start_trial(const job_scheduler& state, const job_worker& worker, slope_cache& slopes)
-{
-    if (worker.best_effort_processors.value() > 0 || state.trials >= max_trials)
-        return false;
-    return std::any_of(
-        worker.tail_forecasts.begin(), worker.tail_forecasts.end(),
-        [&](const auto& serving) { return !slopes.slope_of(serving.second.estimate).trusted; });
-}
-
 /** Returns the processors that a best-effort task of a starving job may use. */
 millicores oversubscribed_processors(const job_worker& worker)
 {
@@ -139,8 +128,10 @@
 {
     if (!accepts_best_effort(worker, now))
         return false;
-    return worker.serving_images.empty() || tail_share(worker, step, slopes) <= max_tail_share ||
-           can_start_trial(state, worker, slopes);
+    if (worker.serving_images.empty() || tail_share(worker, step, slopes) <= max_tail_share)
+        return true;
+    const auto harm = expected_trial_harm(state, worker, step, now);
+    return harm && may_start_trial(state, worker, step, *harm);
 }
 
 /**
@@ -178,14 +169,17 @@
  * possible, each with a single image: best-effort images that do not interfere with that image can
  * then use the worker, and any image can use the others.
  */
-std::int64_t placement_cost(const job_worker& worker, const placement_request& request,
-                            slope_cache& slopes, bool many_non_serving)
+std::int64_t placement_cost(const job_scheduler& state, const job_worker& worker,
+                            const placement_request& request, slope_cache& slopes,
+                            bool many_non_serving, time_point now)
 {
     constexpr std::int64_t failed_here_before = 100'000'000;
     constexpr std::int64_t far_from_data = 50'000'000;
     constexpr std::int64_t per_failure = 20'000'000;
     constexpr std::int64_t per_best_effort_millicore = 100;
     constexpr std::int64_t full_tail_share = 1'000'000;
+    // A trial is dearer than any placement that the forecast allows, and cheaper the less it harms.
+    constexpr double trial_share = 1;
     const auto& step = *request.step;
     const auto& tasks = request.job->tasks;
     const auto position = wire::position_of(request.job->spec, request.task);
@@ -201,7 +195,9 @@
     if (step.best_effort) {
         // Workers without latency-critical tasks are kept for images that interfere with all
         // others.
-        const auto share = worker.serving_images.empty() ? 2 : tail_share(worker, step, slopes);
+        auto share = worker.serving_images.empty() ? 2 : tail_share(worker, step, slopes);
+        if (!worker.serving_images.empty() && share > max_tail_share)
+            share = trial_share + expected_trial_harm(state, worker, step, now).value_or(1);
         return sum + static_cast<std::int64_t>(share * full_tail_share) +
                idle_processors(worker).value();
     }
@@ -333,7 +329,7 @@
         return;
     chosen->best_effort_blocked_until = now + best_effort_block_span;
     for (const auto& ref : *fewest_preempted)
-        stop_run(state, ref, *find_task(state, ref), now);
+        stop_run(state, ref, *find_task(state, ref), stop_cause::preempted, now);
 }
 
 void mark_changed(job_scheduler& state, job_worker& worker)
@@ -395,7 +391,8 @@
         if (!fits(demand, candidate.free) || (step.best_effort && available < best_effort) ||
             !can_run(state, *candidate.worker, request, slopes, now))
             continue;
-        const auto cost = placement_cost(*candidate.worker, request, slopes, many_non_serving);
+        const auto cost =
+            placement_cost(state, *candidate.worker, request, slopes, many_non_serving, now);
         if (best != nullptr && cost >= best_cost)
             continue;
         best = candidate.worker;
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -1,6 +1,7 @@
 #include "jobruns.h"
 
 #include "baselinelatency.h"
+#include "colocationtrial.h"
 #include "jobplacement.h"
 
 #include <algorithm>
@@ -49,7 +50,7 @@
     if (run.best_effort_processors.value() > 0)
         release_best_effort(worker, run);
     if (worker.best_effort_by_image.empty())
-        set_in_trial(state, worker, false);
+        end_trial(state, worker);
     update_tail_forecasts(state, worker);
     mark_changed(state, worker);
 }
@@ -131,21 +132,14 @@
     }
 }
 
-void set_in_trial(job_scheduler& state, job_worker& worker, bool in_trial)
-{
-    if (worker.in_trial == in_trial)
-        return;
-    worker.in_trial = in_trial;
-    state.trials += in_trial ? 1 : -std::size_t{1};
-}
-
 void set_phase(task_run& run, run_phase phase, time_point now)
 {
     run.phase = phase;
     run.phase_since = now;
 }
 
-void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, time_point now)
+void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
+              time_point now)
 {
     if (task.run->phase == run_phase::stopping || task.run->phase == run_phase::stopped)
         return;
@@ -153,6 +147,7 @@
     if (worker != state.workers.end() && !is_reclaimable(*task.run))
         worker->second.reclaimable += task.run->reserved;
     set_phase(*task.run, run_phase::stopping, now);
+    task.run->cause = cause;
     state.stops_due.insert(ref);
     state.paces_due.erase(ref);
 }
@@ -195,6 +190,31 @@
     return "unknown";
 }
 
+const char* to_string(stop_cause cause)
+{
+    switch (cause) {
+    case stop_cause::none:
+        return "none";
+    case stop_cause::tail:
+        return "tail";
+    case stop_cause::trial:
+        return "trial";
+    case stop_cause::preempted:
+        return "preempted";
+    case stop_cause::job_ended:
+        return "job_ended";
+    case stop_cause::task_succeeded:
+        return "task_succeeded";
+    case stop_cause::worker_leaving:
+        return "worker_leaving";
+    case stop_cause::unconfirmed:
+        return "unconfirmed";
+    case stop_cause::orphan:
+        return "orphan";
+    }
+    return "unknown";
+}
+
 const char* to_string(run_outcome outcome)
 {
     switch (outcome) {
--- a/src/libschedule/jobruns.h
+++ b/src/libschedule/jobruns.h
@@ -37,10 +37,9 @@
 void clear_run(job_scheduler& state, const wire::task_ref& ref, open_task& task);
 /** Updates the tail forecasts of the images on the worker. */
 void update_tail_forecasts(const job_scheduler& state, job_worker& worker);
-/** Records whether the worker runs a colocation trial. */
-void set_in_trial(job_scheduler& state, job_worker& worker, bool in_trial);
 /** Requests that the run of a task be stopped. */
-void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, time_point now);
+void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
+              time_point now);
 /** Sets the phase of a run and when it began. */
 void set_phase(task_run& run, run_phase phase, time_point now);
 /** Forgets the job if it has ended and has no runs left. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -20,6 +20,7 @@
     wire::task_ref task;
     std::uint32_t run{0};
     worker_id worker;
+    stop_cause cause{stop_cause::none};
 };
 
 /** Command to continue at a pace: the share of full speed that a run may use, in percent. */
@@ -160,6 +161,7 @@
 std::uint64_t jobs_waiting(const job_scheduler& state, const std::string& queue);
 bool has_started(const job_scheduler& state, const submission_id& job);
 
+const char* to_string(stop_cause cause);
 const char* to_string(command_result outcome);
 const char* to_string(run_outcome how);
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -29,6 +29,27 @@
     stopped,
 };
 
+/** Why the leader stops a run. */
+enum class stop_cause : std::uint8_t {
+    none,
+    /** A tail latency was over its target beside it. */
+    tail,
+    /** The same in a colocation trial. */
+    trial,
+    /** A long-running task needs the capacity. */
+    preempted,
+    /** The job was cancelled or has ended. */
+    job_ended,
+    /** The task, or its gang, has succeeded in another run. */
+    task_succeeded,
+    /** The worker leaves, and the task can run elsewhere. */
+    worker_leaving,
+    /** The start command got no reply and no report lists the run. */
+    unconfirmed,
+    /** The worker runs it, but this leader neither started nor adopted it. */
+    orphan,
+};
+
 /** A run of a task on a worker. Its capacity stays reserved until it has certainly ended. */
 struct task_run {
     std::uint32_t number{0};
@@ -47,6 +68,7 @@
     time_point phase_since;
     time_point commanded_at;
     bool stop_sent{false};
+    stop_cause cause{stop_cause::none};
     /** Share of full speed that the run may use, in percent. */
     std::uint32_t pace_percent{100};
     /** When the pace was last sent, until the worker confirms it. */
@@ -136,6 +158,24 @@
     const tail_estimate* estimate{nullptr};
 };
 
+/** A best-effort image runs beside latency-critical ones to learn how it interferes with them. */
+struct colocation_trial {
+    std::string best_effort_image;
+    /** The images on the worker whose pairs with it were unknown. */
+    std::vector<std::string> serving_images;
+    /** Share of the worker's latency-critical tasks that was expected to exceed its target. */
+    double harm{0};
+};
+
+/** All trials that are running. */
+struct colocation_trials {
+    std::size_t running{0};
+    /** Sum of the expected harm. */
+    double harm{0};
+    /** By latency-critical and best-effort image. */
+    std::map<std::pair<std::string, std::string>, std::uint32_t> by_pair;
+};
+
 /** State of a worker, as far as this leader knows. */
 struct job_worker {
     wire::worker_record record;
@@ -159,8 +199,9 @@
     duration tail_target{duration::max()};
     /** Forecast for each latency-critical image. */
     std::map<std::string, tail_forecast> tail_forecasts;
-    /** A colocation trial is running: an image is placed here to learn how it interferes. */
-    bool in_trial{false};
+    std::optional<colocation_trial> trial;
+    /** No trial starts here before this time. */
+    time_point next_trial_at;
     /**
      * Until then no best-effort task is placed here: capacity is being freed for a long-running
      * task.
@@ -211,6 +252,7 @@
     std::uint64_t adopted{0};
     std::uint64_t orphans{0};
     std::uint64_t stopped_for_tail{0};
+    std::uint64_t stopped_in_trial{0};
     std::uint64_t pace_changes{0};
     std::uint64_t trials{0};
     std::uint64_t passes{0};
@@ -249,8 +291,9 @@
     time_point inherited_runs_expire_at;
     /** How best-effort images raise the tail latency of latency-critical images. */
     tail_model interference;
-    /** Number of workers with a colocation trial. */
-    std::size_t trials{0};
+    colocation_trials trials;
+    /** Number of workers with latency-critical tasks at the last scheduling pass. */
+    std::size_t serving_workers{0};
     /** Sizes of the finite jobs, by queue. */
     std::map<std::string, queue_sizes> queue_sizes_of;
     job_counts counts;
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -135,7 +135,7 @@
     job.ending = true;
     for_each_task(job, [&](const wire::task_ref& ref, open_task& task) {
         if (task.run)
-            stop_run(state, ref, task, now);
+            stop_run(state, ref, task, stop_cause::job_ended, now);
     });
     forget_if_ended(state, job.id);
 }
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -83,7 +83,7 @@
         if (task->run && task->run->number == ended.run)
             clear_run(context.state, member, *task);
         else if (task->run)
-            stop_run(context.state, member, *task, context.now);
+            stop_run(context.state, member, *task, stop_cause::task_succeeded, context.now);
     }
 }
 
@@ -130,7 +130,7 @@
         end_gang(context, *job, ended);
     // Another run of the task may be in flight elsewhere; the task is done nevertheless.
     if (task->run && ended.outcome == run_outcome::succeeded)
-        stop_run(context.state, ended.task, *task, context.now);
+        stop_run(context.state, ended.task, *task, stop_cause::task_succeeded, context.now);
     task->recording = true;
     context.to_record.push_back(
         {ended.task, ended.run, ended.outcome == run_outcome::succeeded, ended.checkpoint});
@@ -168,7 +168,7 @@
             forget_if_ended(context.state, ref.job);
         }
         if (phase == run_phase::unknown)
-            stop_run(context.state, ref, *task, context.now);
+            stop_run(context.state, ref, *task, stop_cause::unconfirmed, context.now);
     }
 }
 
--- a/src/libschedule/tailcontrol.cpp
+++ b/src/libschedule/tailcontrol.cpp
@@ -1,6 +1,7 @@
 #include "tailcontrol.h"
 
 #include "baselinelatency.h"
+#include "colocationtrial.h"
 #include "jobruns.h"
 
 #include <algorithm>
@@ -254,8 +255,11 @@
 void stop_for_tail(job_scheduler& state, job_worker& worker, const interfering_run& interfering,
                    time_point now)
 {
-    stop_run(state, interfering.ref, *interfering.task, now);
+    const bool in_trial = worker.trial.has_value();
+    stop_run(state, interfering.ref, *interfering.task,
+             in_trial ? stop_cause::trial : stop_cause::tail, now);
     ++state.counts.stopped_for_tail;
+    state.counts.stopped_in_trial += in_trial ? 1 : 0;
     worker.stopped_for_tail_at = now;
 }
 
@@ -321,6 +325,7 @@
 {
     const auto best_effort_use = best_effort_use_in(state, report);
     auto longest = learn_from_tails(state, report, best_effort_use, now);
+    end_trial_if_known(state, worker);
     if (is_over_target_for_long(worker, longest, now))
         longest.baseline_ms = std::min(longest.baseline_ms, longest.target_ms / 2);
     const bool is_settled = now - worker.stopped_for_tail_at > measurement_span &&
--- a/src/libschedule/tailmodel.cpp
+++ b/src/libschedule/tailmodel.cpp
@@ -20,11 +20,26 @@
 constexpr double observation_decay = 0.998;
 /** Larger ratios are clipped: they say no more than that the pair has to be kept apart. */
 constexpr double max_ratio = 7;
+constexpr double min_ratio = 0;
 /** Evidence in squared processors from which the slope of a pair is trusted. */
 constexpr double trusted_pair_weight = 40;
 /** Number of observations after which the slopes are recomputed. */
 constexpr std::uint64_t observations_per_solve = 8;
 constexpr std::size_t max_images_per_model = 48;
+/** Standard deviation of one sample of the ratio. */
+constexpr double ratio_deviation = 0.35;
+/** A pair whose slope is above this with some confidence interferes. */
+constexpr double interfering_slope = 0.1;
+/** A known pair interferes above this slope; most others are near a hundredth. */
+constexpr double tolerant_slope = 0.06;
+/** Median and logarithmic deviation of the slopes of pairs that interfere. */
+constexpr double median_interfering_slope = 0.18;
+constexpr double interfering_slope_deviation = 0.6;
+/** Share of pairs that interfere before any is known, as evidence of this many pairs. */
+constexpr double prior_interfering_share = 0.25;
+constexpr double prior_pairs = 4;
+/** Evidence for the share of all pairs beside the verdicts of one image. */
+constexpr double prior_pairs_of_image = 1.5;
 
 /** Solves a small symmetric linear system by Gaussian elimination with pivoting. */
 std::vector<double> solve(std::vector<std::vector<double>> rows, std::vector<double> responses)
@@ -65,6 +80,7 @@
     estimate.products.emplace_back(position + 1, 0.0);
     estimate.responses.push_back(0);
     estimate.slopes.push_back(prior_slope);
+    estimate.verdicts.push_back(pair_verdict::unknown);
     return position;
 }
 
@@ -82,6 +98,61 @@
     estimate.solved = estimate.observed;
 }
 
+/** Returns the standard deviation of a slope with this much evidence. */
+double slope_deviation(double evidence)
+{
+    return ratio_deviation / std::sqrt(evidence + prior_weight);
+}
+
+/**
+ * Trusts a pair when it has enough evidence, or early when its slope is certainly high, so that a
+ * trial that did harm is not repeated.
+ */
+pair_verdict verdict_of(const tail_estimate& estimate, std::size_t position)
+{
+    const auto evidence = estimate.products[position][position];
+    const auto slope = estimate.slopes[position];
+    if (evidence >= trusted_pair_weight)
+        return slope > tolerant_slope ? pair_verdict::interfering : pair_verdict::tolerant;
+    return slope - slope_deviation(evidence) > interfering_slope ? pair_verdict::interfering
+                                                                 : pair_verdict::unknown;
+}
+
+void count_verdict(pair_counts& counts, pair_verdict verdict, int change)
+{
+    const auto add = static_cast<std::uint32_t>(change);
+    if (verdict == pair_verdict::tolerant)
+        counts.tolerant += add;
+    if (verdict == pair_verdict::interfering)
+        counts.interfering += add;
+}
+
+void update_verdicts(tail_model& model, tail_estimate& estimate)
+{
+    for (const auto& [image, position] : estimate.index) {
+        const auto verdict = verdict_of(estimate, position);
+        auto& known = estimate.verdicts[position];
+        if (verdict == known)
+            continue;
+        for (auto* counts : {&estimate.known, &model.best_effort_images[image], &model.known}) {
+            count_verdict(*counts, known, -1);
+            count_verdict(*counts, verdict, 1);
+        }
+        known = verdict;
+    }
+}
+
+double interfering_share(const pair_counts& counts, double prior_share, double weight)
+{
+    return (counts.interfering + weight * prior_share) /
+           (counts.interfering + counts.tolerant + weight);
+}
+
+double odds(double probability)
+{
+    return probability / (1 - probability);
+}
+
 double processors_of(millicores amount)
 {
     return static_cast<double>(amount.value()) / 1000;
@@ -123,7 +194,7 @@
                        [](double sum) { return sum * observation_decay; });
     for (auto& sum : estimate.responses)
         sum *= observation_decay;
-    const auto increase = std::min(ratio, max_ratio) - 1;
+    const auto increase = std::clamp(ratio, min_ratio, max_ratio) - 1;
     for (const auto& [position, load] : loads) {
         for (const auto& [other_position, other_load] : loads)
             estimate.products[position][other_position] += load * other_load;
@@ -132,6 +203,7 @@
     ++estimate.observed;
     if (estimate.observed - estimate.solved >= observations_per_solve || estimate.solved == 0)
         update_slopes(estimate);
+    update_verdicts(model, estimate);
 }
 
 double tail_slope(const tail_model& model, const std::string& serving_image,
@@ -163,6 +235,33 @@
     return cautious_slope_of(find_estimate(model, serving_image), best_effort_image).trusted;
 }
 
+double interference_probability(const tail_model& model, const std::string& serving_image,
+                                const std::string& best_effort_image)
+{
+    const auto* estimate = find_estimate(model, serving_image);
+    const auto column = model.best_effort_images.find(best_effort_image);
+    const auto of_all = interfering_share(model.known, prior_interfering_share, prior_pairs);
+    const auto of_serving = interfering_share(estimate == nullptr ? pair_counts{} : estimate->known,
+                                              of_all, prior_pairs_of_image);
+    const auto of_best_effort =
+        interfering_share(column == model.best_effort_images.end() ? pair_counts{} : column->second,
+                          of_all, prior_pairs_of_image);
+    const auto combined = odds(of_serving) * odds(of_best_effort) / odds(of_all);
+    return combined / (1 + combined);
+}
+
+double excess_probability(const tail_model& model, const std::string& serving_image,
+                          const std::string& best_effort_image, double max_ratio, double processors)
+{
+    if (max_ratio <= 1)
+        return 1;
+    const auto slope = (max_ratio - 1) / processors;
+    const auto deviations =
+        std::log(slope / median_interfering_slope) / interfering_slope_deviation;
+    const auto share_above = 0.5 * std::erfc(deviations / std::sqrt(2.0));
+    return share_above * interference_probability(model, serving_image, best_effort_image);
+}
+
 const tail_estimate* find_estimate(const tail_model& model, const std::string& serving_image)
 {
     const auto found = model.images.find(serving_image);
@@ -180,8 +279,10 @@
         return {pessimistic, false};
     const auto position = found->second;
     const auto slope = estimate->slopes[position];
-    const bool trusted = estimate->products[position][position] >= trusted_pair_weight;
-    return {trusted ? slope : std::max(slope, cautious_min_slope), trusted};
+    const bool trusted = estimate->verdicts[position] != pair_verdict::unknown;
+    if (!trusted)
+        return {std::max(slope, cautious_min_slope), false};
+    return {slope + slope_deviation(estimate->products[position][position]), true};
 }
 
 } // namespace galenaturn::schedule
