controld: count waiting tasks by kind

event=room tells how many of the waiting tasks are long-running and how many need a reservation, which shows what short urgent tasks wait for on a full fleet.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -428,6 +428,8 @@
               {{"token", token_},
                {"open_jobs", capacity.open_jobs},
                {"waiting_tasks", capacity.waiting_tasks},
+               {"waiting_long_running", capacity.waiting_long_running},
+               {"waiting_reserved", capacity.waiting_reserved},
                {"workers", scheduler_.workers.size()},
                {"serving_workers", capacity.serving_workers},
                {"mixed_workers", capacity.mixed_workers},
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -154,6 +154,9 @@
     millicores reserved;
     std::size_t open_jobs{0};
     std::size_t waiting_tasks{0};
+    /** Part of them that is long-running, and that is finite with a reservation. */
+    std::size_t waiting_long_running{0};
+    std::size_t waiting_reserved{0};
 };
 
 capacity_summary summarize_capacity(const job_scheduler& state);
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -160,9 +160,17 @@
         sum.reserved += worker.reserved.processors;
     }
     sum.open_jobs = state.jobs.size();
-    for (const auto& [id, job] : state.jobs)
-        sum.waiting_tasks +=
+    for (const auto& [id, job] : state.jobs) {
+        const auto waiting =
             static_cast<std::size_t>(std::count_if(job.tasks.begin(), job.tasks.end(), needs_run));
+        const bool best_effort = std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                                             [](const auto& step) { return step.best_effort; });
+        sum.waiting_tasks += waiting;
+        if (job.long_running)
+            sum.waiting_long_running += waiting;
+        else if (!best_effort)
+            sum.waiting_reserved += waiting;
+    }
     return sum;
 }
 
