wire, entryd: an error in a handler ends only its connection; a damaged answer is no refusal

Cause: an exception in a datagram handler ended the coroutine that receives gossip, for good; one in a frame handler left the connection open and unread. The entry answered "not run" when it could not decode the leader's answer, though the job may have been accepted.

Change: both handlers are guarded; the error is logged and counted, the connection closed.

--- a/src/entryd/jobrelay.cpp
+++ b/src/entryd/jobrelay.cpp
@@ -66,19 +66,24 @@
     auto* link = leader.empty() ? nullptr : shared_.peers.find(leader);
     if (link == nullptr)
         co_return wire::unavailable_response("no leader of the ledger is known");
-    const auto reply =
-        co_await link->call(wire::frame_kind::job_request, wire::encode(request), deadline);
-    if (!reply) {
-        if (reply.error() == make_error_code(wire::wire_error::not_connected))
-            co_return wire::unavailable_response("the leader is not connected");
-        auto no_response = wire::unavailable_response("no answer from the leader in time");
-        no_response.status = job_response_status::unknown;
-        co_return no_response;
-    }
+    co_return response_of(
+        co_await link->call(wire::frame_kind::job_request, wire::encode(request), deadline));
+}
+
+wire::job_response response_of(const result<std::string>& reply)
+{
+    if (!reply && reply.error() == make_error_code(wire::wire_error::not_connected))
+        return wire::unavailable_response("the leader is not connected");
+    // From here on the leader may have received the request and acted on it.
+    auto unknown = wire::unavailable_response("no answer from the leader in time");
+    unknown.status = job_response_status::unknown;
+    if (!reply)
+        return unknown;
     auto response = wire::decode<wire::job_response>(reply.value());
-    if (!response)
-        co_return wire::unavailable_response("the leader's answer is malformed");
-    co_return std::move(response).value();
+    if (response)
+        return std::move(response).value();
+    unknown.reason = "the leader's answer is malformed";
+    return unknown;
 }
 
 } // namespace galenaturn::entryd
--- a/src/entryd/jobrelay.h
+++ b/src/entryd/jobrelay.h
@@ -29,4 +29,10 @@
     std::map<wire::job_verb, latency_summary*> latencies_;
 };
 
+/**
+ * Returns the response to a caller for the reply of the leader, or for its absence. `unavailable`,
+ * which tells the caller that nothing was done, only where the request was certainly not sent.
+ */
+wire::job_response response_of(const result<std::string>& reply);
+
 } // namespace galenaturn::entryd
--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -26,6 +26,7 @@
       bytes_received{metrics.make_counter("galenaturn_frame_bytes_received_total")},
       frames_dropped{metrics.make_counter("galenaturn_frames_dropped_total")},
       frames_malformed{metrics.make_counter("galenaturn_frames_malformed_total")},
+      frames_failed{metrics.make_counter("galenaturn_frames_failed_total")},
       frames_refused{metrics.make_counter("galenaturn_frames_refused_total")},
       connections_refused{metrics.make_counter("galenaturn_peer_connections_refused_total")},
       reconnects{metrics.make_counter("galenaturn_peer_reconnects_total")}
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -41,6 +41,8 @@
     counter& bytes_received;
     counter& frames_dropped;
     counter& frames_malformed;
+    /** Frames on which the handler failed. */
+    counter& frames_failed;
     counter& frames_refused;
     counter& connections_refused;
     counter& reconnects;
--- a/src/libwire/datagram.cpp
+++ b/src/libwire/datagram.cpp
@@ -82,7 +82,9 @@
       refused{metrics.make_counter("galenaturn_datagrams_dropped_total",
                                    {{"reason", "refused_domain"}})},
       send_failed{
-          metrics.make_counter("galenaturn_datagrams_dropped_total", {{"reason", "send_failed"}})}
+          metrics.make_counter("galenaturn_datagrams_dropped_total", {{"reason", "send_failed"}})},
+      failed{metrics.make_counter("galenaturn_datagrams_dropped_total",
+                                  {{"reason", "handler_failed"}})}
 {
 }
 
@@ -124,7 +126,14 @@
             return count_invalid(decoded.error());
         if (context.refuses(decoded.value().from.domain))
             return counters.refused.add();
-        handler(decoded.value().from, decoded.value().payload);
+        try {
+            handler(decoded.value().from, decoded.value().payload);
+        }
+        catch (const std::exception& error) {
+            counters.failed.add();
+            log_event(log_level::error, "datagram_handler_failed",
+                      {{"process", decoded.value().from.process}, {"error", error.what()}});
+        }
     }
 
     void count_invalid(const error_code& error)
--- a/src/libwire/datagram.h
+++ b/src/libwire/datagram.h
@@ -46,6 +46,8 @@
     counter& too_large;
     counter& refused;
     counter& send_failed;
+    /** The handler failed. */
+    counter& failed;
 };
 
 /** Handles a datagram from another process. */
--- a/src/libwire/frameserver.cpp
+++ b/src/libwire/frameserver.cpp
@@ -70,8 +70,16 @@
             if (target && !context->refuses(domain))
                 target->send({frame_kind::reply, correlation, std::move(payload)});
         };
-        if (!self.router.dispatch(greeting, std::move(received), std::move(reply)))
-            self.context.counters.frames_malformed.add();
+        try {
+            if (!self.router.dispatch(greeting, std::move(received), std::move(reply)))
+                self.context.counters.frames_malformed.add();
+        }
+        catch (const std::exception& error) {
+            self.context.counters.frames_failed.add();
+            log_event(log_level::error, "frame_handler_failed",
+                      {{"process", greeting.process}, {"error", error.what()}});
+            peer->close();
+        }
     }
 
     static asio::awaitable<result<hello>> read_hello(state& self, connection& peer)
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <stdexcept>
 
 namespace galenaturn::wire {
 
@@ -66,6 +67,8 @@
     CPPUNIT_TEST(frames_are_dropped_silently_once_a_domain_is_refused);
     CPPUNIT_TEST(link_reconnects_when_its_peer_restarts);
     CPPUNIT_TEST(malformed_bytes_close_only_their_connection);
+    CPPUNIT_TEST(failed_frame_handler_closes_only_its_connection);
+    CPPUNIT_TEST(failed_datagram_handler_does_not_end_receiving);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::awaitable<void> send_call(peer_link& link, duration limit,
@@ -195,6 +198,59 @@
         const auto reply = call_once(io, link, test_timeout);
         CPPUNIT_ASSERT(reply && *reply);
     }
+
+    /** An unexpected error in a handler once left the connection open and unread. */
+    void failed_frame_handler_closes_only_its_connection()
+    {
+        asio::io_context io;
+        echo_process echo{io};
+        echo.router.on(frame_kind::roster, [](const hello& /*from*/, const frame& /*received*/,
+                                              const reply_function& /*reply*/) {
+            throw std::out_of_range{"no such job"};
+        });
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&link] { return link.connected(); });
+        CPPUNIT_ASSERT(link.send(frame_kind::roster, "question"));
+        run_until(io, [&link] { return !link.connected(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, echo.context.counters.frames_failed.value());
+        run_until(io, [&link] { return link.connected(); });
+        const auto reply = call_once(io, link, test_timeout);
+        CPPUNIT_ASSERT(reply && *reply);
+    }
+
+    /** An unexpected error in a handler once ended the receiving of datagrams for good. */
+    void failed_datagram_handler_does_not_end_receiving()
+    {
+        asio::io_context io;
+        metrics_registry metrics;
+        channel_context context{io,
+                                {process_id{"receiver"}, failure_domain_id{"hall-a"}},
+                                {},
+                                channel_counters{metrics}};
+        int received = 0;
+        datagram_channel receiver{context, metrics,
+                                  [&](const hello& /*from*/, std::string_view text) {
+                                      ++received;
+                                      if (text == "bad")
+                                          throw std::out_of_range{"no such member"};
+                                  }};
+        CPPUNIT_ASSERT(receiver.open({"127.0.0.1", 0}));
+        metrics_registry sender_metrics;
+        datagram_channel sender{context, sender_metrics, [](const hello&, std::string_view) {}};
+        CPPUNIT_ASSERT(sender.open({"127.0.0.1", 0}));
+        for (const auto* text : {"bad", "good"})
+            CPPUNIT_ASSERT(
+                sender.send(receiver.local_address(), failure_domain_id{"hall-a"}, text));
+        run_until(io, [&] { return received == 2; });
+        CPPUNIT_ASSERT_EQUAL(2, received);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, receiver.counters().failed.value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(channel_test);
