controld: a starting voter does not report a missing leader at once

The time of the first report was not set at the start, so each restart logged event=ledger_leader_missing.

--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -74,6 +74,7 @@
         return opened;
     make_replica();
     waiting_warning_due_ = monotonic_now() + bootstrap_warning_delay;
+    missing_leader_report_due_ = monotonic_now() + missing_leader_report_interval;
     bootstrap_.self = shared_.settings.self.id;
     bootstrap_.voter = replica_->self;
     bootstrap_.founders = founders();
