--- a/tests/ledger/simulation/votergroup.cpp
+++ b/tests/ledger/simulation/votergroup.cpp
@@ -217,7 +217,7 @@
         if (to->voter != message.to || !to->core)
             continue;
         const bool own = to.get() == &from;
-        if (!own && pick(1000) < options_.lost)
+        if (!own && (now_ < to->unreachable_until || pick(1000) < options_.lost))
             return;
         const duration latency{own ? 0 : 500 + pick(1'500)};
         schedule(*to, latency, [this, message](node& receiver) {
@@ -229,6 +229,7 @@
 process_id voter_group::add_process(std::size_t domain)
 {
     auto& added = make_node(domain);
+    added.unreachable_until = now_ + options_.reconnect_delay;
     start(added, {});
     return added.process;
 }
@@ -247,8 +248,10 @@
     node->voter = voter_id{"v" + std::to_string(++last_voter_)};
     const auto life = node->life;
     events_.push({now_ + down, ++order_, [this, node, life] {
-                      if (node->life == life)
-                          start(*node, {});
+                      if (node->life != life)
+                          return;
+                      node->unreachable_until = now_ + options_.reconnect_delay;
+                      start(*node, {});
                   }});
 }
 
@@ -257,6 +260,11 @@
     find(process)->frozen_until = now_ + span;
 }
 
+void voter_group::cut_incoming(const process_id& process)
+{
+    find(process)->unreachable_until = time_point::max();
+}
+
 voter_group::node* voter_group::find(const process_id& process)
 {
     const auto found = std::find_if(nodes_.begin(), nodes_.end(),
--- a/tests/ledger/simulation/votergroup.h
+++ b/tests/ledger/simulation/votergroup.h
@@ -21,6 +21,8 @@
     unsigned lost{0};
     /** Compact the log so far that a newcomer needs a snapshot. */
     bool needs_snapshot{false};
+    /** A process that starts during the run receives no messages of voters for this time. */
+    duration reconnect_delay{};
 };
 
 /**
@@ -39,6 +41,8 @@
     /** Stops a process, which starts again with an empty disk after `down`. */
     void wipe(const process_id& process, duration down);
     void freeze(const process_id& process, duration span);
+    /** Drops all messages to a process, while those that it sends arrive. */
+    void cut_incoming(const process_id& process);
 
     /** Returns the process that leads with a valid lease, or an empty name. */
     [[nodiscard]] process_id leader() const;
@@ -69,6 +73,8 @@
         /** Changes with each start and stop; events of an earlier life are ignored. */
         std::uint64_t life{0};
         time_point frozen_until;
+        /** Messages of voters to this process are dropped until then. */
+        time_point unreachable_until;
         std::vector<peer_message> after_sync;
         bool dirty{false};
         bool syncing{false};
--- a/tests/ledger/voterexchangetest.cpp
+++ b/tests/ledger/voterexchangetest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST_SUITE(voter_exchange_test);
     CPPUNIT_TEST(replacement_wipe_and_planned_replacement_within_tolerance_lose_nothing);
     CPPUNIT_TEST(a_lost_voter_is_replaced_within_the_bound);
+    CPPUNIT_TEST(a_learner_that_cannot_be_reached_yet_is_not_removed_again);
+    CPPUNIT_TEST(a_candidate_that_cannot_be_reached_does_not_keep_others_out);
     CPPUNIT_TEST(a_short_freeze_exchanges_nothing);
     CPPUNIT_TEST(a_voter_replaced_during_a_freeze_becomes_a_candidate_again);
     CPPUNIT_TEST(a_replacement_in_another_domain_moves_back_when_a_candidate_appears);
@@ -100,6 +102,42 @@
                                time < bound);
     }
 
+    /** A connection to a process that has restarted is opened again after up to a second. */
+    void a_learner_that_cannot_be_reached_yet_is_not_removed_again()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            auto options = options_for(seed);
+            options.lost = 0;
+            options.reconnect_delay = std::chrono::milliseconds{100 * (seed % 11)};
+            voter_group group{options};
+            const auto before = group.voter_changes();
+            group.wipe(group.some_follower(), std::chrono::seconds{2});
+            group.run_for(std::chrono::seconds{8});
+            const auto at = " at seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE("not replaced" + at, group.tolerates_next_loss());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("changes" + at, std::size_t{3},
+                                         group.voter_changes() - before);
+        }
+    }
+
+    /** In the domain of the lost voter a candidate announces itself but receives nothing. */
+    void a_candidate_that_cannot_be_reached_does_not_keep_others_out()
+    {
+        constexpr duration bound = std::chrono::milliseconds{2500};
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            const auto options = options_for(seed);
+            voter_group group{options};
+            const auto lost = group.some_follower();
+            const auto domain = group.domain_of(lost);
+            group.remove(lost);
+            group.cut_incoming(group.add_process(domain));
+            group.add_process((domain + 1) % options.domains);
+            const auto time = time_to_tolerance(group, std::chrono::seconds{20});
+            CPPUNIT_ASSERT_MESSAGE(
+                std::to_string(time.count()) + " us at seed " + std::to_string(seed), time < bound);
+        }
+    }
+
     void a_short_freeze_exchanges_nothing()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
