ledger: a new learner's silence counts from its addition

What callers saw: nothing by itself. After each loss of a voter the group has no spare for longer than needed, and a further loss in that time ends it: no job is accepted and nothing starts any more (rule LOST).

Cause: the progress of a new member had no time of contact, so its silence was the age of the clock, above the 3 s after which a learner is removed. The commit of its addition plans the next change at once, which removed it. Then it was a candidate again. A learner that was removed and added again kept the old time of contact as well.

Why this works: progress starts with the time of the addition, and ends with the removal.

--- a/src/libledger/replicaappend.cpp
+++ b/src/libledger/replicaappend.cpp
@@ -164,9 +164,7 @@
     auto& self = context.self;
     if (follower == self.self || !self.leads)
         return;
-    auto& progress = self.progress[follower];
-    if (progress.next.value() == 0)
-        progress.next = self.log.last_index().next();
+    auto& progress = self.progress.try_emplace(follower, initial_progress(context)).first->second;
     if (heartbeat && progress.matched.next() < progress.next &&
         context.now >= progress.resend_due) {
         progress.next = progress.matched.next();
--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -15,12 +15,10 @@
     self.rounds.clear();
     self.outgoing_snapshot.reset();
     for (const auto& [member, process] : all_members(self.log.voters())) {
-        follower_progress progress;
-        progress.next = self.log.last_index().next();
+        auto progress = initial_progress(context);
         // The previous leader did not take part in this election.
-        progress.last_contact =
-            member == self.previous_leader ? self.previous_leader_contact : context.now;
-        progress.resend_due = context.now + self.options.election_timeout;
+        if (member == self.previous_leader)
+            progress.last_contact = self.previous_leader_contact;
         self.progress.emplace(member, progress);
     }
     begin_round(context);
@@ -29,6 +27,15 @@
     replicate(context);
 }
 
+follower_progress initial_progress(const step_context& context)
+{
+    follower_progress progress;
+    progress.next = context.self.log.last_index().next();
+    progress.last_contact = context.now;
+    progress.resend_due = context.now + context.self.options.election_timeout;
+    return progress;
+}
+
 void step_down(step_context& context)
 {
     context.self.leads = false;
--- a/src/libledger/replicasteps.h
+++ b/src/libledger/replicasteps.h
@@ -29,6 +29,8 @@
 void step_down(step_context& context);
 log_index append_to_own_log(step_context& context, entry_kind kind, std::string payload);
 void acknowledge_own_log(step_context& context);
+/** Returns the progress of a member that the leader starts to replicate to. */
+follower_progress initial_progress(const step_context& context);
 void begin_round(step_context& context);
 void replicate(step_context& context);
 void replicate_to(step_context& context, const voter_id& follower, bool heartbeat);
--- a/src/libledger/replicavoters.cpp
+++ b/src/libledger/replicavoters.cpp
@@ -99,6 +99,8 @@
                  std::to_string(set.voters.size()) + " voters respond";
         return out;
     }
+    if (change.kind == voter_change_kind::remove && change.voter != self.self)
+        self.progress.erase(change.voter);
     append_to_own_log(context, entry_kind::voters, wire::encode(set));
     acknowledge_own_log(context);
     replicate(context);
