ledger: a learner that does not respond keeps no other candidate out

Cause: each learner counted as a replacement on its way, whether it responds or not, and the candidate of the emptiest failure domain is always chosen. A process that announces itself but receives nothing (a cut in one direction) took the only place, was removed, and was chosen again without end, while a sound candidate waited. In the same way a learner that was not needed after all kept a candidate out that would have relieved a failure domain with more voters than may be lost.

--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -129,21 +129,26 @@
     return voter_change{voter_change_kind::promote, voter, process};
 }
 
+/** A learner that does not respond keeps no other candidate out. */
 std::optional<voter_change> add_learner(const voter_plan_input& input)
 {
-    const auto& voters = input.set.voters;
-    const auto sound = static_cast<std::size_t>(
-        std::count_if(voters.begin(), voters.end(), [&](const auto& member) {
-            return !may_be_lost(input, member.first, member.second);
-        }));
-    const bool needed = sound + input.set.learners.size() < input.target_voters;
+    const auto& [voters, learners] = input.set;
+    const auto responds = [&](const auto& member) {
+        return !may_be_lost(input, member.first, member.second);
+    };
+    const auto sound = std::count_if(voters.begin(), voters.end(), responds);
+    const auto learning = std::count_if(learners.begin(), learners.end(), responds);
+    const bool needed = static_cast<std::size_t>(sound + learning) < input.target_voters;
+    const bool relief_learns =
+        std::any_of(learners.begin(), learners.end(), [&](const auto& learner) {
+            return responds(learner) && relieves_overfull_domain(input, learner.second);
+        });
     std::map<voter_id, process_id> eligible;
     for (const auto& [voter, process] : input.candidates) {
         const bool is_learner = std::any_of(
-            input.set.learners.begin(), input.set.learners.end(),
+            learners.begin(), learners.end(),
             [&process = process](const auto& learner) { return learner.second == process; });
-        const bool relieves =
-            input.set.learners.empty() && relieves_overfull_domain(input, process);
+        const bool relieves = !relief_learns && relieves_overfull_domain(input, process);
         if (!is_learner && (needed || relieves))
             eligible.emplace(voter, process);
     }
--- a/tests/ledger/voterplantest.cpp
+++ b/tests/ledger/voterplantest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(a_learner_is_promoted_once_it_has_caught_up);
     CPPUNIT_TEST(a_voter_that_responds_again_in_time_is_kept);
     CPPUNIT_TEST(a_failure_domain_with_too_many_voters_gives_one_up);
+    CPPUNIT_TEST(a_learner_in_the_overfull_domain_keeps_no_candidate_out);
     CPPUNIT_TEST(an_excess_voter_is_never_the_leader);
     CPPUNIT_TEST(newcomers_are_added_up_to_the_target_number_of_voters);
     CPPUNIT_TEST(exactly_one_ledger_forms_in_any_message_order);
@@ -119,6 +120,20 @@
         assert_change(input, voter_change_kind::remove, voter(3));
     }
 
+    /** Domain d1 holds two of three voters and a learner that was not needed after all. */
+    void a_learner_in_the_overfull_domain_keeps_no_candidate_out()
+    {
+        auto input = three_voters();
+        input.leader = voter(1);
+        for (int number = 1; number <= 5; ++number)
+            input.domains[process(number)] =
+                failure_domain_id{number == 2 ? "d2" : (number == 5 ? "d3" : "d1")};
+        input.set.learners.emplace(voter(4), process(4));
+        input.caught_up.push_back(voter(4));
+        input.candidates.emplace(voter(5), process(5));
+        assert_change(input, voter_change_kind::add_learner, voter(5));
+    }
+
     void an_excess_voter_is_never_the_leader()
     {
         auto input = three_voters();
