wire: a link reconnects at once when its peer connects

Cause: a link to a process that was down for 2 s waits up to 1 s before it tries again, or up to 1 s for an attempt from before the process ran. In that time the process is known to run, since it has connected and announces its empty disk, but the leader cannot send it the log.

Why this works: a hello of a process ends the delay and the attempt. The time limit of an attempt no longer refers to the local socket of a coroutine that may have ended.

link_reconnects_at_once_when_its_peer_connects failed before: 500 ms, after a delay that has just begun.

--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -42,6 +42,10 @@
 peer_directory::peer_directory(channel_context& context, const process_settings& settings)
     : context_{context}
 {
+    context_.on_hello = [this](const process_id& process) {
+        if (auto* link = find(process))
+            link->retry();
+    };
     for (const auto& member : settings.members) {
         if (member.id == settings.self.id)
             members_.push_back(member);
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -58,6 +58,8 @@
      */
     std::vector<failure_domain_id> refused_domains;
     channel_counters counters;
+    /** Called when another process has opened a connection to this one. */
+    std::function<void(const process_id&)> on_hello{};
 
     [[nodiscard]] bool refuses(const failure_domain_id& domain) const;
 };
@@ -93,6 +95,8 @@
 
     void start();
     void close();
+    /** Connects at once if the link is down. Called when the peer is known to run. */
+    void retry();
     [[nodiscard]] bool connected() const;
     /** Sends a frame without waiting for a reply. Returns false if it was dropped. */
     bool send(frame_kind kind, std::string payload);
--- a/src/libwire/frameserver.cpp
+++ b/src/libwire/frameserver.cpp
@@ -94,6 +94,8 @@
             self.context.counters.connections_refused.add();
             co_return make_error_code(wire_error::refused_domain);
         }
+        if (greeting && self.context.on_hello)
+            self.context.on_hello(greeting.value().process);
         co_return greeting;
     }
 };
--- a/src/libwire/peerlink.cpp
+++ b/src/libwire/peerlink.cpp
@@ -38,6 +38,10 @@
     ip_endpoint address;
     failure_domain_id domain;
     asio::steady_timer delay;
+    /** Delay before the next attempt to connect. */
+    std::chrono::milliseconds wait{min_reconnect_delay};
+    /** The socket of an attempt to connect in progress. */
+    tcp::socket* connecting{nullptr};
     std::shared_ptr<connection> current;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> pending;
     std::uint64_t last_correlation{0};
@@ -46,19 +50,19 @@
 
     static asio::awaitable<void> run(std::shared_ptr<state> self)
     {
-        auto wait = min_reconnect_delay;
-        while (!self->closed) {
-            if (!self->context.refuses(self->domain) && co_await connect(*self)) {
-                wait = min_reconnect_delay;
-                co_await read_replies(*self);
+        auto& link = *self;
+        while (!link.closed) {
+            if (!link.context.refuses(link.domain) && co_await connect(link)) {
+                link.wait = min_reconnect_delay;
+                co_await read_replies(link);
             }
-            self->disconnect();
-            if (self->closed)
+            link.disconnect();
+            if (link.closed)
                 co_return;
-            self->context.counters.reconnects.add();
-            self->delay.expires_after(wait);
-            co_await self->delay.async_wait(use_result);
-            wait = std::min(wait * 2, max_reconnect_delay);
+            link.context.counters.reconnects.add();
+            link.delay.expires_after(link.wait);
+            link.wait = std::min(link.wait * 2, max_reconnect_delay);
+            co_await link.delay.async_wait(use_result);
         }
     }
 
@@ -66,12 +70,13 @@
     {
         tcp::socket socket{self.context.io};
         asio::steady_timer limit{self.context.io, max_reconnect_delay};
-        limit.async_wait([&socket](const boost::system::error_code& error) {
-            boost::system::error_code ignored;
+        self.connecting = &socket;
+        limit.async_wait([owner = self.shared_from_this()](const boost::system::error_code& error) {
             if (!error)
-                socket.close(ignored);
+                owner->abandon_attempt();
         });
         auto [error] = co_await socket.async_connect(to_tcp(self.address), use_result);
+        self.connecting = nullptr;
         limit.cancel();
         if (error || self.closed || !socket.is_open())
             co_return false;
@@ -81,6 +86,23 @@
         co_return true;
     }
 
+    void abandon_attempt()
+    {
+        boost::system::error_code ignored;
+        if (connecting != nullptr)
+            connecting->close(ignored);
+    }
+
+    void retry()
+    {
+        if (current || context.refuses(domain))
+            return;
+        wait = min_reconnect_delay;
+        // An attempt from before the peer ran may wait for a reply that never comes.
+        abandon_attempt();
+        delay.cancel();
+    }
+
     static asio::awaitable<void> read_replies(state& self)
     {
         while (!self.closed) {
@@ -145,6 +167,11 @@
     state_->disconnect();
 }
 
+void peer_link::retry()
+{
+    state_->retry();
+}
+
 bool peer_link::connected() const
 {
     return state_->current != nullptr;
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(connection_from_a_refused_domain_is_rejected);
     CPPUNIT_TEST(frames_are_dropped_silently_once_a_domain_is_refused);
     CPPUNIT_TEST(link_reconnects_when_its_peer_restarts);
+    CPPUNIT_TEST(link_reconnects_at_once_when_its_peer_connects);
     CPPUNIT_TEST(malformed_bytes_close_only_their_connection);
     CPPUNIT_TEST(failed_frame_handler_closes_only_its_connection);
     CPPUNIT_TEST(failed_datagram_handler_does_not_end_receiving);
@@ -177,6 +178,37 @@
         }
     }
 
+    /** A peer that was down for long has connected, so it runs: the delay of the link is over. */
+    void link_reconnects_at_once_when_its_peer_connects()
+    {
+        asio::io_context io;
+        const ip_endpoint client_address{"127.0.0.1", free_port(io)};
+        const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
+        echo_process client{io};
+        CPPUNIT_ASSERT(client.server.listen(client_address));
+        process_settings settings;
+        settings.self.id = client.context.self.process;
+        peer_directory peers{client.context, settings};
+        peers.start();
+        member_settings member;
+        member.id = process_id{"other"};
+        member.domain = failure_domain_id{"hall-b"};
+        member.peer = echo_address;
+        peers.learn(member);
+        // After six attempts the delay is a second.
+        run_until(io, [&client] { return client.context.counters.reconnects.value() >= 6; });
+        echo_process other{io};
+        other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
+        CPPUNIT_ASSERT(other.server.listen(echo_address));
+        const auto began = monotonic_now();
+        peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
+        back.start();
+        auto* link = peers.find(process_id{"other"});
+        run_until(io, [&link] { return link->connected(); });
+        CPPUNIT_ASSERT(link->connected());
+        CPPUNIT_ASSERT(monotonic_now() - began < std::chrono::milliseconds{500});
+    }
+
     void malformed_bytes_close_only_their_connection()
     {
         asio::io_context io;
