--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
+    CPPUNIT_TEST(a_previous_leader_that_has_just_voted_counts_as_reachable);
+    CPPUNIT_TEST(a_leader_of_long_ago_is_not_silent_since_then);
     CPPUNIT_TEST(a_replica_that_returns_from_isolation_does_not_depose_the_leader);
     CPPUNIT_TEST(a_refused_voter_change_gives_its_reason);
     CPPUNIT_TEST(only_the_lowest_process_forms_a_ledger_and_only_when_no_process_has_a_log);
@@ -97,6 +99,57 @@
         CPPUNIT_ASSERT(done.role_changed && !leader.leads);
     }
 
+    void follow_for_a_moment(replica& self, const std::string& leader)
+    {
+        from(self, leader, self.hard.current_term,
+             append_request{self.log.last_index(), self.log.last_term(), {}, 1, 0, {}});
+    }
+
+    /** With c down, b stopped for a second, was the leader before, and has voted for a. */
+    void a_previous_leader_that_has_just_voted_counts_as_reachable()
+    {
+        auto leader = make("a");
+        follow_for_a_moment(leader, "b");
+        elect(leader);
+        CPPUNIT_ASSERT(leader.leads);
+        now_ += std::chrono::milliseconds{5};
+        tick(leader, now_);
+        CPPUNIT_ASSERT_MESSAGE("stepped down 5 ms after the election", leader.leads);
+        const auto input = make_voter_plan_input(leader, now_, {}, {}, 3);
+        const auto silence = input.silence.at(voter_id{"b"});
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(silence.count()) + " us",
+                               silence < max_voter_silence);
+    }
+
+    /** a led for an hour since b, a sound follower, had led; then a is elected again. */
+    void a_leader_of_long_ago_is_not_silent_since_then()
+    {
+        auto leader = make("a");
+        follow_for_a_moment(leader, "b");
+        elect(leader);
+        acknowledge(leader, "b", 2);
+        for (int tick_number = 0; tick_number < 7200; ++tick_number) {
+            now_ += std::chrono::milliseconds{500};
+            tick(leader, now_);
+            for (const auto* name : {"a", "b", "c"})
+                acknowledge(leader, name, 2);
+        }
+        CPPUNIT_ASSERT(leader.leads);
+        now_ += std::chrono::seconds{2};
+        tick(leader, now_);
+        CPPUNIT_ASSERT(!leader.leads);
+        now_ += std::chrono::seconds{2};
+        tick(leader, now_);
+        from(leader, "c", term{2}, vote_response{true, term{3}, true});
+        from(leader, "a", term{3}, vote_response{false, term{3}, true});
+        from(leader, "c", term{3}, vote_response{false, term{3}, true});
+        CPPUNIT_ASSERT(leader.leads);
+        const auto input = make_voter_plan_input(leader, now_, {}, {}, 3);
+        const auto silence = input.silence.at(voter_id{"b"});
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(silence.count()) + " us",
+                               silence < std::chrono::seconds{5});
+    }
+
     void a_replica_that_returns_from_isolation_does_not_depose_the_leader()
     {
         auto isolated = make("c");
--- a/tests/ledger/simulation/votergroup.cpp
+++ b/tests/ledger/simulation/votergroup.cpp
@@ -172,6 +172,7 @@
         self.commands = std::stoull(done.installed->data);
         self.dirty = true;
     }
+    elected_ += done.role_changed && self.core->leads ? 1 : 0;
     self.dirty = self.dirty || done.hard || done.truncate_after || !done.entries.empty();
     for (const auto& message : done.messages)
         send(self, message);
@@ -202,7 +203,9 @@
         return;
     }
     self.syncing = true;
-    const duration sync_time{6'000 + pick(6'000)};
+    duration sync_time{6'000 + pick(6'000)};
+    if (self.sync_time > duration{})
+        sync_time = self.sync_time;
     schedule(self, sync_time, [this, ready = std::move(ready)](node& synced) {
         synced.syncing = false;
         for (const auto& message : ready)
@@ -265,6 +268,11 @@
     find(process)->unreachable_until = time_point::max();
 }
 
+void voter_group::slow_disk(const process_id& process, duration sync_time)
+{
+    find(process)->sync_time = sync_time;
+}
+
 voter_group::node* voter_group::find(const process_id& process)
 {
     const auto found = std::find_if(nodes_.begin(), nodes_.end(),
--- a/tests/ledger/simulation/votergroup.h
+++ b/tests/ledger/simulation/votergroup.h
@@ -43,6 +43,10 @@
     void freeze(const process_id& process, duration span);
     /** Drops all messages to a process, while those that it sends arrive. */
     void cut_incoming(const process_id& process);
+    /** Each sync of a process takes this long from now on. */
+    void slow_disk(const process_id& process, duration sync_time);
+    /** Returns how often a replica has become or ceased to be leader. */
+    [[nodiscard]] std::size_t elected() const { return elected_; }
 
     /** Returns the process that leads with a valid lease, or an empty name. */
     [[nodiscard]] process_id leader() const;
@@ -75,6 +79,8 @@
         time_point frozen_until;
         /** Messages of voters to this process are dropped until then. */
         time_point unreachable_until;
+        /** Time of each sync; 0 for the usual one. */
+        duration sync_time{};
         std::vector<peer_message> after_sync;
         bool dirty{false};
         bool syncing{false};
@@ -118,6 +124,7 @@
     std::map<process_id, failure_domain_id> domains_;
     std::size_t acknowledged_{0};
     std::size_t voter_changes_{0};
+    std::size_t elected_{0};
     std::uint64_t last_voter_{0};
 };
 
--- a/tests/ledger/voterexchangetest.cpp
+++ b/tests/ledger/voterexchangetest.cpp
@@ -13,6 +13,14 @@
     CPPUNIT_TEST(a_lost_voter_is_replaced_within_the_bound);
     CPPUNIT_TEST(a_learner_that_cannot_be_reached_yet_is_not_removed_again);
     CPPUNIT_TEST(a_candidate_that_cannot_be_reached_does_not_keep_others_out);
+    CPPUNIT_TEST(two_candidates_that_cannot_be_reached_keep_no_other_out);
+    CPPUNIT_TEST(six_candidates_that_cannot_be_reached_keep_no_other_out);
+    CPPUNIT_TEST(a_learner_with_a_slow_disk_keeps_no_other_candidate_out);
+    CPPUNIT_TEST(a_learner_lost_before_its_promotion_does_not_end_the_quorum);
+    CPPUNIT_TEST(a_learner_stopped_before_its_promotion_stops_nothing);
+    CPPUNIT_TEST(a_learner_removed_during_a_freeze_becomes_a_candidate_again);
+    CPPUNIT_TEST(a_short_stop_of_the_leader_with_one_voter_down_costs_one_election);
+    CPPUNIT_TEST(a_leader_whose_disk_hangs_gives_its_place_up);
     CPPUNIT_TEST(a_short_freeze_exchanges_nothing);
     CPPUNIT_TEST(a_voter_replaced_during_a_freeze_becomes_a_candidate_again);
     CPPUNIT_TEST(a_replacement_in_another_domain_moves_back_when_a_candidate_appears);
@@ -138,6 +146,180 @@
         }
     }
 
+    static void candidates_that_cannot_be_reached(std::size_t count)
+    {
+        constexpr duration bound = std::chrono::milliseconds{2500};
+        std::string late;
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            const auto options = options_for(seed);
+            voter_group group{options};
+            const auto lost = group.some_follower();
+            const auto domain = group.domain_of(lost);
+            group.remove(lost);
+            for (std::size_t silent = 0; silent < count; ++silent)
+                group.cut_incoming(group.add_process(domain));
+            group.add_process((domain + 1) % options.domains);
+            const auto time = time_to_tolerance(group, std::chrono::seconds{20});
+            if (time >= bound)
+                late += " " + std::to_string(seed) + ":" + std::to_string(time.count() / 1000);
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed:ms" + late, late.empty());
+    }
+
+    void two_candidates_that_cannot_be_reached_keep_no_other_out()
+    {
+        candidates_that_cannot_be_reached(2);
+    }
+
+    void six_candidates_that_cannot_be_reached_keep_no_other_out()
+    {
+        candidates_that_cannot_be_reached(6);
+    }
+
+    /** The candidate of the emptiest domain responds, but each of its syncs takes long. */
+    void a_learner_with_a_slow_disk_keeps_no_other_candidate_out()
+    {
+        std::string late;
+        for (const int sync : {200, 300, 400, 500, 600, 800, 1200, 3000}) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                const auto options = options_for(seed);
+                voter_group group{options};
+                const auto lost = group.some_follower();
+                const auto domain = group.domain_of(lost);
+                group.remove(lost);
+                group.slow_disk(group.add_process(domain), std::chrono::milliseconds{sync});
+                group.add_process((domain + 1) % options.domains);
+                const auto time = time_to_tolerance(group, std::chrono::seconds{20});
+                if (time >= std::chrono::milliseconds{4000})
+                    late += " " + std::to_string(sync) + "/" + std::to_string(seed) + ":" +
+                            std::to_string(time.count() / 1000);
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("sync/seed:ms" + late, late.empty());
+    }
+
+    /** All voters but one run all the time: the learner that stops is not one of them. */
+    void a_learner_lost_before_its_promotion_does_not_end_the_quorum()
+    {
+        std::string ended;
+        std::size_t cases = 0;
+        for (std::uint64_t seed = 2; seed <= 8; seed += 2) {
+            for (int after = 800; after <= 2000; after += 40) {
+                voter_group group{options_for(seed)};
+                const auto lost = group.some_follower();
+                group.remove(lost);
+                const auto added = group.add_process(group.domain_of(lost));
+                group.run_for(std::chrono::milliseconds{after});
+                const auto set = group.voters();
+                if (set.learners.empty())
+                    continue;
+                ++cases;
+                group.remove(added);
+                group.run_for(std::chrono::seconds{3});
+                group.add_process(group.domain_of(lost));
+                group.run_for(std::chrono::seconds{10});
+                if (group.leader().empty())
+                    ended += " " + std::to_string(seed) + "/" + std::to_string(after);
+            }
+        }
+        CPPUNIT_ASSERT(cases > 0);
+        CPPUNIT_ASSERT_MESSAGE("of " + std::to_string(cases) + " cases, seed/ms:" + ended,
+                               ended.empty());
+    }
+
+    /** The learner stops for 4 s; both remaining voters run all the time. */
+    void a_learner_stopped_before_its_promotion_stops_nothing()
+    {
+        std::string stopped;
+        for (std::uint64_t seed = 2; seed <= 8; seed += 2) {
+            voter_group group{options_for(seed)};
+            const auto lost = group.some_follower();
+            group.remove(lost);
+            const auto added = group.add_process(group.domain_of(lost));
+            group.run_for(std::chrono::seconds{1});
+            CPPUNIT_ASSERT(!group.voters().learners.empty());
+            group.freeze(added, std::chrono::seconds{4});
+            for (int step = 0; step < 35; ++step) {
+                group.run_for(std::chrono::milliseconds{100});
+                if (group.leader().empty()) {
+                    stopped += " " + std::to_string(seed) + "/" + std::to_string(step * 100);
+                    break;
+                }
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("no leader, seed/ms" + stopped, stopped.empty());
+    }
+
+    /** A voter stops for a second, so that a learner is added that is not needed after all. */
+    void a_learner_removed_during_a_freeze_becomes_a_candidate_again()
+    {
+        std::string never;
+        std::size_t cases = 0;
+        for (std::uint64_t seed = 2; seed <= 20; seed += 2) {
+            auto options = options_for(seed);
+            options.lost = 0;
+            voter_group group{options};
+            const auto voter = group.some_follower();
+            const auto spare = group.add_process(group.domain_of(voter));
+            group.freeze(voter, std::chrono::milliseconds{1200});
+            group.run_for(std::chrono::seconds{3});
+            if (group.voters().learners.empty())
+                continue;
+            group.freeze(spare, std::chrono::seconds{5});
+            group.run_for(std::chrono::seconds{8});
+            CPPUNIT_ASSERT(group.is_running(spare));
+            if (!group.voters().learners.empty())
+                continue;
+            ++cases;
+            group.remove(voter);
+            if (time_to_tolerance(group, std::chrono::seconds{20}) >= std::chrono::seconds{20})
+                never += " " + std::to_string(seed);
+        }
+        CPPUNIT_ASSERT(cases > 0);
+        CPPUNIT_ASSERT_MESSAGE("of " + std::to_string(cases) + " cases not replaced in 20 s, seeds" +
+                                   never,
+                               never.empty());
+    }
+
+    void a_short_stop_of_the_leader_with_one_voter_down_costs_one_election()
+    {
+        std::string many;
+        for (std::uint64_t seed = 2; seed <= 80; seed += 2) {
+            auto options = options_for(seed);
+            options.lost = 0;
+            voter_group group{options};
+            group.remove(group.some_follower());
+            group.run_for(std::chrono::seconds{3});
+            const auto before = group.elected();
+            const auto began = group.elapsed();
+            group.freeze(group.leader(), std::chrono::milliseconds{1300});
+            group.run_for(std::chrono::milliseconds{1300});
+            while (group.leader().empty() && group.elapsed() - began < std::chrono::seconds{30})
+                group.run_for(std::chrono::milliseconds{5});
+            const auto time = group.elapsed() - began;
+            if (group.elected() - before > 1)
+                many += " " + std::to_string(seed) + ":" +
+                        std::to_string(group.elected() - before) + ":" +
+                        std::to_string(time.count() / 1000);
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed:elections:ms" + many, many.empty());
+    }
+
+    /** The other voters acknowledge, so the leader still commits; its own log is not kept. */
+    void a_leader_whose_disk_hangs_gives_its_place_up()
+    {
+        const auto options = options_for(2);
+        voter_group group{options};
+        const auto hung = group.leader();
+        group.slow_disk(hung, std::chrono::hours{1});
+        group.add_process(group.domain_of(hung));
+        group.run_for(std::chrono::seconds{20});
+        const auto set = group.voters();
+        CPPUNIT_ASSERT(!set.voters.empty());
+        for (const auto& [voter, process] : set.voters)
+            CPPUNIT_ASSERT_MESSAGE("still a voter after 20 s", process != hung);
+    }
+
     void a_short_freeze_exchanges_nothing()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/ledger/voterplantest.cpp
+++ b/tests/ledger/voterplantest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(a_voter_that_responds_again_in_time_is_kept);
     CPPUNIT_TEST(a_failure_domain_with_too_many_voters_gives_one_up);
     CPPUNIT_TEST(a_learner_in_the_overfull_domain_keeps_no_candidate_out);
+    CPPUNIT_TEST(a_learner_for_a_silent_voter_comes_from_its_domain);
+    CPPUNIT_TEST(a_candidate_without_a_known_domain_comes_last);
     CPPUNIT_TEST(an_excess_voter_is_never_the_leader);
     CPPUNIT_TEST(newcomers_are_added_up_to_the_target_number_of_voters);
     CPPUNIT_TEST(exactly_one_ledger_forms_in_any_message_order);
@@ -134,6 +136,34 @@
         assert_change(input, voter_change_kind::add_learner, voter(5));
     }
 
+    /** Voter 3 of d3 may be lost. A learner in d1 would lead to two voters in one domain. */
+    void a_learner_for_a_silent_voter_comes_from_its_domain()
+    {
+        auto input = three_voters();
+        input.leader = voter(1);
+        for (int number = 1; number <= 5; ++number)
+            input.domains[process(number)] =
+                failure_domain_id{"d" + std::to_string(number == 4 ? 1 : (number == 5 ? 3 : number))};
+        input.silence[voter(3)] = learner_delay + std::chrono::milliseconds{1};
+        input.candidates.emplace(voter(4), process(4));
+        input.candidates.emplace(voter(5), process(5));
+        assert_change(input, voter_change_kind::add_learner, voter(5));
+    }
+
+    /** The leader has no link to a process that its roster does not contain yet. */
+    void a_candidate_without_a_known_domain_comes_last()
+    {
+        auto input = three_voters();
+        input.leader = voter(1);
+        for (const int number : {1, 2, 3, 5})
+            input.domains[process(number)] =
+                failure_domain_id{"d" + std::to_string(number == 5 ? 3 : number)};
+        input.silence[voter(3)] = max_voter_silence + std::chrono::milliseconds{1};
+        input.candidates.emplace(voter(4), process(4));
+        input.candidates.emplace(voter(5), process(5));
+        assert_change(input, voter_change_kind::add_learner, voter(5));
+    }
+
     void an_excess_voter_is_never_the_leader()
     {
         auto input = three_voters();
