--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <memory>
 #include <stdexcept>
 
 namespace galenaturn::wire {
@@ -67,6 +68,8 @@
     CPPUNIT_TEST(frames_are_dropped_silently_once_a_domain_is_refused);
     CPPUNIT_TEST(link_reconnects_when_its_peer_restarts);
     CPPUNIT_TEST(link_reconnects_at_once_when_its_peer_connects);
+    CPPUNIT_TEST(attempt_without_a_reply_ends_when_its_peer_connects);
+    CPPUNIT_TEST(link_closed_during_an_attempt_ends_without_a_trace);
     CPPUNIT_TEST(malformed_bytes_close_only_their_connection);
     CPPUNIT_TEST(failed_frame_handler_closes_only_its_connection);
     CPPUNIT_TEST(failed_datagram_handler_does_not_end_receiving);
@@ -209,6 +212,94 @@
         CPPUNIT_ASSERT(monotonic_now() - began < std::chrono::milliseconds{500});
     }
 
+    /** A listener with a full backlog answers no attempt to connect until it is closed. */
+    struct silent_listener {
+        silent_listener(asio::io_context& io, const ip_endpoint& at) : acceptor{io}
+        {
+            const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(at.address), at.port};
+            acceptor.open(endpoint.protocol());
+            acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true});
+            acceptor.bind(endpoint);
+            acceptor.listen(0);
+            for (int number = 0; number < 4; ++number) {
+                waiting.emplace_back(io);
+                waiting.back().async_connect(endpoint, [](const boost::system::error_code&) {});
+            }
+            io.run_for(std::chrono::milliseconds{100});
+        }
+
+        asio::ip::tcp::acceptor acceptor;
+        std::vector<asio::ip::tcp::socket> waiting;
+    };
+
+    void attempt_without_a_reply_ends_when_its_peer_connects()
+    {
+        asio::io_context io;
+        const ip_endpoint client_address{"127.0.0.1", free_port(io)};
+        const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
+        echo_process client{io};
+        CPPUNIT_ASSERT(client.server.listen(client_address));
+        process_settings settings;
+        settings.self.id = client.context.self.process;
+        peer_directory peers{client.context, settings};
+        peers.start();
+        member_settings member;
+        member.id = process_id{"other"};
+        member.domain = failure_domain_id{"hall-b"};
+        member.peer = echo_address;
+        {
+            silent_listener silent{io, echo_address};
+            peers.learn(member);
+            io.run_for(std::chrono::milliseconds{150});
+            CPPUNIT_ASSERT_EQUAL(0.0, static_cast<double>(client.context.counters.reconnects.value()));
+        }
+        echo_process other{io};
+        other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
+        CPPUNIT_ASSERT(other.server.listen(echo_address));
+        const auto began = monotonic_now();
+        peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
+        back.start();
+        auto* link = peers.find(process_id{"other"});
+        run_until(io, [&link] { return link->connected(); });
+        CPPUNIT_ASSERT(link->connected());
+        const auto time = monotonic_now() - began;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()), time < std::chrono::milliseconds{500});
+    }
+
+    /** A hello that arrives after forget, close or the end of the directory finds no link. */
+    void link_closed_during_an_attempt_ends_without_a_trace()
+    {
+        for (const int way : {0, 1, 2}) {
+            asio::io_context io;
+            const ip_endpoint client_address{"127.0.0.1", free_port(io)};
+            const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
+            echo_process client{io};
+            CPPUNIT_ASSERT(client.server.listen(client_address));
+            process_settings settings;
+            settings.self.id = client.context.self.process;
+            auto peers = std::make_unique<peer_directory>(client.context, settings);
+            peers->start();
+            member_settings member;
+            member.id = process_id{"other"};
+            member.peer = echo_address;
+            silent_listener silent{io, echo_address};
+            peers->learn(member);
+            io.run_for(std::chrono::milliseconds{30});
+            if (way == 0)
+                peers->forget(member.id);
+            if (way == 1)
+                peers->close();
+            if (way == 2)
+                peers.reset();
+            echo_process other{io};
+            other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
+            peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
+            back.start();
+            run_until(io, [&back] { return back.connected(); });
+            io.run_for(std::chrono::milliseconds{1300});
+        }
+    }
+
     void malformed_bytes_close_only_their_connection()
     {
         asio::io_context io;
