--- a/tests/ledger/voterexchangetest.cpp
+++ b/tests/ledger/voterexchangetest.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST(a_learner_lost_before_its_promotion_does_not_end_the_quorum);
     CPPUNIT_TEST(a_learner_stopped_before_its_promotion_stops_nothing);
     CPPUNIT_TEST(a_learner_removed_during_a_freeze_becomes_a_candidate_again);
+    CPPUNIT_TEST(a_learner_needed_for_nothing_replaces_a_lost_voter);
+    CPPUNIT_TEST(two_of_five_voters_are_replaced_within_the_bound);
+    CPPUNIT_TEST(commands_continue_after_the_disk_of_the_leader_hangs_and_a_voter_is_replaced);
     CPPUNIT_TEST(a_short_stop_of_the_leader_with_one_voter_down_costs_one_election);
     CPPUNIT_TEST(a_leader_whose_disk_hangs_gives_its_place_up);
     CPPUNIT_TEST(a_short_freeze_exchanges_nothing);
@@ -281,6 +284,64 @@
                                never.empty());
     }
 
+    /** Like the test above without the freeze of the spare. */
+    void a_learner_needed_for_nothing_replaces_a_lost_voter()
+    {
+        for (std::uint64_t seed = 2; seed <= 20; seed += 2) {
+            auto options = options_for(seed);
+            options.lost = 0;
+            voter_group group{options};
+            const auto voter = group.some_follower();
+            group.add_process(group.domain_of(voter));
+            group.freeze(voter, std::chrono::milliseconds{1200});
+            group.run_for(std::chrono::seconds{16});
+            group.remove(voter);
+            CPPUNIT_ASSERT(time_to_tolerance(group, std::chrono::seconds{20}) <
+                           std::chrono::milliseconds{2500});
+        }
+    }
+
+    void two_of_five_voters_are_replaced_within_the_bound()
+    {
+        std::string late;
+        for (std::uint64_t seed = 1; seed <= 79; seed += 2) {
+            const auto options = options_for(seed);
+            voter_group group{options};
+            for (int number = 0; number < 2; ++number) {
+                const auto lost = number == 1 && seed % 4 == 1 ? group.leader()
+                                                               : group.some_follower();
+                group.remove(lost);
+                group.add_process(group.domain_of(lost));
+            }
+            const auto time = time_to_tolerance(group, std::chrono::seconds{20});
+            if (time >= std::chrono::milliseconds{3500})
+                late += " " + std::to_string(seed) + ":" + std::to_string(time.count() / 1000);
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed:ms" + late, late.empty());
+    }
+
+    /** Two losses 8 s apart: the disk of the leader, and then a voter that is gone for good. */
+    void commands_continue_after_the_disk_of_the_leader_hangs_and_a_voter_is_replaced()
+    {
+        std::string stopped;
+        for (std::uint64_t seed = 2; seed <= 20; seed += 2) {
+            voter_group group{options_for(seed)};
+            const auto hung = group.leader();
+            group.slow_disk(hung, std::chrono::hours{1});
+            group.add_process(group.domain_of(hung));
+            group.run_for(std::chrono::seconds{8});
+            const auto lost = group.some_follower();
+            group.remove(lost);
+            group.add_process(group.domain_of(lost));
+            group.run_for(std::chrono::seconds{12});
+            const auto before = group.acknowledged_commands();
+            group.run_for(std::chrono::seconds{3});
+            if (group.acknowledged_commands() == before)
+                stopped += " " + std::to_string(seed) + ":" + (group.leader() == hung ? "hung" : "-");
+        }
+        CPPUNIT_ASSERT_MESSAGE("no command committed, seed:leader" + stopped, stopped.empty());
+    }
+
     void a_short_stop_of_the_leader_with_one_voter_down_costs_one_election()
     {
         std::string many;
