ledger: a learner that was removed while it was stopped announces itself again

What callers saw: nothing until the next loss of a voter; then the spare is missing, and a further loss ends the quorum (rule LOST).

Cause: only voters forget a silent leader. A learner that is removed while it is stopped keeps the leader and the set it knew, so it never announces itself and never becomes a candidate again until it restarts.

Why this works: a process without a vote forgets its leader when its election timeout ends.

a_learner_removed_during_a_freeze_becomes_a_candidate_again failed before: not replaced in 20 s in 10 of 10 cases.

--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -105,6 +105,8 @@
         reset_election_timer(context);
         if (is_voter(self, self.self))
             raise_event(context, "election_due");
+        else
+            self.leader = voter_id{};
     }
     return out;
 }
