ledger: a previous leader that votes, or that led long ago, is not silent

What callers saw: a sound voter is exchanged for a candidate right after a change of leader.

Cause: a new leader counts the silence of the previous leader from its last message as leader, even if that leader has just voted for it, and even if other leaders followed since.

a_previous_leader_that_has_just_voted_counts_as_reachable failed before (silent for 3.0 s), and so did a_leader_of_long_ago_is_not_silent_since_then (3,607 s).

--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -16,11 +16,12 @@
     self.outgoing_snapshot.reset();
     for (const auto& [member, process] : all_members(self.log.voters())) {
         auto progress = initial_progress(context);
-        // The previous leader did not take part in this election.
-        if (member == self.previous_leader)
+        // The previous leader may be lost unless it took part in this election.
+        if (member == self.previous_leader && !self.votes.contains(member))
             progress.last_contact = self.previous_leader_contact;
         self.progress.emplace(member, progress);
     }
+    self.previous_leader = voter_id{};
     begin_round(context);
     append_to_own_log(context, entry_kind::empty, {});
     acknowledge_own_log(context);
