wire: the peer directory detaches its callback

No caller saw this: the daemon destroys its frame server before the directory. A hello after the end of a directory used it after it was freed. link_closed_during_an_attempt_ends_without_a_trace failed before under the address sanitizer (heap-use-after-free).

--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+peer_directory::~peer_directory()
+{
+    context_.on_hello = nullptr;
+}
+
 void peer_directory::start()
 {
     started_ = true;
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -116,6 +116,9 @@
 class peer_directory {
 public:
     peer_directory(channel_context& context, const process_settings& settings);
+    ~peer_directory();
+    peer_directory(const peer_directory&) = delete;
+    peer_directory& operator=(const peer_directory&) = delete;
 
     void start();
     void close();
