daemon: the failure domain of a seed is known after its first message

What callers saw: nothing until a failure domain is lost that holds two of three voters; then the quorum ends (rule LOST).

Cause: seeds are learned from the settings with an empty failure domain, and a listed member was never updated. So at a leader that joined through seeds all founders had no domain, and voters were not spread.

Why this works: messages of a control process itself update its entry in the directory of peers.

the_failure_domain_of_a_seed_is_known_after_its_first_message failed before (empty domain).

--- a/src/libdaemon/rosterservice.cpp
+++ b/src/libdaemon/rosterservice.cpp
@@ -64,6 +64,9 @@
                   {{"process", entry.id}, {"failure_domain", entry.domain}});
         shared_.peers.learn(membership::to_member(entry));
     }
+    // Only its own messages tell the failure domain of a seed.
+    if (message.role == process_role::control)
+        shared_.peers.learn(membership::to_member(message.self));
     // Only the leader's own messages count: others may still report a leader that has stopped.
     const bool sender_leads = !message.leader.empty() && message.leader == message.self.id;
     if (!sender_leads)
--- a/src/libwire/channel.cpp
+++ b/src/libwire/channel.cpp
@@ -68,8 +68,15 @@
 
 void peer_directory::learn(const member_settings& member)
 {
-    if (member.id == context_.self.process || links_.contains(member.id))
+    if (member.id == context_.self.process)
         return;
+    if (auto* known = find(member.id)) {
+        known->set_domain(member.domain);
+        std::replace_if(
+            members_.begin(), members_.end(),
+            [&](const auto& listed) { return listed.id == member.id; }, member);
+        return;
+    }
     members_.push_back(member);
     auto link = std::make_unique<peer_link>(context_, member.peer, member.domain);
     if (started_)
--- a/src/libwire/channel.h
+++ b/src/libwire/channel.h
@@ -95,6 +95,7 @@
 
     void start();
     void close();
+    void set_domain(const failure_domain_id& domain);
     /** Connects at once if the link is down. Called when the peer is known to run. */
     void retry();
     [[nodiscard]] bool connected() const;
@@ -122,8 +123,10 @@
 
     void start();
     void close();
-    /** Adds a member and opens a link to it. Does nothing if the member is already listed or is
-     * this process. */
+    /**
+     * Adds a member and opens a link to it, or updates what is known of a listed member. Does
+     * nothing for this process.
+     */
     void learn(const member_settings& member);
     /** Closes the link to a member and removes the member. */
     void forget(const process_id& process);
--- a/src/libwire/peerlink.cpp
+++ b/src/libwire/peerlink.cpp
@@ -167,6 +167,11 @@
     state_->disconnect();
 }
 
+void peer_link::set_domain(const failure_domain_id& domain)
+{
+    state_->domain = domain;
+}
+
 void peer_link::retry()
 {
     state_->retry();
