--- a/tests/ledger/voterexchangetest.cpp
+++ b/tests/ledger/voterexchangetest.cpp
@@ -279,8 +279,8 @@
                 never += " " + std::to_string(seed);
         }
         CPPUNIT_ASSERT(cases > 0);
-        CPPUNIT_ASSERT_MESSAGE("of " + std::to_string(cases) + " cases not replaced in 20 s, seeds" +
-                                   never,
+        CPPUNIT_ASSERT_MESSAGE("of " + std::to_string(cases) +
+                                   " cases not replaced in 20 s, seeds" + never,
                                never.empty());
     }
 
@@ -308,8 +308,8 @@
             const auto options = options_for(seed);
             voter_group group{options};
             for (int number = 0; number < 2; ++number) {
-                const auto lost = number == 1 && seed % 4 == 1 ? group.leader()
-                                                               : group.some_follower();
+                const auto lost =
+                    number == 1 && seed % 4 == 1 ? group.leader() : group.some_follower();
                 group.remove(lost);
                 group.add_process(group.domain_of(lost));
             }
@@ -337,7 +337,8 @@
             const auto before = group.acknowledged_commands();
             group.run_for(std::chrono::seconds{3});
             if (group.acknowledged_commands() == before)
-                stopped += " " + std::to_string(seed) + ":" + (group.leader() == hung ? "hung" : "-");
+                stopped +=
+                    " " + std::to_string(seed) + ":" + (group.leader() == hung ? "hung" : "-");
         }
         CPPUNIT_ASSERT_MESSAGE("no command committed, seed:leader" + stopped, stopped.empty());
     }
--- a/tests/ledger/voterplantest.cpp
+++ b/tests/ledger/voterplantest.cpp
@@ -142,8 +142,8 @@
         auto input = three_voters();
         input.leader = voter(1);
         for (int number = 1; number <= 5; ++number)
-            input.domains[process(number)] =
-                failure_domain_id{"d" + std::to_string(number == 4 ? 1 : (number == 5 ? 3 : number))};
+            input.domains[process(number)] = failure_domain_id{
+                "d" + std::to_string(number == 4 ? 1 : (number == 5 ? 3 : number))};
         input.silence[voter(3)] = learner_delay + std::chrono::milliseconds{1};
         input.candidates.emplace(voter(4), process(4));
         input.candidates.emplace(voter(5), process(5));
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -251,7 +251,8 @@
             silent_listener silent{io, echo_address};
             peers.learn(member);
             io.run_for(std::chrono::milliseconds{150});
-            CPPUNIT_ASSERT_EQUAL(0.0, static_cast<double>(client.context.counters.reconnects.value()));
+            CPPUNIT_ASSERT_EQUAL(0.0,
+                                 static_cast<double>(client.context.counters.reconnects.value()));
         }
         echo_process other{io};
         other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
