ledger: a learner is promoted only if it has just responded

Cause: a learner counted as caught up for a second after its last response. One that had stopped in that second was promoted, and the set became four voters, of which two respond.

Why this works: a learner is promoted only within 0.3 s of a response.

--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -120,6 +120,7 @@
     for (const auto& voter : input.caught_up) {
         const auto learner = input.set.learners.find(voter);
         if (learner != input.set.learners.end() &&
+            silence_of(input, voter) <= max_promotion_silence &&
             (missing || any_lost || relieves_overfull_domain(input, learner->second)))
             eligible.insert(*learner);
     }
--- a/src/libledger/voterplan.h
+++ b/src/libledger/voterplan.h
@@ -31,6 +31,11 @@
  * group tolerates the next loss before a replaced process counts as recovered.
  */
 constexpr duration max_voter_silence = std::chrono::milliseconds{1500};
+/**
+ * A learner is promoted only if it responded within this time, a heartbeat and its response: one
+ * that has stopped would count in the quorum.
+ */
+constexpr duration max_promotion_silence = std::chrono::milliseconds{300};
 /** A silent learner is removed after this time. */
 constexpr duration max_learner_silence = std::chrono::seconds{3};
 
