ledger: a learner is chosen from the domain of the voter that may be lost

What callers saw: nothing; until the spread is repaired one failure domain holds two of three voters, and its loss ends the quorum.

Cause: a learner is added after 0.6 s of silence, but the voters of each domain were counted by the limit of 1.5 s, so that all domains tied and the order of the ids decided. A process of unknown domain counted as one of an empty domain.

Failed before: a_learner_for_a_silent_voter_comes_from_its_domain, a_candidate_without_a_known_domain_comes_last.

--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -67,16 +67,24 @@
            (count == counts.end() || count->second < (input.target_voters - 1) / 2);
 }
 
-/** Returns the process in the failure domain with the fewest voters. */
-template <class Processes>
-typename Processes::const_iterator in_emptiest_domain(const voter_plan_input& input,
-                                                      const Processes& processes)
+/**
+ * Returns the process in the failure domain with the fewest voters that are not suspected to be
+ * lost. Processes of unknown domains come last.
+ */
+std::map<voter_id, process_id>::const_iterator
+in_emptiest_domain(const voter_plan_input& input, const std::map<voter_id, process_id>& processes)
 {
-    auto counts = voters_by_domain(input);
-    return std::min_element(
-        processes.begin(), processes.end(), [&](const auto& left, const auto& right) {
-            return counts[domain_of(input, left.second)] < counts[domain_of(input, right.second)];
-        });
+    std::map<failure_domain_id, std::size_t> counts;
+    for (const auto& [voter, process] : input.set.voters)
+        counts[domain_of(input, process)] += may_be_lost(input, voter, process) ? 0 : 1;
+    const auto rank = [&](const process_id& process) {
+        const auto domain = domain_of(input, process);
+        return std::pair{domain.empty(), counts[domain]};
+    };
+    return std::min_element(processes.begin(), processes.end(),
+                            [&](const auto& left, const auto& right) {
+                                return rank(left.second) < rank(right.second);
+                            });
 }
 
 std::optional<voter_change> remove_learner(const voter_plan_input& input)
