ledger: a learner counts as a replacement once it has responded

Cause: each new learner counted as a replacement for its first 0.6 s. Several candidates that cannot be reached followed each other, and a sound one in another failure domain was never added.

Why this works: a learner that has not responded within 0.15 s keeps no other candidate out.

--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -145,12 +145,18 @@
     const auto responds = [&](const auto& member) {
         return !may_be_lost(input, member.first, member.second);
     };
+    const auto learns = [&](const auto& learner) {
+        const bool unanswered = std::find(input.unanswered.begin(), input.unanswered.end(),
+                                          learner.first) != input.unanswered.end();
+        return responds(learner) &&
+               (!unanswered || silence_of(input, learner.first) <= first_response_timeout);
+    };
     const auto sound = std::count_if(voters.begin(), voters.end(), responds);
-    const auto learning = std::count_if(learners.begin(), learners.end(), responds);
+    const auto learning = std::count_if(learners.begin(), learners.end(), learns);
     const bool needed = static_cast<std::size_t>(sound + learning) < input.target_voters;
     const bool relief_learns =
         std::any_of(learners.begin(), learners.end(), [&](const auto& learner) {
-            return responds(learner) && relieves_overfull_domain(input, learner.second);
+            return learns(learner) && relieves_overfull_domain(input, learner.second);
         });
     std::map<voter_id, process_id> eligible;
     for (const auto& [voter, process] : input.candidates) {
@@ -213,6 +219,8 @@
         const auto last_contact =
             progress == leader.progress.end() ? now : progress->second.last_contact;
         input.silence[member] = member == leader.self ? duration{} : now - last_contact;
+        if (progress != leader.progress.end() && progress->second.acknowledged_round == 0)
+            input.unanswered.push_back(member);
         if (has_caught_up(leader, member))
             input.caught_up.push_back(member);
     }
--- a/src/libledger/voterplan.h
+++ b/src/libledger/voterplan.h
@@ -12,6 +12,8 @@
     voter_set set;
     /** Time since the leader last received a message from each member; 0 for itself. */
     std::map<voter_id, duration> silence;
+    /** Learners that have not responded since they were added. */
+    std::vector<voter_id> unanswered;
     /** Learners that may be promoted. */
     std::vector<voter_id> caught_up;
     /** Processes that recently announced a voter that the leader does not replicate to. */
@@ -24,6 +26,8 @@
     std::size_t target_voters{3};
 };
 
+/** A new learner that has not responded within this time keeps no other candidate out. */
+constexpr duration first_response_timeout = std::chrono::milliseconds{150};
 /** A replacement for a silent voter starts to catch up after this time. */
 constexpr duration learner_delay = std::chrono::milliseconds{600};
 /**
