route: requests from before an ejection do not renew it

What callers saw: after a stall of an upstream, fewer upstreams than run: requests wait longer or are refused, for up to a minute (the ejection doubles up to 64 s).

Cause: each result that arrived while the upstream was probed counted as that of a probe. Requests that were sent during the stall time out one after the other, and each of them ejected the upstream again, for twice as long, although it answered again. After the recovery they counted as new failures.

Evidence: the test below; not measured in a fleet.

Why this works: the start of the last ejection is kept, and an attempt that began before it changes nothing. An ejected upstream gets no requests, so every later attempt began after the end of that ejection.

attempts_from_before_an_ejection_do_not_renew_it failed before (ejected again by the first late timeout).

--- a/src/libroute/ejection.cpp
+++ b/src/libroute/ejection.cpp
@@ -20,6 +20,7 @@
 {
     const auto doublings = std::min(health.ejections, max_doublings);
     health.state = health_state::ejected;
+    health.ejected_at = now;
     health.ejected_until = now + min_ejection_time * (1U << doublings);
     ++health.ejections;
     health.probe_in_progress = false;
@@ -36,7 +37,9 @@
     if (++health.successful_probes < probes_to_recover)
         return health_change::none;
     const auto ejections = health.ejections;
+    const auto ejected_at = health.ejected_at;
     health = upstream_health{};
+    health.ejected_at = ejected_at;
     // An upstream that fails again soon after its recovery is ejected for longer than at first.
     health.ejections = ejections / 2;
     return health_change::recovered;
--- a/src/libroute/ejection.h
+++ b/src/libroute/ejection.h
@@ -25,6 +25,8 @@
     std::uint32_t samples{0};
     /** Number of ejections, halved on recovery. Each one doubles the next, up to a limit. */
     std::uint32_t ejections{0};
+    /** Start of the last ejection, kept after the recovery. */
+    time_point ejected_at;
     time_point ejected_until;
     bool probe_in_progress{false};
     std::uint32_t successful_probes{0};
--- a/src/libroute/upstreamtable.cpp
+++ b/src/libroute/upstreamtable.cpp
@@ -267,7 +267,9 @@
     const bool may_eject = pool.ejected < max_ejected(pool.present);
     auto change = health_change::none;
     update(table, index, [&](upstream_record& upstream) {
-        change = record_result(upstream.health, failed, may_eject, now);
+        // An attempt from before the last ejection does not show the state of the upstream now.
+        if (now - took >= upstream.health.ejected_at)
+            change = record_result(upstream.health, failed, may_eject, now);
         if (failed)
             return;
         const auto sample = static_cast<double>(took.count());
--- a/src/libroute/upstreamtable.h
+++ b/src/libroute/upstreamtable.h
@@ -106,7 +106,7 @@
 /** Returns a slot that was handed out. */
 void return_slot(upstream_table& table, upstream_index index);
 
-/** Records the result of an attempt; `took` is the response time where it did not fail. */
+/** Records the result of an attempt that began `took` before `now`. */
 health_change record_attempt(upstream_table& table, upstream_index index, bool failed,
                              duration took, time_point now);
 
--- a/tests/route/admissiontest.cpp
+++ b/tests/route/admissiontest.cpp
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(a_new_home_entry_withholds_slots_that_are_still_busy);
     CPPUNIT_TEST(outdated_announcements_are_ignored);
     CPPUNIT_TEST(ejections_are_capped_and_end_after_successful_probes);
+    CPPUNIT_TEST(attempts_from_before_an_ejection_do_not_renew_it);
     CPPUNIT_TEST_SUITE_END();
 
     static wire::upstream_announcement make_announcement(int number, std::uint64_t sequence,
@@ -248,6 +249,29 @@
         return_slot(table, 0);
         CPPUNIT_ASSERT_EQUAL(4U, free_slots(table.records[0]));
     }
+
+    /** An upstream stalls, then runs again; requests from the stall time out one after the other. */
+    void attempts_from_before_an_ejection_do_not_renew_it()
+    {
+        auto table = make_table(10);
+        time_point now{std::chrono::hours{1}};
+        for (int failure = 0; failure < 5; ++failure)
+            record_attempt(table, 0, true, std::chrono::seconds{10}, now);
+        now += std::chrono::milliseconds{1100};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, end_ejections(table, 0, now));
+        record_attempt(table, 0, true, std::chrono::seconds{10}, now);
+        CPPUNIT_ASSERT(table.records[0].health.state == health_state::probing);
+        for (int probe = 0; probe < 3; ++probe)
+            record_attempt(table, 0, false, std::chrono::milliseconds{1}, now);
+        CPPUNIT_ASSERT(table.records[0].health.state == health_state::healthy);
+        for (int failure = 0; failure < 5; ++failure)
+            record_attempt(table, 0, true, std::chrono::seconds{10}, now);
+        CPPUNIT_ASSERT(table.records[0].health.state == health_state::healthy);
+        // Failures of requests that were sent since then count as before.
+        for (int failure = 0; failure < 5; ++failure)
+            record_attempt(table, 0, true, std::chrono::milliseconds{1}, now);
+        CPPUNIT_ASSERT(table.records[0].health.state == health_state::ejected);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_table_test);
