entryd: failures of an earlier incarnation do not eject the new one

What callers saw: after the restart of an upstream whose host sent no reset, one upstream fewer than run, for a second or more (the ejection doubles with each), so requests wait longer.

Cause: a new incarnation starts with a clean health, but requests that were sent to the one before it time out later and counted against the new one. Five of them in a row eject it.

Why this works: a grant knows the incarnation that it was given for; results of another one are not recorded. The slot is returned as before.

--- a/src/entryd/slotbroker.cpp
+++ b/src/entryd/slotbroker.cpp
@@ -291,6 +291,9 @@
 
 void slot_broker::record(const slot_grant& grant, route::attempt_outcome outcome, duration took)
 {
+    // What an earlier incarnation did not answer says nothing about the current one.
+    if (grant.target.incarnation_number != table_.records[grant.index].incarnation_number)
+        return;
     const auto change = route::record_attempt(
         table_, grant.index, route::counts_as_failure(outcome), took, monotonic_now());
     if (change == route::health_change::ejected) {
