--- a/tests/route/admissiontest.cpp
+++ b/tests/route/admissiontest.cpp
@@ -250,7 +250,8 @@
         CPPUNIT_ASSERT_EQUAL(4U, free_slots(table.records[0]));
     }
 
-    /** An upstream stalls, then runs again; requests from the stall time out one after the other. */
+    /** An upstream stalls, then runs again; requests from the stall time out one after the other.
+     */
     void attempts_from_before_an_ejection_do_not_renew_it()
     {
         auto table = make_table(10);
