schedule: slowed runs cost nothing where there are none

A run at full speed updated its worker's forecasts with each report, and the idle services were computed in each pass.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -51,7 +51,8 @@
     std::vector<start_command> commands;
     /** The job being placed is starving, and none of its tasks has been placed in this pass. */
     bool starving{false};
-    std::set<service_id> idle_services;
+    /** Computed when it is first needed. */
+    std::optional<std::set<service_id>> idle_services;
     /** Tasks of jobs without runs that found no worker, also not below full speed. */
     std::vector<waiting_task> unplaced;
 };
@@ -125,14 +126,17 @@
 }
 
 /** Returns whether the job may start a best-effort task below full speed. */
-bool may_start_slowed(const scheduling_pass& pass, open_job& job)
+bool may_start_slowed(scheduling_pass& pass, open_job& job)
 {
     if (has_runs(job))
         return false;
     if (!job.unplaced_since)
         job.unplaced_since = pass.now;
-    return pass.now - *job.unplaced_since >= max_wait_for_full_speed &&
-           pass.idle_services.contains(job.queue.service);
+    if (pass.now - *job.unplaced_since < max_wait_for_full_speed)
+        return false;
+    if (!pass.idle_services)
+        pass.idle_services = services_with_idle_capacity(pass.state);
+    return pass.idle_services->contains(job.queue.service);
 }
 
 /** Starts a best-effort task below full speed. Returns whether a worker can run it. */
@@ -341,14 +345,7 @@
     ++state.counts.passes;
     update_changed_forecasts(state);
     mark_ended_pauses(state, now);
-    scheduling_pass pass{state,
-                         now,
-                         wall,
-                         placement_candidates(state, now),
-                         {},
-                         false,
-                         services_with_idle_capacity(state),
-                         {}};
+    scheduling_pass pass{state, now, wall, placement_candidates(state, now), {}, false, {}, {}};
     const bool runs_known = are_inherited_runs_known(state, now);
     for (auto* job : order_jobs(state, now)) {
         if (runs_known || !job->inherited)
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -86,8 +86,10 @@
 void raise_claim(const job_scheduler& state, job_worker& worker, task_run& run,
                  std::uint32_t percent)
 {
+    if (percent <= run.claimed_percent)
+        return;
     const auto before = claimed_processors(run);
-    run.claimed_percent = std::max(run.claimed_percent, percent);
+    run.claimed_percent = percent;
     const auto added = claimed_processors(run) - before;
     worker.best_effort_processors += added;
     worker.best_effort_by_image[run.image] += added;
