--- a/tests/schedule/colocationtrialtest.cpp
+++ b/tests/schedule/colocationtrialtest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_large_fleet_learns_as_fast_as_a_small_one);
     CPPUNIT_TEST(work_starts_beside_interfering_images_spread_over_all_workers);
     CPPUNIT_TEST(work_starts_beside_them_after_a_change_of_leader);
+    CPPUNIT_TEST(latency_critical_tasks_keep_their_targets_beside_images_that_all_interfere);
     CPPUNIT_TEST(tasks_that_need_most_of_a_worker_start_beside_small_ones);
     CPPUNIT_TEST(a_pair_that_did_harm_is_known_after_few_samples);
     CPPUNIT_TEST(verdicts_of_other_pairs_tell_about_an_unknown_one);
@@ -118,6 +119,19 @@
         }
     }
 
+    void latency_critical_tasks_keep_their_targets_beside_images_that_all_interfere()
+    {
+        std::string harmed_fleets;
+        for (const auto& [seed, workers] : fleets()) {
+            colocation_simulation fleet{thinly_served_fleet(seed, workers)};
+            fleet.run_for(std::chrono::seconds{9});
+            const auto harmed = fleet.take_harmed_share();
+            if (harmed > max_time_over_target)
+                harmed_fleets += " " + std::to_string(seed) + ":" + std::to_string(harmed);
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed:share" + harmed_fleets, harmed_fleets.empty());
+    }
+
     void work_starts_beside_them_after_a_change_of_leader()
     {
         for (const auto& [seed, workers] : fleets()) {
