--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -50,6 +50,27 @@
     return probe.local_endpoint().port();
 }
 
+/** A process that listens, with links to its peers, and the settings of one peer that is down. */
+struct linking_process {
+    explicit linking_process(asio::io_context& io)
+        : address{"127.0.0.1", free_port(io)}, process{io}
+    {
+        CPPUNIT_ASSERT(process.server.listen(address));
+        other.id = process_id{"other"};
+        other.domain = failure_domain_id{"hall-b"};
+        other.peer = {"127.0.0.1", free_port(io)};
+        process_settings settings;
+        settings.self.id = process.context.self.process;
+        peers = std::make_unique<peer_directory>(process.context, settings);
+        peers->start();
+    }
+
+    ip_endpoint address;
+    echo_process process;
+    member_settings other;
+    std::unique_ptr<peer_directory> peers;
+};
+
 /** Runs `io` until `done` returns true or `test_timeout` has passed. */
 void run_until(asio::io_context& io, const std::function<bool()>& done)
 {
@@ -181,35 +202,32 @@
         }
     }
 
-    /** A peer that was down for long has connected, so it runs: the delay of the link is over. */
-    void link_reconnects_at_once_when_its_peer_connects()
+    /** Starts the other process, which connects to the client, and returns when the client's link
+     * is up. */
+    static duration time_to_reconnect(asio::io_context& io, linking_process& client)
     {
-        asio::io_context io;
-        const ip_endpoint client_address{"127.0.0.1", free_port(io)};
-        const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
-        echo_process client{io};
-        CPPUNIT_ASSERT(client.server.listen(client_address));
-        process_settings settings;
-        settings.self.id = client.context.self.process;
-        peer_directory peers{client.context, settings};
-        peers.start();
-        member_settings member;
-        member.id = process_id{"other"};
-        member.domain = failure_domain_id{"hall-b"};
-        member.peer = echo_address;
-        peers.learn(member);
-        // After six attempts the delay is a second.
-        run_until(io, [&client] { return client.context.counters.reconnects.value() >= 6; });
         echo_process other{io};
-        other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
-        CPPUNIT_ASSERT(other.server.listen(echo_address));
+        other.context.self = {client.other.id, client.other.domain};
+        CPPUNIT_ASSERT(other.server.listen(client.other.peer));
         const auto began = monotonic_now();
-        peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
+        peer_link back{other.context, client.address, failure_domain_id{"hall-a"}};
         back.start();
-        auto* link = peers.find(process_id{"other"});
+        auto* link = client.peers->find(client.other.id);
         run_until(io, [&link] { return link->connected(); });
         CPPUNIT_ASSERT(link->connected());
-        CPPUNIT_ASSERT(monotonic_now() - began < std::chrono::milliseconds{500});
+        return monotonic_now() - began;
+    }
+
+    /** A peer that was down for long has connected, so it runs: the delay of the link is over. */
+    void link_reconnects_at_once_when_its_peer_connects()
+    {
+        asio::io_context io;
+        linking_process client{io};
+        client.peers->learn(client.other);
+        // After six attempts the delay is a second.
+        const auto& reconnects = client.process.context.counters.reconnects;
+        run_until(io, [&reconnects] { return reconnects.value() >= 6; });
+        CPPUNIT_ASSERT(time_to_reconnect(io, client) < std::chrono::milliseconds{500});
     }
 
     /** A listener with a full backlog answers no attempt to connect until it is closed. */
@@ -235,36 +253,15 @@
     void attempt_without_a_reply_ends_when_its_peer_connects()
     {
         asio::io_context io;
-        const ip_endpoint client_address{"127.0.0.1", free_port(io)};
-        const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
-        echo_process client{io};
-        CPPUNIT_ASSERT(client.server.listen(client_address));
-        process_settings settings;
-        settings.self.id = client.context.self.process;
-        peer_directory peers{client.context, settings};
-        peers.start();
-        member_settings member;
-        member.id = process_id{"other"};
-        member.domain = failure_domain_id{"hall-b"};
-        member.peer = echo_address;
+        linking_process client{io};
         {
-            silent_listener silent{io, echo_address};
-            peers.learn(member);
+            silent_listener silent{io, client.other.peer};
+            client.peers->learn(client.other);
             io.run_for(std::chrono::milliseconds{150});
-            CPPUNIT_ASSERT_EQUAL(0.0,
-                                 static_cast<double>(client.context.counters.reconnects.value()));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                                 client.process.context.counters.reconnects.value());
         }
-        echo_process other{io};
-        other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
-        CPPUNIT_ASSERT(other.server.listen(echo_address));
-        const auto began = monotonic_now();
-        peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
-        back.start();
-        auto* link = peers.find(process_id{"other"});
-        run_until(io, [&link] { return link->connected(); });
-        CPPUNIT_ASSERT(link->connected());
-        const auto time = monotonic_now() - began;
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()), time < std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT(time_to_reconnect(io, client) < std::chrono::milliseconds{500});
     }
 
     /** A hello that arrives after forget, close or the end of the directory finds no link. */
@@ -272,29 +269,19 @@
     {
         for (const int way : {0, 1, 2}) {
             asio::io_context io;
-            const ip_endpoint client_address{"127.0.0.1", free_port(io)};
-            const ip_endpoint echo_address{"127.0.0.1", free_port(io)};
-            echo_process client{io};
-            CPPUNIT_ASSERT(client.server.listen(client_address));
-            process_settings settings;
-            settings.self.id = client.context.self.process;
-            auto peers = std::make_unique<peer_directory>(client.context, settings);
-            peers->start();
-            member_settings member;
-            member.id = process_id{"other"};
-            member.peer = echo_address;
-            silent_listener silent{io, echo_address};
-            peers->learn(member);
+            linking_process client{io};
+            silent_listener silent{io, client.other.peer};
+            client.peers->learn(client.other);
             io.run_for(std::chrono::milliseconds{30});
             if (way == 0)
-                peers->forget(member.id);
+                client.peers->forget(client.other.id);
             if (way == 1)
-                peers->close();
+                client.peers->close();
             if (way == 2)
-                peers.reset();
+                client.peers.reset();
             echo_process other{io};
-            other.context.self = {process_id{"other"}, failure_domain_id{"hall-b"}};
-            peer_link back{other.context, client_address, failure_domain_id{"hall-a"}};
+            other.context.self = {client.other.id, client.other.domain};
+            peer_link back{other.context, client.address, failure_domain_id{"hall-a"}};
             back.start();
             run_until(io, [&back] { return back.connected(); });
             io.run_for(std::chrono::milliseconds{1300});
