--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -6,7 +6,6 @@
 #include <iostream>
 #include <random>
 #include <utility>
-#include <variant>
 
 namespace galenaturn::controld {
 
@@ -16,13 +15,9 @@
 
 /** Forming a ledger takes less time than this. A process that still waits for one then says so. */
 constexpr duration bootstrap_warning_delay = std::chrono::seconds{6};
-constexpr duration missing_leader_report_interval = std::chrono::seconds{4};
-constexpr duration bootstrap_interval = std::chrono::milliseconds{300};
 /** Above this size a log is compacted into a snapshot, so that a restart stays fast. */
 constexpr std::size_t max_log_bytes = std::size_t{4} << 20;
 
-using ledger_frame = std::variant<ledger::peer_message, ledger::bootstrap_message>;
-
 /** Returns a unique voter id: process, wall time and a random number. */
 voter_id new_voter_id(const process_id& process)
 {
@@ -83,84 +78,6 @@
     return success();
 }
 
-/** Returns the processes that form a new ledger together if all their disks are empty. */
-std::vector<process_id> replica_runner::founders() const
-{
-    std::vector<process_id> processes;
-    const auto& join = shared_.settings.join;
-    if (join) {
-        if (join->form_ledger) {
-            for (const auto& seed : join->seeds)
-                processes.emplace_back(to_string(seed));
-        }
-        return processes;
-    }
-    for (const auto& member : shared_.settings.members) {
-        if (member.role == process_role::control)
-            processes.push_back(member.id);
-    }
-    return processes;
-}
-
-ledger::voter_plan_input replica_runner::voter_plan_input() const
-{
-    std::map<process_id, failure_domain_id> domains{
-        {shared_.settings.self.id, shared_.settings.self.domain}};
-    for (const auto& member : shared_.peers.members())
-        domains.emplace(member.id, member.domain);
-    const auto target_voters = 2 * std::size_t{shared_.settings.join->tolerated_disks} + 1;
-    return ledger::make_voter_plan_input(*replica_, monotonic_now(), recently_announced(),
-                                         std::move(domains), target_voters);
-}
-
-std::map<voter_id, process_id> replica_runner::recently_announced() const
-{
-    const auto now = monotonic_now();
-    std::map<voter_id, process_id> announced;
-    for (const auto& [process, last] : bootstrap_.last_messages) {
-        if (now - last.received_at < ledger::bootstrap_message_ttl)
-            announced.emplace(last.message.voter, process);
-    }
-    return announced;
-}
-
-void replica_runner::report_missing_leader()
-{
-    const auto now = monotonic_now();
-    const bool missing = replica_->log.last_index().value() > 0 && !replica_->leads &&
-                         replica_->leader.empty() && ledger::is_member(*replica_, replica_->self);
-    if (!missing) {
-        missing_leader_report_due_ = now + missing_leader_report_interval;
-        counters_.leader_missing.set(0);
-    }
-    if (now < missing_leader_report_due_)
-        return;
-    missing_leader_report_due_ = now + missing_leader_report_interval;
-    counters_.leader_missing.set(1);
-    const auto contacts = ledger::count_contacts(*replica_, recently_announced());
-    log_event(log_level::warning, "ledger_leader_missing",
-              {{"voters", contacts.voters},
-               {"responding", contacts.responding},
-               {"lost_disks", contacts.lost_disks},
-               {"last_index", replica_->log.last_index()},
-               {"advice", "see 'Lost quorum' in docs/operators/state.md"}});
-}
-
-void replica_runner::maintain_voters()
-{
-    if (!may_read() || !shared_.settings.join)
-        return;
-    const auto change = ledger::plan_voter_change(voter_plan_input());
-    if (!change)
-        return;
-    const auto refusal = change_voters(*change);
-    log_event(log_level::info, "ledger_voter_change",
-              {{"kind", static_cast<int>(change->kind)},
-               {"voter", change->voter},
-               {"process", change->process},
-               {"refused", refusal}});
-}
-
 result<void> replica_runner::open_folder()
 {
     findings found;
@@ -226,13 +143,6 @@
     return route == routes_.end() ? process_id{} : route->second;
 }
 
-voter_id replica_runner::newcomer_of(const process_id& process) const
-{
-    const auto other = bootstrap_.last_messages.find(process);
-    const bool waiting = other != bootstrap_.last_messages.end() && !other->second.message.has_log;
-    return waiting ? other->second.message.voter : voter_id{};
-}
-
 std::vector<log_index> replica_runner::propose(std::vector<std::string> commands)
 {
     std::vector<log_index> indexes;
@@ -460,67 +370,4 @@
     });
 }
 
-void replica_runner::announce_bootstrap()
-{
-    report_missing_leader();
-    if (ledger::needs_announcement(*replica_))
-        send_bootstrap_message();
-    try_to_form_ledger();
-    bootstrap_timer_.expires_after(bootstrap_interval);
-    bootstrap_timer_.async_wait([this](const boost::system::error_code& error) {
-        if (!error && !failed_)
-            announce_bootstrap();
-    });
-}
-
-void replica_runner::send_bootstrap_message()
-{
-    const bool has_log = replica_->log.last_index().value() > 0;
-    const ledger::bootstrap_message message{bootstrap_.self, bootstrap_.voter, has_log};
-    for (const auto& member : shared_.peers.members()) {
-        auto* link = shared_.peers.find(member.id);
-        if (link != nullptr && member.role == process_role::control)
-            link->send(wire::frame_kind::ledger_peer, wire::encode(ledger_frame{message}));
-    }
-}
-
-void replica_runner::on_bootstrap_message(const ledger::bootstrap_message& message)
-{
-    bootstrap_.last_messages[message.process] = {message, monotonic_now()};
-    const bool has_log = replica_->log.last_index().value() > 0;
-    // A process without a log announces itself anyway; only one with a log has to reply.
-    if (has_log && !message.has_log) {
-        const ledger::bootstrap_message reply{bootstrap_.self, bootstrap_.voter, true};
-        if (auto* link = shared_.peers.find(message.process))
-            link->send(wire::frame_kind::ledger_peer, wire::encode(ledger_frame{reply}));
-    }
-    if (!has_log)
-        try_to_form_ledger();
-}
-
-void replica_runner::try_to_form_ledger()
-{
-    if (replica_->log.last_index().value() > 0)
-        return;
-    const bool within_grace_period = monotonic_now() < waiting_warning_due_;
-    if (ledger::ledger_exists(bootstrap_) && !within_grace_period && !waiting_warning_logged_) {
-        waiting_warning_logged_ = true;
-        log_event(
-            log_level::warning, "ledger_waits_to_be_added",
-            {{"process", bootstrap_.self},
-             {"voter", bootstrap_.voter},
-             {"advice", "a leader adds it when a voter is lost; see docs/operators/state.md"}});
-    }
-    const auto voters = ledger::initial_voters(bootstrap_, monotonic_now());
-    if (!voters || disk_busy_)
-        return;
-    auto batch = ledger::initial_log_batch(*voters);
-    batch.hard->current_term = std::max(batch.hard->current_term, replica_->hard.current_term);
-    if (auto formed = disk_->append({batch}); !formed)
-        return on_written(formed, {});
-    replica_->hard = *batch.hard;
-    replica_->log.append(batch.entries.front());
-    log_event(log_level::info, "ledger_formed", {{"voters", voters->voters.size()}});
-}
-
 } // namespace galenaturn::controld
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -9,9 +9,15 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <variant>
 
 namespace galenaturn::controld {
 
+/** Payload of a frame between the replicas of two processes. */
+using ledger_frame = std::variant<ledger::peer_message, ledger::bootstrap_message>;
+
+constexpr duration missing_leader_report_interval = std::chrono::seconds{4};
+
 /** Metrics of one replica. */
 struct replica_counters {
     explicit replica_counters(metrics_registry& metrics);
