schedule: a placement that may oversubscribe a worker says so

The flag was named after the job that starves. Since slowed runs may oversubscribe too, the job that has waited longest sets it as well. No behaviour changes.

--- a/src/libschedule/failedplacements.cpp
+++ b/src/libschedule/failedplacements.cpp
@@ -14,9 +14,13 @@
 placement_kind_view kind_of(const placement_request& request)
 {
     const auto& step = *request.step;
-    return {
-        request.job->queue.service.value(), step.image,       step.required_label, step.best_effort,
-        step.tail_target.count() > 0,       request.starving, request.slowed};
+    return {request.job->queue.service.value(),
+            step.image,
+            step.required_label,
+            step.best_effort,
+            step.tail_target.count() > 0,
+            request.oversubscribes,
+            request.slowed};
 }
 
 /** Returns whether the demand fails wherever the one of `failure` has failed. */
@@ -30,20 +34,21 @@
 {
     const auto index =
         std::size_t{request.task.occurrence} * request.job->spec.steps.size() + request.task.step;
-    return {index, request.starving, request.slowed};
+    return {index, request.oversubscribes, request.slowed};
 }
 
 } // namespace
 
 placement_kind::placement_kind(const placement_kind_view& view)
     : service{view.service}, image{view.image}, label{view.label}, best_effort{view.best_effort},
-      latency_critical{view.latency_critical}, starving{view.starving}, slowed{view.slowed}
+      latency_critical{view.latency_critical}, oversubscribes{view.oversubscribes}, slowed{
+                                                                                        view.slowed}
 {
 }
 
 placement_kind::operator placement_kind_view() const
 {
-    return {service, image, label, best_effort, latency_critical, starving, slowed};
+    return {service, image, label, best_effort, latency_critical, oversubscribes, slowed};
 }
 
 void record_failure(failed_placements& failed, const placement_request& request,
--- a/src/libschedule/failedplacements.h
+++ b/src/libschedule/failedplacements.h
@@ -29,7 +29,7 @@
     std::string_view label;
     bool best_effort{false};
     bool latency_critical{false};
-    bool starving{false};
+    bool oversubscribes{false};
     bool slowed{false};
 
     auto operator<=>(const placement_kind_view&) const = default;
@@ -45,7 +45,7 @@
     std::string label;
     bool best_effort{false};
     bool latency_critical{false};
-    bool starving{false};
+    bool oversubscribes{false};
     bool slowed{false};
 };
 
@@ -65,7 +65,7 @@
     std::map<placement_kind, std::vector<failed_placement>, placement_kind_less> by_kind;
     /**
      * Change numbers of steps with a limit of tasks per worker, by job, and by step, whether the
-     * job was starving and whether the run would have started slowed.
+     * run would have oversubscribed the worker and whether it would have started slowed.
      */
     std::map<submission_id, std::map<std::tuple<std::size_t, bool, bool>, std::uint64_t>> by_job;
 };
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -16,8 +16,8 @@
  */
 constexpr std::int64_t unused_reservation_percent = 50;
 /**
- * Oversubscription allowed to starving jobs, in percent of the processors of the worker. All
- * best-effort tasks there slow down.
+ * Oversubscription by jobs that have waited too long, in percent of the processors of the worker.
+ * All best-effort tasks there slow down.
  */
 constexpr std::int64_t oversubscription_percent = 50;
 /**
@@ -99,7 +99,7 @@
     return longest_ms / target.count();
 }
 
-/** Returns the processors that a best-effort task of a starving job may use. */
+/** Returns the processors that a best-effort task may use if it oversubscribes the worker. */
 millicores oversubscribed_processors(const job_worker& worker)
 {
     const auto added = worker.serving_images.empty() ? worker.record.capacity.processors.value() *
@@ -304,7 +304,7 @@
     if (!step.best_effort)
         return true;
     const auto available =
-        request.starving ? oversubscribed_processors(worker) : idle_processors(worker);
+        request.oversubscribes ? oversubscribed_processors(worker) : idle_processors(worker);
     return available >= step.demand.processors &&
            tolerates_best_effort(state, worker, step, slopes, now);
 }
@@ -386,8 +386,8 @@
         if (failed_at != 0 && candidate.change <= failed_at)
             break;
         ++state.counts.candidates;
-        const auto available = request.starving ? candidate.oversubscribed_processors
-                                                : candidate.best_effort_processors;
+        const auto available = request.oversubscribes ? candidate.oversubscribed_processors
+                                                      : candidate.best_effort_processors;
         if (!fits(demand, candidate.free) || (step.best_effort && available < best_effort) ||
             !can_run(state, *candidate.worker, request, slopes, now))
             continue;
@@ -445,9 +445,9 @@
         if (!fits(demand, candidate.free) || !fits(demand, free_capacity(worker)) ||
             !accepts_best_effort(worker, now) || !is_suitable(worker, request))
             continue;
-        const auto added = request.starving ? worker.record.capacity.processors.value() *
-                                                  oversubscription_percent / 100
-                                            : 0;
+        const auto added = request.oversubscribes ? worker.record.capacity.processors.value() *
+                                                        oversubscription_percent / 100
+                                                  : 0;
         const auto pace = tolerated_pace_percent(
             worker, step, idle_processors(worker) + millicores{added}, slopes);
         if (pace < min_starting_pace_percent || pace <= best_pace)
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -17,7 +17,7 @@
      * The job has waited so long that the task may oversubscribe a worker, at full speed only one
      * without latency-critical tasks.
      */
-    bool starving{false};
+    bool oversubscribes{false};
     /** The task may start below full speed. */
     bool slowed{false};
 };
@@ -55,7 +55,7 @@
     std::uint64_t change{0};
     resources free;
     millicores best_effort_processors;
-    /** The same for a starving job. */
+    /** The same for a request that may oversubscribe the worker. */
     millicores oversubscribed_processors;
 };
 
