controld: the log names the runs that are lost with a worker

Cause: worker_retired did not say which runs ended with a worker, so that a task that crashes its workers, a leader that forgets crashes and late starts looked alike. Change: worker_retired has the number of lost runs and the silence before; an event run_lost for each run; a counter.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -70,6 +70,7 @@
     counters_.add(name, {{"event", "succeeded"}}, counts_.succeeded);
     counters_.add(name, {{"event", "failed"}}, counts_.failed);
     counters_.add(name, {{"event", "lapsed"}}, counts_.expired);
+    counters_.add(name, {{"event", "lost"}}, counts_.lost);
     counters_.add(name, {{"event", "adopted"}}, counts_.adopted);
     counters_.add(name, {{"event", "stray"}}, counts_.orphans);
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -90,6 +90,8 @@
     boost::asio::awaitable<bool> poll_once(worker_id worker, std::uint64_t generation);
     boost::asio::awaitable<void>
     record_completions(std::vector<wire::record_completions::item> items, std::uint64_t generation);
+    /** Logs the runs that end with the worker. */
+    void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
     void update_clock(worker_connection& connection, const command_reply& reply);
     [[nodiscard]] std::optional<std::chrono::milliseconds>
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -205,9 +205,33 @@
         schedule::on_completions_recorded(scheduler_, items);
 }
 
+void job_service::log_lost_runs(const worker_id& worker, const char* cause) const
+{
+    const auto found = scheduler_.workers.find(worker);
+    if (found == scheduler_.workers.end())
+        return;
+    const auto now = monotonic_now();
+    log_event(log_level::info, "worker_retired",
+              {{"worker", worker},
+               {"cause", cause},
+               {"lost_runs", found->second.runs.size()},
+               {"silent_us", (now - found->second.last_reply_at).count()}});
+    for (const auto& [ref, number] : found->second.runs) {
+        const auto job = scheduler_.jobs.find(ref.job);
+        const auto position = wire::position_of(job->second.spec, ref);
+        const auto& run = job->second.tasks[*position].run;
+        log_event(log_level::info, "run_lost",
+                  {{"task", ref},
+                   {"run", number},
+                   {"worker", worker},
+                   {"token", token_},
+                   {"since_command_us", (now - run->commanded_at).count()}});
+    }
+}
+
 void job_service::retire_worker(const worker_id& worker, const char* cause)
 {
-    log_event(log_level::info, "worker_retired", {{"worker", worker}, {"cause", cause}});
+    log_lost_runs(worker, cause);
     schedule::remove_worker(scheduler_, worker);
     connections_.erase(worker);
     const auto found = announcements_.find(worker);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -258,6 +258,8 @@
     std::uint64_t succeeded{0};
     std::uint64_t failed{0};
     std::uint64_t expired{0};
+    /** Runs that ended with their worker. */
+    std::uint64_t lost{0};
     std::uint64_t adopted{0};
     std::uint64_t orphans{0};
     std::uint64_t stopped_for_tail{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -218,6 +218,7 @@
     const auto worker = state.workers.find(id);
     if (worker == state.workers.end())
         return;
+    state.counts.lost += worker->second.runs.size();
     end_all_runs(state, worker->second);
     state.workers.erase(worker);
 }
