tests: workers that crash because of a task or without one, as a simulation

The scheduler and the ledger's state machine run against workers that execute what they receive, crash, return and are partitioned, and against changes of the leader.

--- /dev/null
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -0,0 +1,576 @@
+#include "jobfaultsimulation.h"
+
+#include <galenaturn/ledger.h>
+#include <galenaturn/schedule.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <random>
+
+namespace galenaturn::schedule {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration step_span = milliseconds{10};
+constexpr duration lease = seconds{5};
+constexpr duration announcement_interval = milliseconds{1500};
+constexpr duration poll_interval = milliseconds{50};
+constexpr duration commit_span = milliseconds{20};
+constexpr duration stop_span = milliseconds{200};
+/** A task that crashes its worker does so this long after its start. */
+constexpr duration crash_delay = milliseconds{10};
+/** A capacity that has shrunk may still be used for this time. */
+constexpr duration shrink_grace = milliseconds{4500};
+/** Starts of a task that are tolerated after three workers have crashed under it. */
+constexpr std::uint32_t tolerated_starts = 2;
+constexpr std::uint32_t crashes_before_limit = 3;
+
+/** A run on a simulated worker. */
+struct worker_run {
+    std::uint32_t number{0};
+    resources demand;
+    time_point ends_at;
+    run_outcome outcome{run_outcome::succeeded};
+};
+
+/** A worker outside the scheduler: it executes every start that is not stale. */
+struct simulated_job_worker {
+    wire::worker_presence announcement;
+    /** Highest capacity of the last `shrink_grace`, with the end of that time. */
+    resources earlier_capacity;
+    time_point earlier_capacity_until;
+    resources full_capacity;
+    bool up{true};
+    time_point returns_at;
+    time_point partitioned_until;
+    time_point next_announcement;
+    time_point next_poll;
+    time_point lease_until;
+    std::map<wire::task_ref, worker_run> runs;
+    std::map<wire::task_ref, std::uint32_t> highest_runs;
+    std::vector<worker_report::ended_run> ended;
+    std::uint64_t last_completion{0};
+};
+
+/** A command that the ledger applies at `due`. */
+struct pending_command {
+    time_point due;
+    wire::command body;
+    std::function<void()> applied;
+};
+
+/** A start that its worker executes late; its response is lost. */
+struct late_start {
+    time_point due;
+    start_command command;
+};
+
+/** What is known of a task outside the scheduler. */
+struct task_history {
+    std::uint32_t crashes{0};
+    std::uint32_t starts_after_limit{0};
+    bool success_recorded{false};
+};
+
+struct submitted_job {
+    time_point at;
+    wire::job_spec spec;
+    bool crashes{false};
+    bool counted{false};
+};
+
+class job_fault_simulation {
+public:
+    explicit job_fault_simulation(const job_fault_options& options)
+        : options_{options}, random_{options.seed}
+    {
+        settings_.lease = lease;
+        fleet_.resize(options.workers);
+        for (std::size_t index = 0; index < fleet_.size(); ++index)
+            begin_life(fleet_[index], index);
+        begin_term();
+    }
+
+    job_fault_counts run()
+    {
+        const auto end = now_ + seconds{options_.seconds};
+        // After the last submission the remaining jobs have time to end.
+        const auto last_submission = end - seconds{10};
+        for (int job = 0; job < 3; ++job)
+            submit(true);
+        while (now_ < end) {
+            now_ += step_span;
+            wall_ += std::chrono::duration_cast<milliseconds>(step_span);
+            if (now_ < last_submission) {
+                if (per_minute(60 * static_cast<int>(options_.workers) / 8))
+                    submit(false);
+                cause_faults();
+            }
+            if (!term_active_ && now_ >= next_term_at_)
+                begin_term();
+            advance_workers();
+            execute_late_starts();
+            announce();
+            commit();
+            exchange_with_workers();
+            pass();
+            count_ended_jobs();
+        }
+        return counts_;
+    }
+
+private:
+    std::int64_t draw(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>{low, high}(random_);
+    }
+    bool chance(int percent) { return draw(1, 100) <= percent; }
+    /** Returns true in as many steps as the rate says. */
+    bool per_minute(int rate)
+    {
+        constexpr std::int64_t steps_per_minute = seconds{60} / step_span;
+        return draw(1, steps_per_minute) <= rate;
+    }
+    duration draw_span(std::int64_t low_ms, std::int64_t high_ms)
+    {
+        return milliseconds{draw(low_ms, high_ms)};
+    }
+
+    // Workers.
+
+    void begin_life(simulated_job_worker& worker, std::size_t index)
+    {
+        wire::worker_presence announcement;
+        auto& record = announcement.worker;
+        record.id = worker_id{"w" + std::to_string(last_worker_++)};
+        record.service = service_id{"desk"};
+        record.address = {"10.0.0." + std::to_string(index + 1), 8129};
+        record.capacity = {millicores{32'000}, bytes{std::int64_t{125} << 30}, {}};
+        worker = {};
+        worker.announcement = announcement;
+        worker.full_capacity = record.capacity;
+        worker.next_announcement = now_;
+        index_of_[record.id] = index;
+    }
+
+    [[nodiscard]] bool is_reachable(const simulated_job_worker& worker) const
+    {
+        return worker.up && now_ >= worker.partitioned_until;
+    }
+
+    void crash(simulated_job_worker& worker)
+    {
+        for (const auto& [ref, run] : worker.runs)
+            ++history_[ref].crashes;
+        worker.up = false;
+        worker.returns_at = now_ + draw_span(1500, 4500);
+        worker.runs.clear();
+        worker.ended.clear();
+    }
+
+    void end_run(simulated_job_worker& worker, const wire::task_ref& ref, const worker_run& run)
+    {
+        worker.ended.push_back({++worker.last_completion, ref, run.number, run.outcome, ""});
+    }
+
+    void advance_workers()
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index) {
+            auto& worker = fleet_[index];
+            if (!worker.up) {
+                if (now_ >= worker.returns_at)
+                    begin_life(worker, index);
+                continue;
+            }
+            if (crashes_now(worker)) {
+                ++counts_.crashes_by_tasks;
+                crash(worker);
+                continue;
+            }
+            for (auto run = worker.runs.begin(); run != worker.runs.end();) {
+                if (now_ >= worker.lease_until)
+                    run->second.outcome = run_outcome::expired;
+                else if (now_ < run->second.ends_at) {
+                    ++run;
+                    continue;
+                }
+                end_run(worker, run->first, run->second);
+                run = worker.runs.erase(run);
+            }
+        }
+    }
+
+    [[nodiscard]] bool crashes_now(const simulated_job_worker& worker) const
+    {
+        return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& run) {
+            return is_crashing(run.first) && now_ >= run.second.ends_at;
+        });
+    }
+
+    [[nodiscard]] bool is_crashing(const wire::task_ref& ref) const
+    {
+        const auto& job = jobs_.at(ref.job);
+        return job.crashes && ref.step == 0 && (options_.all_tasks_crash || ref.index == 0);
+    }
+
+    command_result execute(simulated_job_worker& worker, const start_command& command)
+    {
+        auto& highest = worker.highest_runs[command.task];
+        if (command.run <= highest)
+            return command_result::stale_run;
+        highest = command.run;
+        check_start(worker, command.task);
+        const auto& step = jobs_.at(command.task.job).spec.steps[command.task.step];
+        worker_run run;
+        run.number = command.run;
+        run.demand = step.demand;
+        run.ends_at = is_crashing(command.task) ? now_ + crash_delay
+                      : step.long_running       ? time_point::max()
+                                                : now_ + step.estimate;
+        worker.runs[command.task] = run;
+        ++counts_.starts;
+        return command_result::accepted;
+    }
+
+    void check_start(const simulated_job_worker& worker, const wire::task_ref& ref)
+    {
+        auto& history = history_[ref];
+        if (history.crashes >= crashes_before_limit &&
+            ++history.starts_after_limit > tolerated_starts)
+            ++counts_.starts_beyond_crash_limit;
+        const bool runs_elsewhere =
+            std::any_of(fleet_.begin(), fleet_.end(),
+                        [&](const auto& other) { return other.up && other.runs.contains(ref); });
+        counts_.doubled_starts += history.success_recorded || runs_elsewhere ? 1 : 0;
+        auto used = jobs_.at(ref.job).spec.steps[ref.step].demand;
+        for (const auto& [other, run] : worker.runs)
+            used += run.demand;
+        const auto& capacity = now_ < worker.earlier_capacity_until
+                                   ? worker.earlier_capacity
+                                   : worker.announcement.worker.capacity;
+        counts_.oversized_starts += fits(used, capacity) ? 0 : 1;
+    }
+
+    void execute_late_starts()
+    {
+        std::erase_if(late_starts_, [&](const late_start& late) {
+            if (now_ < late.due)
+                return false;
+            auto& worker = fleet_[index_of_.at(late.command.worker)];
+            if (worker.up && worker.announcement.worker.id == late.command.worker)
+                execute(worker, late.command);
+            return true;
+        });
+    }
+
+    // Faults.
+
+    void cause_faults()
+    {
+        if (per_minute(options_.unrelated_crashes_per_minute)) {
+            for (auto count = draw(1, 4); count > 0; --count) {
+                auto& worker = draw_worker();
+                counts_.unrelated_crashes += worker.up ? 1 : 0;
+                if (worker.up)
+                    crash(worker);
+            }
+        }
+        if (per_minute(options_.partitions_per_minute)) {
+            draw_worker().partitioned_until = now_ + draw_span(500, 9000);
+            ++counts_.partitions;
+        }
+        if (per_minute(options_.capacity_changes_per_minute))
+            change_capacity(draw_worker());
+        if (term_active_ && per_minute(options_.leader_losses_per_minute)) {
+            ++counts_.leader_losses;
+            term_active_ = false;
+            next_term_at_ = now_ + draw_span(300, 1500);
+            if (chance(50))
+                pending_.clear();
+        }
+    }
+
+    simulated_job_worker& draw_worker()
+    {
+        return fleet_[static_cast<std::size_t>(
+            draw(0, static_cast<std::int64_t>(fleet_.size()) - 1))];
+    }
+
+    void change_capacity(simulated_job_worker& worker)
+    {
+        auto& capacity = worker.announcement.worker.capacity;
+        worker.earlier_capacity = worker.full_capacity;
+        worker.earlier_capacity_until = now_ + shrink_grace;
+        const auto percent = chance(30) ? 100 : draw(10, 90);
+        capacity.processors = millicores{worker.full_capacity.processors.value() * percent / 100};
+        capacity.memory = bytes{worker.full_capacity.memory.value() * percent / 100};
+        ++counts_.capacity_changes;
+    }
+
+    // Jobs.
+
+    static wire::job_step make_step(std::uint32_t count, std::int64_t cores, duration estimate)
+    {
+        wire::job_step step;
+        step.count = count;
+        step.demand.processors = millicores{cores * 1000};
+        step.demand.memory = bytes{cores << 30};
+        step.estimate = estimate;
+        return step;
+    }
+
+    void submit(bool long_running)
+    {
+        wire::submit_job body;
+        body.id = submission_id{"job-" + std::to_string(last_job_++)};
+        body.queue.name = "q";
+        body.queue.service = service_id{"desk"};
+        body.queue.max_attempts = 3;
+        body.queue.latency = seconds{1};
+        body.submitted = wall_;
+        for (auto steps = long_running ? 1 : draw(1, 2); steps > 0; --steps) {
+            auto step =
+                make_step(static_cast<std::uint32_t>(draw(1, 6)), draw(2, 6), draw_span(300, 2700));
+            step.long_running = long_running;
+            if (!body.spec.steps.empty())
+                step.after = {0};
+            body.spec.steps.push_back(step);
+        }
+        auto& job = jobs_[body.id];
+        job.at = now_;
+        job.spec = body.spec;
+        job.crashes = !long_running && chance(options_.crashing_job_percent);
+        // The caller resends until the job is accepted, so the submission does not get lost.
+        apply(std::move(body));
+        if (!long_running)
+            ++(job.crashes ? counts_.crashing_jobs : counts_.sound_jobs);
+    }
+
+    void count_ended_jobs()
+    {
+        for (auto& [id, job] : jobs_) {
+            const auto phase = ledger_.jobs.at(id).phase;
+            if (job.counted || phase == wire::job_phase::open)
+                continue;
+            job.counted = true;
+            const bool failed = phase == wire::job_phase::failed;
+            if (job.crashes)
+                counts_.crashing_jobs_failed += failed ? 1 : 0;
+            else {
+                counts_.sound_jobs_failed += failed ? 1 : 0;
+                counts_.sound_jobs_succeeded += failed ? 0 : 1;
+                counts_.sound_job_seconds +=
+                    failed ? 0 : std::chrono::duration<double>(now_ - job.at).count();
+            }
+        }
+    }
+
+    // The ledger.
+
+    void apply(wire::command body)
+    {
+        ledger::applied_change change;
+        const wire::command_request request{request_id{"r" + std::to_string(++index_)},
+                                            std::move(body)};
+        ledger::apply_command(ledger_, request, log_index{index_}, change);
+        if (!term_active_)
+            return;
+        for (const auto& id : change.jobs)
+            on_job_record(state_, ledger_.jobs.at(id), now_);
+        if (change.workers) {
+            for (const auto& [id, record] : ledger_.workers)
+                admit_worker(state_, id);
+        }
+    }
+
+    void submit_command(wire::command body, std::function<void()> applied)
+    {
+        pending_.push_back({now_ + commit_span, std::move(body), std::move(applied)});
+    }
+
+    void commit()
+    {
+        while (!pending_.empty() && now_ >= pending_.front().due) {
+            auto command = std::move(pending_.front());
+            pending_.pop_front();
+            apply(std::move(command.body));
+            if (term_active_)
+                command.applied();
+        }
+    }
+
+    // The leader.
+
+    void begin_term()
+    {
+        term_active_ = true;
+        ++generation_;
+        pending_.clear();
+        recording_.clear();
+        state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
+        for (const auto& [id, announced] : announcements_)
+            apply_announcement(announced.presence);
+    }
+
+    void announce()
+    {
+        for (auto& worker : fleet_) {
+            if (!is_reachable(worker) || now_ < worker.next_announcement)
+                continue;
+            worker.next_announcement = now_ + announcement_interval;
+            ++worker.announcement.sequence;
+            if (record_announcement(announcements_, worker.announcement, now_) !=
+                announcement_effect::outdated)
+                apply_announcement(worker.announcement);
+        }
+    }
+
+    void apply_announcement(const wire::worker_presence& presence)
+    {
+        if (!term_active_ || presence.left)
+            return;
+        on_worker_announcement(state_, presence);
+        if (!ledger_.workers.contains(presence.worker.id))
+            submit_command(wire::record_workers{{presence.worker}, {}}, [] {});
+    }
+
+    /** Another incarnation responded: the worker that was addressed has crashed. */
+    void retire(const worker_id& id)
+    {
+        remove_worker(state_, id);
+        const auto announced = announcements_.find(id);
+        if (announced != announcements_.end())
+            announced->second.presence.left = true;
+        submit_command(wire::record_workers{{}, {id}}, [] {});
+    }
+
+    void exchange_with_workers()
+    {
+        if (!term_active_)
+            return;
+        std::vector<worker_id> known;
+        for (const auto& [id, worker] : state_.workers) {
+            if (worker.admitted)
+                known.push_back(id);
+        }
+        for (const auto& id : known) {
+            auto& worker = fleet_[index_of_.at(id)];
+            if (!is_reachable(worker) || now_ < worker.next_poll || recording_.contains(id))
+                continue;
+            if (worker.announcement.worker.id != id) {
+                retire(id);
+                continue;
+            }
+            worker.next_poll = now_ + poll_interval;
+            poll(worker, id);
+        }
+    }
+
+    void poll(simulated_job_worker& worker, const worker_id& id)
+    {
+        extend_lease(state_, id, now_);
+        worker.lease_until = now_ + lease;
+        const auto acknowledged = state_.workers.at(id).completions_acknowledged;
+        std::erase_if(worker.ended, [&](const auto& ended) {
+            if (ended.number > acknowledged)
+                return false;
+            if (ended.outcome == run_outcome::succeeded)
+                history_[ended.task].success_recorded = true;
+            return true;
+        });
+        worker_report report;
+        report.ended = worker.ended;
+        for (const auto& [ref, run] : worker.runs)
+            report.running.push_back({ref, run.number, "", 50, 0});
+        record_reply(state_, id, now_);
+        auto items = on_worker_report(state_, id, report, now_, now_);
+        if (items.empty())
+            return;
+        recording_.insert(id);
+        wire::record_completions completions;
+        completions.items = items;
+        completions.now = wall_;
+        submit_command(std::move(completions), [this, id, items] {
+            recording_.erase(id);
+            on_completions_recorded(state_, items);
+            acknowledge_completions(state_, id);
+        });
+    }
+
+    void pass()
+    {
+        if (!term_active_)
+            return;
+        expire_leases(state_, now_);
+        for (const auto& command : plan_stops(state_, now_))
+            send_stop(command);
+        for (const auto& command : plan_starts(state_, now_, wall_))
+            send_start(command);
+    }
+
+    void send_stop(const stop_command& command)
+    {
+        auto& worker = fleet_[index_of_.at(command.worker)];
+        if (!is_reachable(worker) || worker.announcement.worker.id != command.worker)
+            return on_stop_result(state_, command, command_result::none, now_);
+        auto& highest = worker.highest_runs[command.task];
+        highest = std::max(highest, command.run);
+        const auto run = worker.runs.find(command.task);
+        if (run != worker.runs.end() && run->second.number == command.run) {
+            run->second.ends_at = now_ + stop_span;
+            run->second.outcome = run_outcome::stopped;
+        }
+        on_stop_result(state_, command, command_result::accepted, now_);
+    }
+
+    void send_start(const start_command& command)
+    {
+        auto& worker = fleet_[index_of_.at(command.worker)];
+        if (!is_reachable(worker) || worker.announcement.worker.id != command.worker)
+            return on_start_result(state_, command, command_result::none, now_);
+        extend_lease(state_, command.worker, now_);
+        if (chance(2)) {
+            late_starts_.push_back({now_ + draw_span(0, 4000), command});
+            return on_start_result(state_, command, command_result::none, now_);
+        }
+        worker.lease_until = now_ + lease;
+        on_start_result(state_, command, execute(worker, command), now_);
+    }
+
+    job_fault_options options_;
+    job_fault_counts counts_;
+    std::mt19937_64 random_;
+    job_settings settings_;
+    time_point now_{std::chrono::hours{1}};
+    wall_time wall_{std::chrono::hours{500'000}};
+    std::vector<simulated_job_worker> fleet_;
+    std::map<worker_id, std::size_t> index_of_;
+    std::size_t last_worker_{0};
+    std::map<submission_id, submitted_job> jobs_;
+    std::size_t last_job_{0};
+    std::map<wire::task_ref, task_history> history_;
+    ledger::ledger_state ledger_;
+    std::uint64_t index_{0};
+    std::deque<pending_command> pending_;
+    std::vector<late_start> late_starts_;
+    announced_workers announcements_;
+    job_scheduler state_;
+    /** Workers whose completions are being recorded; they are not polled meanwhile. */
+    std::set<worker_id> recording_;
+    bool term_active_{false};
+    std::uint64_t generation_{0};
+    time_point next_term_at_;
+};
+
+} // namespace
+
+job_fault_counts run_job_fault_simulation(const job_fault_options& options)
+{
+    return job_fault_simulation{options}.run();
+}
+
+} // namespace galenaturn::schedule
