--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -76,6 +76,8 @@
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
     counters_.add(name, {{"event", "paced"}}, counts_.pace_changes);
     counters_.add(name, {{"event", "started_slowed"}}, counts_.slowed_starts);
+    counters_.add("galenaturn_worker_crashes_total", {}, counts_.worker_crashes);
+    counters_.add("galenaturn_crash_suspects_total", {}, counts_.crash_suspects);
     counters_.add("galenaturn_job_passes_total", {}, counts_.passes);
     counters_.add("galenaturn_placement_candidates_total", {}, counts_.candidates);
     hub_.applied.emplace_back([this](const auto& change) { on_applied_change(change); });
@@ -368,6 +370,29 @@
     }
 }
 
+void job_service::queue_start(schedule::start_command command)
+{
+    const auto worker = command.worker;
+    connections_[worker].starts.push_back(std::move(command));
+    send_commands(worker);
+}
+
+asio::awaitable<void> job_service::start_suspect(job_service* self, schedule::start_command command,
+                                                 std::uint64_t generation)
+{
+    wire::command body{wire::record_suspect_start{command.task, command.run, command.worker}};
+    const auto outcome =
+        co_await self->hub_.submit(std::move(body), monotonic_now() + ledger_command_timeout);
+    if (!self->in_term(generation))
+        co_return;
+    if (outcome.status == command_status::accepted && self->connections_.contains(command.worker)) {
+        self->queue_start(std::move(command));
+        co_return;
+    }
+    schedule::on_start_result(self->scheduler_, command, schedule::command_result::not_sent,
+                              monotonic_now());
+}
+
 void job_service::pass()
 {
     if (!term_active_ || !hub_.leads())
@@ -379,9 +404,11 @@
     queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
     for (auto& command : schedule::plan_starts(scheduler_, now, wall_now())) {
         log_first_start(command);
-        const auto worker = command.worker;
-        connections_[worker].starts.push_back(std::move(command));
-        send_commands(worker);
+        if (command.suspect)
+            asio::co_spawn(shared_.io, start_suspect(this, std::move(command), generation_),
+                           asio::detached);
+        else
+            queue_start(std::move(command));
     }
     set_next_pass(now);
 }
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -88,11 +88,18 @@
     static boost::asio::awaitable<void> poll_worker(job_service* self, worker_id worker,
                                                     std::uint64_t generation);
     boost::asio::awaitable<bool> poll_once(worker_id worker, std::uint64_t generation);
+    boost::asio::awaitable<void> submit_until_recorded(wire::command body,
+                                                       std::uint64_t generation);
+    static boost::asio::awaitable<void> record_crash(job_service* self, wire::record_crash crash,
+                                                     std::uint64_t generation);
     boost::asio::awaitable<void>
     record_completions(std::vector<wire::record_completions::item> items, std::uint64_t generation);
     /** Logs the runs that end with the worker. */
     void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
+    /** Handles that another incarnation responded in place of the worker. */
+    void on_worker_crash(const worker_id& worker);
+    void forget_worker(const worker_id& worker);
     void update_clock(worker_connection& connection, const command_reply& reply);
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     lease_for(const worker_connection& connection) const;
@@ -119,6 +126,10 @@
     template <class Command>
     void queue_commands(const std::vector<Command>& commands,
                         std::deque<Command> worker_connection::*queue);
+    void queue_start(schedule::start_command command);
+    /** Sends the start once the ledger has recorded it. */
+    static boost::asio::awaitable<void>
+    start_suspect(job_service* self, schedule::start_command command, std::uint64_t generation);
     void set_next_pass(time_point began);
     void log_first_start(const schedule::start_command& command) const;
     /** Logs the end of a job that is still open in the scheduler. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -138,13 +138,14 @@
         co_return false;
     }
     const auto requested_at = monotonic_now();
-    const bool is_first_poll = !found->second.report_read;
+    // The first response, and the first one after a silence, is wanted at once.
+    const bool is_urgent = !found->second.report_read || found->second.lost;
     const auto record = found->second.record;
     const auto read_up_to = found->second.completions_read;
     command_header header;
     header.token = token_;
     header.lease_until = lease_for(connections_[worker]);
-    const auto wait = is_first_poll ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
+    const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
     header.reply_deadline = requested_at + wait + command_timeout;
     if (header.lease_until)
         schedule::extend_lease(scheduler_, worker, requested_at);
@@ -154,11 +155,12 @@
     if (!in_term(generation) || connection == connections_.end())
         co_return false;
     if (polled.reply.result == command_result::other_incarnation) {
-        retire_worker(worker, "other_life");
+        on_worker_crash(worker);
         co_return false;
     }
     update_clock(connection->second, polled.reply);
     if (polled.reply.result != command_result::accepted) {
+        schedule::record_contact_loss(scheduler_, worker, monotonic_now(), polled.reply.closed);
         log_event(log_level::debug, "worker_silent",
                   {{"worker", worker},
                    {"answer", schedule::to_string(polled.reply.result)},
@@ -179,32 +181,49 @@
     co_return true;
 }
 
-/** Submits completions to the ledger until they are recorded or the term is over. */
-asio::awaitable<void>
-job_service::record_completions(std::vector<wire::record_completions::item> items,
-                                std::uint64_t generation)
+/** Submits the command to the ledger until it is recorded or the term is over. */
+asio::awaitable<void> job_service::submit_until_recorded(wire::command body,
+                                                         std::uint64_t generation)
 {
     const auto began = monotonic_now();
     while (in_term(generation)) {
-        wire::record_completions completions;
-        completions.items = items;
-        completions.now = wall_now();
-        wire::command body{std::move(completions)};
-        const auto outcome =
-            co_await hub_.submit(std::move(body), monotonic_now() + record_timeout);
+        const auto outcome = co_await hub_.submit(body, monotonic_now() + record_timeout);
         if (outcome.status == command_status::accepted)
             break;
         log_event(log_level::warning, "ends_not_recorded",
-                  {{"items", items.size()}, {"status", wire::to_string(outcome.status)}});
+                  {{"status", wire::to_string(outcome.status)}, {"reason", outcome.reason}});
         co_await pause(shared_.io, record_retry_pause);
     }
     const auto elapsed = monotonic_now() - began;
     record_latency_.record(elapsed);
     load_.longest_record = std::max(load_.longest_record, elapsed);
+}
+
+asio::awaitable<void>
+job_service::record_completions(std::vector<wire::record_completions::item> items,
+                                std::uint64_t generation)
+{
+    wire::record_completions completions;
+    completions.items = items;
+    completions.now = wall_now();
+    wire::command body{std::move(completions)};
+    co_await submit_until_recorded(std::move(body), generation);
     if (in_term(generation))
         schedule::on_completions_recorded(scheduler_, items);
 }
 
+asio::awaitable<void> job_service::record_crash(job_service* self, wire::record_crash crash,
+                                                std::uint64_t generation)
+{
+    const auto items = crash.items;
+    wire::command body{std::move(crash)};
+    co_await self->submit_until_recorded(std::move(body), generation);
+    if (!self->in_term(generation))
+        co_return;
+    schedule::on_crash_recorded(self->scheduler_, items);
+    self->schedule_pass();
+}
+
 void job_service::log_lost_runs(const worker_id& worker, const char* cause) const
 {
     const auto found = scheduler_.workers.find(worker);
@@ -233,6 +252,33 @@
 {
     log_lost_runs(worker, cause);
     schedule::remove_worker(scheduler_, worker);
+    forget_worker(worker);
+}
+
+void job_service::on_worker_crash(const worker_id& worker)
+{
+    log_lost_runs(worker, "other_life");
+    wire::record_crash crash;
+    crash.worker = worker;
+    crash.items = schedule::on_worker_crash(scheduler_, worker);
+    crash.now = wall_now();
+    for (const auto& item : crash.items) {
+        if (item.suspicion != wire::crash_suspicion::cleared)
+            log_event(log_level::info, "crash_suspected",
+                      {{"task", item.task},
+                       {"run", item.run},
+                       {"worker", worker},
+                       {"suspicion", wire::to_string(item.suspicion)},
+                       {"token", token_}});
+    }
+    if (!crash.items.empty())
+        asio::co_spawn(shared_.io, record_crash(this, std::move(crash), generation_),
+                       asio::detached);
+    forget_worker(worker);
+}
+
+void job_service::forget_worker(const worker_id& worker)
+{
     connections_.erase(worker);
     const auto found = announcements_.find(worker);
     if (found != announcements_.end())
@@ -285,9 +331,8 @@
     const auto requested_at = monotonic_now();
     header.reply_deadline = requested_at + command_timeout;
     command_reply reply;
-    // Without a lease, or without leadership, the command is not sent at all.
-    if (!header.lease_until || !hub_.leads()) {
-        reply.result = command_result::refused;
+    if (!header.lease_until || !hub_.leads() || found->second.lost) {
+        reply.result = command_result::not_sent;
     }
     else {
         schedule::extend_lease(scheduler_, worker, requested_at);
@@ -298,7 +343,7 @@
     log_start(command, token_, reply);
     schedule::on_start_result(scheduler_, command, reply.result, monotonic_now());
     if (reply.result == command_result::other_incarnation)
-        co_return retire_worker(worker, "other_life");
+        co_return on_worker_crash(worker);
     const auto current_connection = connections_.find(worker);
     if (current_connection != connections_.end())
         update_clock(current_connection->second, reply);
@@ -340,7 +385,7 @@
                {"reason", reply->reason}});
     schedule::on_pace_result(scheduler_, command, reply->result);
     if (reply->result == command_result::other_incarnation)
-        retire_worker(worker, "other_life");
+        on_worker_crash(worker);
 }
 
 asio::awaitable<void> job_service::send_stop(worker_id worker, std::uint64_t generation)
@@ -359,7 +404,7 @@
                {"reason", reply->reason}});
     schedule::on_stop_result(scheduler_, command, reply->result, monotonic_now());
     if (reply->result == command_result::other_incarnation)
-        retire_worker(worker, "other_life");
+        on_worker_crash(worker);
 }
 
 } // namespace galenaturn::controld
--- a/src/controld/workercommands.h
+++ b/src/controld/workercommands.h
@@ -26,6 +26,8 @@
     /** The worker's own clock at the time of the reply. */
     std::optional<std::chrono::milliseconds> clock;
     std::string reason;
+    /** No reply, because the worker closed its connection. */
+    bool closed{false};
 };
 
 struct poll_reply {
--- a/src/libledger/applycommands.h
+++ b/src/libledger/applycommands.h
@@ -31,6 +31,8 @@
 wire::command_response apply(apply_context& context, const wire::record_completions& body);
 wire::command_response apply(apply_context& context, const wire::publish_queues& body);
 wire::command_response apply(apply_context& context, const wire::record_workers& body);
+wire::command_response apply(apply_context& context, const wire::record_crash& body);
+wire::command_response apply(apply_context& context, const wire::record_suspect_start& body);
 /** Removes the oldest ended jobs, by their retention time and maximum number. */
 void remove_old_ended_jobs(ledger_state& state);
 /** Removes the oldest finished tasks, by their retention time and maximum number. */
--- a/src/libledger/applyjobs.cpp
+++ b/src/libledger/applyjobs.cpp
@@ -18,6 +18,7 @@
     job.spec.text.clear();
     job.spec.text.shrink_to_fit();
     std::vector<wire::task_progress>{}.swap(job.tasks);
+    job.crashes.clear();
     context.state.ended_jobs.push_back(job.id);
 }
 
@@ -67,6 +68,35 @@
         end_job(context, job, job_phase::succeeded, now);
 }
 
+/** Returns whether no further worker is risked for the task. */
+bool is_given_up(const wire::task_crashes& crashes, wire::crash_suspicion suspicion)
+{
+    // A single crash may be a coincidence.
+    constexpr std::uint32_t min_crashes = 2;
+    constexpr std::uint32_t max_crashes = 4;
+    const bool is_only_suspect = suspicion == wire::crash_suspicion::only_suspect;
+    return crashes.count >= (is_only_suspect ? min_crashes : max_crashes);
+}
+
+void record_crash_under(apply_context& context, job_record& job,
+                        const wire::record_crash::item& item, wall_time now)
+{
+    const auto position = wire::position_of(job.spec, item.task);
+    if (job.phase != job_phase::open || !position)
+        return;
+    auto& crashes = job.crashes[static_cast<std::uint32_t>(*position)];
+    // This run or a later one was recorded already.
+    if (item.run <= crashes.last_run)
+        return;
+    crashes.last_run = item.run;
+    context.change.jobs.push_back(job.id);
+    // Every task meets unrelated crashes now and then, so only those in a row count.
+    const bool is_cleared = item.suspicion == wire::crash_suspicion::cleared;
+    crashes.count = is_cleared ? 0 : crashes.count + 1;
+    if (is_given_up(crashes, item.suspicion))
+        end_job(context, job, job_phase::failed, now);
+}
+
 } // namespace
 
 wire::command_response apply(apply_context& context, const wire::submit_job& body)
@@ -126,6 +156,30 @@
     return make_response(command_status::accepted);
 }
 
+wire::command_response apply(apply_context& context, const wire::record_crash& body)
+{
+    for (const auto& item : body.items) {
+        const auto job = context.state.jobs.find(item.task.job);
+        if (job != context.state.jobs.end())
+            record_crash_under(context, job->second, item, body.now);
+    }
+    return make_response(command_status::accepted);
+}
+
+wire::command_response apply(apply_context& context, const wire::record_suspect_start& body)
+{
+    const auto job = context.state.jobs.find(body.task.job);
+    if (job == context.state.jobs.end() || job->second.phase != job_phase::open)
+        return make_response(command_status::rejected, "no such open job");
+    const auto position = wire::position_of(job->second.spec, body.task);
+    if (!position)
+        return make_response(command_status::rejected, "no such task");
+    auto& crashes = job->second.crashes[static_cast<std::uint32_t>(*position)];
+    crashes.started_run = body.run;
+    crashes.started_on = body.worker;
+    return make_response(command_status::accepted);
+}
+
 void remove_old_ended_jobs(ledger_state& state)
 {
     auto& ended = state.ended_jobs;
--- a/src/libledger/statesnapshot.cpp
+++ b/src/libledger/statesnapshot.cpp
@@ -52,10 +52,25 @@
     }
 };
 
-/** Version 2: the content of version 1, followed by jobs, queues and workers. */
-struct snapshot_v2 {
+/** A job as of version 2: without the crashes under its tasks. */
+struct job_v2 {
+    wire::job_record job;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(job.id, job.queue, job.spec, job.submitted, job.phase, job.ended, job.tasks);
+    }
+};
+
+/**
+ * The content of version 1, followed by jobs, queues and workers. Version 2 with job_v2, version 3
+ * with wire::job_record.
+ */
+template <class Job>
+struct snapshot_with_jobs {
     snapshot_v1 v1;
-    std::vector<wire::job_record> jobs;
+    std::vector<Job> jobs;
     std::deque<submission_id> ended_jobs;
     wire::publish_queues queues;
     std::vector<wire::worker_record> workers;
@@ -116,17 +131,30 @@
     return to_state(decoded.value());
 }
 
-result<ledger_state> read_v2(std::string_view body)
+wire::job_record& record_of(job_v2& job)
+{
+    return job.job;
+}
+
+wire::job_record& record_of(wire::job_record& job)
 {
-    auto decoded = wire::decode<snapshot_v2>(body);
+    return job;
+}
+
+template <class Job>
+result<ledger_state> read_with_jobs(std::string_view body)
+{
+    auto decoded = wire::decode<snapshot_with_jobs<Job>>(body);
     if (!decoded)
         return make_error_code(ledger_error::corrupted);
     auto& snapshot = decoded.value();
     auto state = to_state(snapshot.v1);
     if (!state)
         return state;
-    for (auto& job : snapshot.jobs)
+    for (auto& stored : snapshot.jobs) {
+        auto& job = record_of(stored);
         state.value().jobs.emplace(job.id, std::move(job));
+    }
     state.value().ended_jobs = std::move(snapshot.ended_jobs);
     state.value().queues = std::move(snapshot.queues);
     for (auto& worker : snapshot.workers)
@@ -151,7 +179,7 @@
     snapshot.finished = state.finished;
     snapshot.clock = state.clock;
     snapshot.latest_removed_submission = state.latest_removed_submission;
-    snapshot_v2 whole;
+    snapshot_with_jobs<wire::job_record> whole;
     whole.v1 = std::move(snapshot);
     whole.jobs.reserve(state.jobs.size());
     for (const auto& [id, job] : state.jobs)
@@ -175,7 +203,9 @@
     if (version == 0)
         return make_error_code(ledger_error::corrupted);
     if (version == snapshot_version)
-        return read_v2(snapshot.substr(header_size));
+        return read_with_jobs<wire::job_record>(snapshot.substr(header_size));
+    if (version == 2)
+        return read_with_jobs<job_v2>(snapshot.substr(header_size));
     if (version == 1)
         return read_v1(snapshot.substr(header_size));
     return make_error_code(ledger_error::unknown_snapshot_version);
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -2,6 +2,7 @@
 #include "jobplacement.h"
 #include "jobpriority.h"
 #include "jobruns.h"
+#include "workercrashes.h"
 
 #include <algorithm>
 #include <utility>
@@ -106,8 +107,8 @@
     if (!std::exchange(job.started, true))
         job_wait = pass.now - job.arrived;
     ++pass.state.counts.starts;
-    pass.commands.push_back(
-        {ref, run_number, worker.record.id, job.spec.text, task.checkpoint, job_wait});
+    pass.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint,
+                             job_wait, is_suspect(task)});
 }
 
 bool has_runs(const open_job& job)
@@ -143,12 +144,15 @@
 bool start_slowed(scheduling_pass& pass, open_job& job, const wire::task_ref& ref, open_task& task,
                   bool oversubscribe)
 {
-    const placement_request request{&job, ref, &job.spec.steps[ref.step], {}, oversubscribe, true};
+    const placement_request request{&job,          ref,  &job.spec.steps[ref.step], {},
+                                    oversubscribe, true, is_suspect(task)};
     const auto placement =
         choose_worker_for_slowed_run(pass.state, pass.candidates, request, pass.now);
     if (placement.worker == nullptr)
         return false;
     start_run(pass, job, ref, task, *placement.worker, task.last_run + 1, placement.pace_percent);
+    if (request.suspect)
+        isolate(*placement.worker, job.id, pass.now);
     pass.starving = false;
     return true;
 }
@@ -159,21 +163,27 @@
     const auto& step = job.spec.steps[ref.step];
     if (!needs_run(task))
         return true;
-    const placement_request request{&job, ref, &step, {}, pass.starving};
+    const bool suspect = is_suspect(task);
+    if (suspect && !may_risk_worker(pass.state, pass.now))
+        return true;
+    const placement_request request{&job, ref, &step, {}, pass.starving, false, suspect};
     auto* worker = choose_worker(pass.state, pass.candidates, request, pass.now);
     if (worker == nullptr) {
         if (step.long_running && job.last_preemption + preemption_interval <= pass.now) {
             job.last_preemption = pass.now;
             preempt_best_effort(pass.state, request, pass.now);
         }
+        // Other tasks of the step may start beside tasks that have just started.
         if (!step.best_effort || !may_start_slowed(pass, job))
-            return false;
+            return suspect;
         if (start_slowed(pass, job, ref, task, false))
             return true;
         pass.unplaced.push_back({*job.unplaced_since, &job, ref});
         return false;
     }
     start_run(pass, job, ref, task, *worker, task.last_run + 1);
+    if (suspect)
+        isolate(*worker, job.id, pass.now);
     pass.starving = false;
     return true;
 }
@@ -185,21 +195,25 @@
     const auto& step = job.spec.steps[first.step];
     std::uint32_t run_number = 0;
     std::string checkpoint;
+    bool suspect = false;
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const auto& member = job.tasks[position + index];
+        suspect = suspect || is_suspect(member);
         run_number = std::max(run_number, member.last_run + 1);
         if (checkpoint.empty())
             checkpoint = member.checkpoint;
     }
     const auto commands_before = pass.commands.size();
+    std::vector<std::pair<job_worker*, recent_starts>> starts_before;
     for (std::uint32_t index = 0; index < step.count; ++index) {
         auto ref = first;
         ref.index = index;
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
-        auto* worker =
-            choose_worker(pass.state, pass.candidates, {&job, ref, &step, rack, false}, pass.now);
+        const placement_request request{&job, ref, &step, rack, false, false, suspect};
+        auto* worker = choose_worker(pass.state, pass.candidates, request, pass.now);
         if (worker != nullptr) {
+            starts_before.emplace_back(worker, worker->starts);
             start_run(pass, job, ref, member, *worker, run_number);
             continue;
         }
@@ -207,9 +221,17 @@
             ref.index = placed;
             clear_run(pass.state, ref, job.tasks[position + placed]);
         }
+        while (!starts_before.empty()) {
+            starts_before.back().first->starts = starts_before.back().second;
+            starts_before.pop_back();
+        }
         pass.commands.resize(commands_before);
         return false;
     }
+    for (const auto& [worker, starts] : starts_before) {
+        if (suspect)
+            isolate(*worker, job.id, pass.now);
+    }
     return true;
 }
 
@@ -400,6 +422,8 @@
     const auto worker = state.workers.find(command.worker);
     auto& run = *task->run;
     if (outcome == command_result::accepted) {
+        if (worker != state.workers.end())
+            worker->second.alive_at = std::max(worker->second.alive_at, now);
         ++state.counts.confirmed;
         if (run.phase == run_phase::commanded)
             confirm_run(state, command.task, run, now);
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -2,6 +2,7 @@
 
 #include "colocationtrial.h"
 #include "jobruns.h"
+#include "workercrashes.h"
 
 #include <algorithm>
 
@@ -241,18 +242,21 @@
 /** Returns whether the worker may get new tasks. */
 bool accepts_tasks(const job_scheduler& state, const job_worker& worker, time_point now)
 {
-    if (!worker.admitted || !worker.report_read || worker.leaving || now < worker.avoid_until)
+    if (!worker.admitted || !worker.report_read || worker.leaving || worker.lost ||
+        now < worker.avoid_until)
         return false;
     return now - worker.last_reply_at <= state.settings.lease - min_lease_left;
 }
 
 /** Returns whether the worker meets the conditions of the task, regardless of its capacity. */
-bool is_suitable(const job_worker& worker, const placement_request& request)
+bool is_suitable(const job_worker& worker, const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
     const auto& record = worker.record;
     if (record.service != request.job->queue.service || !has_label(worker, step.required_label))
         return false;
+    if (!allows_start(worker, request, now))
+        return false;
     if (!request.rack.empty() && record.rack != request.rack)
         return false;
     return step.max_per_worker == 0 || count_siblings(worker, request.task) < step.max_per_worker;
@@ -299,7 +303,7 @@
              slope_cache& slopes, time_point now)
 {
     const auto& step = *request.step;
-    if (!fits(reservation_of(step), free_capacity(worker)) || !is_suitable(worker, request))
+    if (!fits(reservation_of(step), free_capacity(worker)) || !is_suitable(worker, request, now))
         return false;
     if (!step.best_effort)
         return true;
@@ -317,7 +321,7 @@
     std::optional<std::vector<wire::task_ref>> fewest_preempted;
     job_worker* chosen = nullptr;
     for (auto& [id, worker] : state.workers) {
-        if (!accepts_tasks(state, worker, now) || !is_suitable(worker, request))
+        if (!accepts_tasks(state, worker, now) || !is_suitable(worker, request, now))
             continue;
         auto preempted = runs_to_preempt(state, worker, wanted);
         if (!preempted || (fewest_preempted && preempted->size() >= fewest_preempted->size()))
@@ -344,7 +348,7 @@
     };
     for (auto& [id, worker] : state.workers) {
         if (ended(worker.avoid_until) || ended(worker.best_effort_blocked_until) ||
-            ended(worker.stopped_for_tail_at + tail_settling_pause))
+            ended(worker.isolated_until) || ended(worker.stopped_for_tail_at + tail_settling_pause))
             mark_changed(state, worker);
     }
     state.pauses_checked_at = now;
@@ -377,7 +381,8 @@
     const auto& step = *request.step;
     const auto demand = reservation_of(step);
     const auto best_effort = best_effort_demand_of(step);
-    const auto failed_at = last_failure(state.failed, request);
+    // A suspect finds a worker once others have not started tasks there for a while.
+    const auto failed_at = request.suspect ? 0 : last_failure(state.failed, request);
     const bool many_non_serving = step.tail_target.count() > 0 && has_many_non_serving(state);
     slope_cache slopes{step};
     job_worker* best = nullptr;
@@ -399,7 +404,7 @@
         best_cost = cost;
     }
     // A member of a gang fails beside the others, which give their capacity back.
-    if (best == nullptr && !step.gang)
+    if (best == nullptr && !step.gang && !request.suspect)
         record_failure(state.failed, request, state.last_change);
     return best;
 }
@@ -433,7 +438,7 @@
 {
     const auto& step = *request.step;
     const auto demand = reservation_of(step);
-    const auto failed_at = last_failure(state.failed, request);
+    const auto failed_at = request.suspect ? 0 : last_failure(state.failed, request);
     slope_cache slopes{step};
     slowed_placement best;
     double best_pace = 0;
@@ -443,7 +448,7 @@
         auto& worker = *candidate.worker;
         ++state.counts.candidates;
         if (!fits(demand, candidate.free) || !fits(demand, free_capacity(worker)) ||
-            !accepts_best_effort(worker, now) || !is_suitable(worker, request))
+            !accepts_best_effort(worker, now) || !is_suitable(worker, request, now))
             continue;
         const auto added = request.oversubscribes ? worker.record.capacity.processors.value() *
                                                         oversubscription_percent / 100
@@ -455,7 +460,7 @@
         best = {&worker, static_cast<std::uint32_t>(pace)};
         best_pace = pace;
     }
-    if (best.worker == nullptr)
+    if (best.worker == nullptr && !request.suspect)
         record_failure(state.failed, request, state.last_change);
     return best;
 }
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -20,6 +20,8 @@
     bool oversubscribes{false};
     /** The task may start below full speed. */
     bool slowed{false};
+    /** The task may crash its worker. */
+    bool suspect{false};
 };
 
 /** Returns the resources that a run of the step reserves on its worker. */
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -3,6 +3,7 @@
 #include "baselinelatency.h"
 #include "colocationtrial.h"
 #include "jobplacement.h"
+#include "workercrashes.h"
 
 #include <algorithm>
 
@@ -115,6 +116,7 @@
         worker.best_effort_by_image[run.image] += claimed;
     }
     update_tail_forecasts(state, worker);
+    record_start(worker.starts, ref.job, run.commanded_at);
     worker.runs[ref] = run.number;
     task.last_run = std::max(task.last_run, run.number);
     task.run = std::move(run);
@@ -161,6 +163,8 @@
 void confirm_run(job_scheduler& state, const wire::task_ref& ref, task_run& run, time_point now)
 {
     set_phase(run, run_phase::running, now);
+    if (!run.confirmed_at)
+        run.confirmed_at = now;
     // Workers start every run at full speed.
     if (run.pace_percent < full_pace_percent)
         state.paces_due.insert(ref);
@@ -212,6 +216,8 @@
         return "other_life";
     case command_result::refused:
         return "refused";
+    case command_result::not_sent:
+        return "not_sent";
     case command_result::none:
         return "none";
     }
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -13,6 +13,8 @@
     std::string checkpoint;
     /** How long the job has waited; set for its first start only. */
     std::optional<duration> job_wait{};
+    /** The task may crash its worker: the ledger has to record the start before it is sent. */
+    bool suspect{false};
 };
 
 /** Command to stop a run. */
@@ -48,6 +50,8 @@
     other_incarnation,
     /** The worker refused it for another reason and has done nothing. */
     refused,
+    /** It was not sent, because the lease or the contact with the worker was lost before. */
+    not_sent,
     /** No usable reply: whether the command was or will be carried out is unknown. */
     none,
 };
@@ -106,6 +110,21 @@
 /** Removes a worker whose runs have all ended and that will not return under the same name. */
 void remove_worker(job_scheduler& state, const worker_id& worker);
 
+/**
+ * Removes a worker that has crashed: another incarnation responded in its place. Returns the
+ * crashes to record in the ledger; until then the tasks do not start again.
+ */
+std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state,
+                                                      const worker_id& worker);
+/** Marks these crashes as recorded by the ledger. */
+void on_crash_recorded(job_scheduler& state, const std::vector<wire::record_crash::item>& items);
+/**
+ * Records that the worker did not respond. It gets no tasks until it does. `closed`: it closed its
+ * connection at `now`.
+ */
+void record_contact_loss(job_scheduler& state, const worker_id& worker, time_point now,
+                         bool closed);
+
 /** Extends the worker's lease, just before a command that grants it is sent. */
 void extend_lease(job_scheduler& state, const worker_id& worker, time_point now);
 /** Records that the worker replied to a request sent at `requested_at`. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -7,6 +7,7 @@
 #include <galenaturn/messages.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -69,6 +70,8 @@
     /** When the phase began. */
     time_point phase_since;
     time_point commanded_at;
+    /** When the worker first confirmed it. */
+    std::optional<time_point> confirmed_at;
     bool stop_sent{false};
     stop_cause cause{stop_cause::none};
     /** Share of full speed that the run may use, in percent. */
@@ -102,6 +105,12 @@
     bool recording{false};
     /** Workers where the task failed: the next attempt avoids them if it can. */
     std::set<worker_id> failed_on;
+    /** Number of crashes in a row that it may have caused, as recorded in the ledger. */
+    std::uint32_t crashes{0};
+    /** The lease of a worker expired that may have crashed because of it. */
+    bool lost_in_silence{false};
+    /** It has run for longer since than a task takes to crash its worker. */
+    bool cleared{false};
 };
 
 /**
@@ -185,6 +194,24 @@
     std::map<std::pair<std::string, std::string>, std::uint32_t> by_pair;
 };
 
+/** Loss of contact with a worker. */
+struct contact_loss {
+    time_point at;
+    /**
+     * The worker closed its connection, so that it was alive until then. Otherwise it may have been
+     * silent for some time.
+     */
+    bool closed{false};
+};
+
+/** The latest starts on a worker. */
+struct recent_starts {
+    submission_id last_job;
+    time_point last_at;
+    /** The latest one of another job than `last_job`. */
+    time_point other_at;
+};
+
 /** State of a worker, as far as this leader knows. */
 struct job_worker {
     wire::worker_record record;
@@ -234,6 +261,16 @@
     time_point last_reply_at;
     /** No new tasks are placed there before this time. */
     time_point avoid_until;
+    /** When it last responded. */
+    time_point alive_at;
+    /** When it stopped responding; empty while it responds. */
+    std::optional<contact_loss> lost;
+    recent_starts starts;
+    /** Until then only suspected tasks of this job start here. */
+    submission_id isolated_for;
+    time_point isolated_until;
+    /** Runs that were cleared when its lease expired, until it is known whether it has crashed. */
+    std::vector<wire::record_crash::item> unexplained;
     /** Failed runs since the last success. */
     std::uint32_t failure_streak{0};
     /** The highest completion number read, and the highest that the worker may forget. */
@@ -260,6 +297,9 @@
     std::uint64_t expired{0};
     /** Runs that ended with their worker. */
     std::uint64_t lost{0};
+    /** Workers that crashed, and runs that may have caused it. */
+    std::uint64_t worker_crashes{0};
+    std::uint64_t crash_suspects{0};
     std::uint64_t adopted{0};
     std::uint64_t orphans{0};
     std::uint64_t stopped_for_tail{0};
@@ -307,6 +347,8 @@
     colocation_trials trials;
     /** When a waiting job last oversubscribed a worker below full speed. */
     time_point last_oversubscription;
+    /** When contact with workers was lost, the latest last. */
+    std::deque<time_point> contact_losses;
     /** Number of workers with latency-critical tasks at the last scheduling pass. */
     std::size_t serving_workers{0};
     /** Sizes of the finite jobs, by queue. */
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -52,6 +52,13 @@
         task.succeeded = recorded.succeeded;
         task.failures = recorded.failures;
     }
+    for (const auto& [position, crashes] : record.crashes) {
+        auto& task = job.tasks[position];
+        if (crashes.count > task.crashes)
+            task.cleared = false;
+        task.crashes = crashes.count;
+        task.last_run = std::max({task.last_run, crashes.last_run, crashes.started_run});
+    }
     update_remaining(job);
 }
 
@@ -83,6 +90,20 @@
     job.ranked_by_size = !is_underserved(queue, job.work);
 }
 
+/** Calls `visit(ref, crashes)` for each recorded start whose crash has not been recorded. */
+template <class Visit>
+void for_each_suspect_start(const std::map<submission_id, wire::job_record>& jobs,
+                            const Visit& visit)
+{
+    for (const auto& [id, job] : jobs) {
+        for (const auto& [position, crashes] : job.crashes) {
+            const auto ref = wire::task_at(job.spec, id, position);
+            if (ref && crashes.started_run > crashes.last_run)
+                visit(*ref, crashes);
+        }
+    }
+}
+
 } // namespace
 
 job_scheduler take_over(const std::map<submission_id, wire::job_record>& jobs,
@@ -110,6 +131,12 @@
         worker.lease_expires_at = state.inherited_runs_expire_at;
         state.unread_workers.insert(id);
     }
+    for_each_suspect_start(jobs, [&](const wire::task_ref& ref, const wire::task_crashes& start) {
+        const auto worker = state.workers.find(start.started_on);
+        if (worker != state.workers.end())
+            worker->second.unexplained.push_back(
+                {ref, start.started_run, wire::crash_suspicion::suspect});
+    });
     return state;
 }
 
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -1,6 +1,7 @@
 #include "jobplacement.h"
 #include "jobruns.h"
 #include "tailcontrol.h"
+#include "workercrashes.h"
 
 #include <algorithm>
 
@@ -35,6 +36,7 @@
     run.phase = run_phase::running;
     run.phase_since = context.now;
     run.commanded_at = context.now;
+    run.confirmed_at = context.now;
     run.progressed_at = context.now;
     run.progress_percent = listed.percent;
     // Processor use far below the demand suggests that the earlier leader reduced the pace.
@@ -223,6 +225,41 @@
     state.workers.erase(worker);
 }
 
+std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& id)
+{
+    const auto found = state.workers.find(id);
+    if (found == state.workers.end())
+        return {};
+    auto& worker = found->second;
+    // A worker that leaves ends its remaining runs without a crash.
+    if (worker.leaving) {
+        remove_worker(state, id);
+        return {};
+    }
+    auto items = crash_items(state, worker);
+    items.insert(items.end(), worker.unexplained.begin(), worker.unexplained.end());
+    ++state.counts.worker_crashes;
+    remove_worker(state, id);
+    std::erase_if(items, [&](const auto& item) {
+        auto* task = find_task(state, item.task);
+        if (task == nullptr)
+            return true;
+        state.counts.crash_suspects += item.suspicion == wire::crash_suspicion::cleared ? 0 : 1;
+        // After its lease has expired, the task may run elsewhere.
+        task->recording = task->recording || !task->run;
+        return false;
+    });
+    return items;
+}
+
+void on_crash_recorded(job_scheduler& state, const std::vector<wire::record_crash::item>& items)
+{
+    for (const auto& item : items) {
+        if (auto* task = find_task(state, item.task))
+            task->recording = false;
+    }
+}
+
 void extend_lease(job_scheduler& state, const worker_id& id, time_point now)
 {
     const auto worker = state.workers.find(id);
@@ -246,6 +283,7 @@
     if (worker == state.workers.end())
         return {};
     report_context context{state, worker->second, requested_at, now, {}};
+    clear_surviving_suspects(state, worker->second, now);
     // Completions first: a task that ended and runs again is in both lists.
     for (const auto& ended : report.ended) {
         if (ended.number <= worker->second.completions_read)
@@ -287,6 +325,12 @@
         if (now <= worker.lease_expires_at || worker.runs.empty())
             continue;
         state.counts.expired += worker.runs.size();
+        // The worker may have crashed or be partitioned; its next response tells.
+        worker.unexplained = crash_items(state, worker);
+        for (const auto& item : worker.unexplained) {
+            if (item.suspicion != wire::crash_suspicion::cleared)
+                find_task(state, item.task)->lost_in_silence = true;
+        }
         end_all_runs(state, worker);
     }
 }
--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -234,10 +234,10 @@
     }
 };
 
-using command =
-    std::variant<write_catalogue, start_task, cancel_task, stop_task, assign_tasks, report_tasks,
-                 grant_stewardship, reserve_key, complete_key, expire_records, submit_job,
-                 cancel_job, record_completions, publish_queues, record_workers>;
+using command = std::variant<write_catalogue, start_task, cancel_task, stop_task, assign_tasks,
+                             report_tasks, grant_stewardship, reserve_key, complete_key,
+                             expire_records, submit_job, cancel_job, record_completions,
+                             publish_queues, record_workers, record_crash, record_suspect_start>;
 
 /** A command with its request id; commands with the same id are applied only once. */
 struct command_request {
--- a/src/libwire/jobs.cpp
+++ b/src/libwire/jobs.cpp
@@ -56,6 +56,20 @@
     return position;
 }
 
+std::optional<task_ref> task_at(const job_spec& spec, const submission_id& job,
+                                std::size_t position)
+{
+    const auto tasks = tasks_of_occurrence(spec);
+    if (tasks == 0 || position >= tasks * occurrences_of(spec))
+        return std::nullopt;
+    auto index = position % tasks;
+    std::uint32_t step = 0;
+    for (; index >= spec.steps[step].count; ++step)
+        index -= spec.steps[step].count;
+    return task_ref{job, static_cast<std::uint32_t>(position / tasks), step,
+                    static_cast<std::uint32_t>(index)};
+}
+
 std::string check_job(const job_spec& spec)
 {
     if (spec.steps.empty())
@@ -101,6 +115,19 @@
     return "unknown";
 }
 
+const char* to_string(crash_suspicion suspicion)
+{
+    switch (suspicion) {
+    case crash_suspicion::cleared:
+        return "cleared";
+    case crash_suspicion::suspect:
+        return "suspect";
+    case crash_suspicion::only_suspect:
+        return "only_suspect";
+    }
+    return "unknown";
+}
+
 const char* to_string(job_verb verb)
 {
     switch (verb) {
--- a/src/libwire/jobs.h
+++ b/src/libwire/jobs.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -127,6 +128,25 @@
     }
 };
 
+/** Crashes of workers that ran a task. */
+struct task_crashes {
+    /** Number of crashes in a row that the task may have caused. */
+    std::uint32_t count{0};
+    /** The run of the latest one. */
+    std::uint32_t last_run{0};
+    /** The latest run that was recorded before its start, and its worker. */
+    std::uint32_t started_run{0};
+    worker_id started_on;
+
+    bool operator==(const task_crashes&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(count, last_run, started_run, started_on);
+    }
+};
+
 enum class job_phase : std::uint8_t { open, succeeded, failed, cancelled };
 
 /** A job as stored in the ledger. */
@@ -139,11 +159,14 @@
     wall_time ended;
     /** One per task, in the order of occurrence, step and index; empty once ended. */
     std::vector<task_progress> tasks;
+    /** By position in `tasks`, only for tasks under which a worker has crashed; empty once ended.
+     */
+    std::map<std::uint32_t, task_crashes> crashes;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(id, queue, spec, submitted, phase, ended, tasks);
+        archive(id, queue, spec, submitted, phase, ended, tasks, crashes);
     }
 };
 
@@ -172,6 +195,10 @@
 /** Returns the index of a task in job_record::tasks, or nothing if the job has no such task. */
 std::optional<std::size_t> position_of(const job_spec& spec, const task_ref& task);
 
+/** Returns the task at an index in job_record::tasks, or nothing if the job has no such task. */
+std::optional<task_ref> task_at(const job_spec& spec, const submission_id& job,
+                                std::size_t position);
+
 /** Returns why a specification is invalid; empty if it is valid. */
 std::string check_job(const job_spec& spec);
 
@@ -224,6 +251,56 @@
     }
 };
 
+/** How likely a task is the cause of the crash of its worker. */
+enum class crash_suspicion : std::uint8_t {
+    /** It ran there for longer than a task takes to crash its worker. */
+    cleared,
+    /** One of several tasks that may be the cause. */
+    suspect,
+    /** Only tasks of its job can be the cause. */
+    only_suspect,
+};
+
+/** Records that a worker has crashed, before the tasks that ran there start again. */
+struct record_crash {
+    struct item {
+        task_ref task;
+        std::uint32_t run{0};
+        crash_suspicion suspicion{crash_suspicion::cleared};
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(task, run, suspicion);
+        }
+    };
+    worker_id worker;
+    std::vector<item> items;
+    wall_time now;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(worker, items, now);
+    }
+};
+
+/**
+ * Records the start of a task that may crash its worker, before it is commanded, so that the next
+ * leader knows of the crash too.
+ */
+struct record_suspect_start {
+    task_ref task;
+    std::uint32_t run{0};
+    worker_id worker;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(task, run, worker);
+    }
+};
+
 /** Publishes a higher version of the queues; `document` is stored as the operator wrote it. */
 struct publish_queues {
     std::uint64_t version{0};
@@ -359,6 +436,7 @@
 job_response unavailable_response(std::string reason);
 
 const char* to_string(job_phase phase);
+const char* to_string(crash_suspicion suspicion);
 const char* to_string(job_verb verb);
 const char* to_string(job_response_status status);
 
--- a/tests/ledger/jobrecordtest.cpp
+++ b/tests/ledger/jobrecordtest.cpp
@@ -1,5 +1,7 @@
 #include <galenaturn/ledger.h>
 
+#include <cereal/types/deque.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace galenaturn::ledger {
@@ -16,6 +18,12 @@
     CPPUNIT_TEST(only_a_higher_version_of_the_queues_is_accepted);
     CPPUNIT_TEST(a_snapshot_restores_jobs_queues_and_workers);
     CPPUNIT_TEST(an_ended_job_is_removed_after_its_retention);
+    CPPUNIT_TEST(two_crashes_under_a_task_fail_its_job_if_nothing_else_explains_the_second);
+    CPPUNIT_TEST(a_task_among_other_suspects_fails_its_job_after_four_crashes);
+    CPPUNIT_TEST(a_crash_recorded_twice_counts_once);
+    CPPUNIT_TEST(crashes_that_a_task_survived_the_start_of_do_not_count);
+    CPPUNIT_TEST(a_snapshot_restores_crashes);
+    CPPUNIT_TEST(a_snapshot_of_version_2_is_read);
     CPPUNIT_TEST_SUITE_END();
 
     ledger_state state_;
@@ -49,6 +57,13 @@
         return run(body);
     }
 
+    void crash(std::uint32_t run_number, wire::crash_suspicion suspicion)
+    {
+        wire::record_crash body;
+        body.items.push_back({{submission_id{"0123456789abcdef"}, 0, 0, 0}, run_number, suspicion});
+        run(body);
+    }
+
     const wire::job_record& record() { return state_.jobs.begin()->second; }
 
     void a_job_is_accepted_once()
@@ -143,6 +158,71 @@
         run(wire::expire_records{wall_time{std::chrono::minutes{11}}});
         CPPUNIT_ASSERT(state_.jobs.empty());
     }
+
+    void two_crashes_under_a_task_fail_its_job_if_nothing_else_explains_the_second()
+    {
+        run(job(2));
+        crash(1, wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        crash(2, wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::failed);
+    }
+
+    void a_task_among_other_suspects_fails_its_job_after_four_crashes()
+    {
+        run(job(2));
+        for (std::uint32_t number = 1; number <= 3; ++number)
+            crash(number, wire::crash_suspicion::suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        crash(4, wire::crash_suspicion::suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::failed);
+    }
+
+    void a_crash_recorded_twice_counts_once()
+    {
+        run(job(2));
+        crash(1, wire::crash_suspicion::only_suspect);
+        crash(1, wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+        CPPUNIT_ASSERT_EQUAL(1U, record().crashes.at(0).count);
+    }
+
+    void crashes_that_a_task_survived_the_start_of_do_not_count()
+    {
+        run(job(2));
+        crash(1, wire::crash_suspicion::suspect);
+        crash(2, wire::crash_suspicion::cleared);
+        crash(3, wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+    }
+
+    void a_snapshot_restores_crashes()
+    {
+        run(job(2));
+        crash(1, wire::crash_suspicion::suspect);
+        run(wire::record_suspect_start{
+            {submission_id{"0123456789abcdef"}, 0, 0, 0}, 2, worker_id{"w2"}});
+        const auto read = decode_snapshot(encode_snapshot(state_)).value();
+        CPPUNIT_ASSERT(read.jobs.begin()->second.crashes == record().crashes);
+        CPPUNIT_ASSERT_EQUAL(2U, record().crashes.at(0).started_run);
+    }
+
+    void a_snapshot_of_version_2_is_read()
+    {
+        run(job(2));
+        end(1, 3, true);
+        run(wire::publish_queues{4, "four"});
+        // Version 2 has no crashes at the end of each job.
+        auto snapshot = encode_snapshot(state_);
+        const auto after_jobs = wire::encode(state_.ended_jobs) + wire::encode(state_.queues) +
+                                wire::encode(std::vector<wire::worker_record>{});
+        const auto crashes_size = wire::encode(record().crashes).size();
+        snapshot.erase(snapshot.size() - after_jobs.size() - crashes_size, crashes_size);
+        snapshot.replace(0, sizeof(std::uint32_t), wire::encode(std::uint32_t{2}));
+        const auto read = decode_snapshot(snapshot).value();
+        CPPUNIT_ASSERT_EQUAL(3U, read.jobs.begin()->second.tasks[1].last_run);
+        CPPUNIT_ASSERT_EQUAL(std::string{"four"}, read.queues.document);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_record_test);
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -99,7 +99,7 @@
     {
         const auto end = now_ + seconds{options_.seconds};
         // After the last submission the remaining jobs have time to end.
-        const auto last_submission = end - seconds{10};
+        const auto last_submission = end - seconds{15};
         for (int job = 0; job < 3; ++job)
             submit(true);
         while (now_ < end) {
@@ -162,10 +162,13 @@
         return worker.up && now_ >= worker.partitioned_until;
     }
 
-    void crash(simulated_job_worker& worker)
+    void crash(simulated_job_worker& worker, bool closes_connections)
     {
         for (const auto& [ref, run] : worker.runs)
             ++history_[ref].crashes;
+        // A worker whose machine loses power leaves its connections open.
+        if (term_active_ && is_reachable(worker) && closes_connections)
+            record_contact_loss(state_, worker.announcement.worker.id, now_, true);
         worker.up = false;
         worker.returns_at = now_ + draw_span(1500, 4500);
         worker.runs.clear();
@@ -188,7 +191,7 @@
             }
             if (crashes_now(worker)) {
                 ++counts_.crashes_by_tasks;
-                crash(worker);
+                crash(worker, true);
                 continue;
             }
             for (auto run = worker.runs.begin(); run != worker.runs.end();) {
@@ -239,7 +242,7 @@
     void check_start(const simulated_job_worker& worker, const wire::task_ref& ref)
     {
         auto& history = history_[ref];
-        if (history.crashes >= crashes_before_limit &&
+        if (is_crashing(ref) && history.crashes >= crashes_before_limit &&
             ++history.starts_after_limit > tolerated_starts)
             ++counts_.starts_beyond_crash_limit;
         const bool runs_elsewhere =
@@ -272,11 +275,12 @@
     void cause_faults()
     {
         if (per_minute(options_.unrelated_crashes_per_minute)) {
+            const bool closes_connections = chance(50);
             for (auto count = draw(1, 4); count > 0; --count) {
                 auto& worker = draw_worker();
                 counts_.unrelated_crashes += worker.up ? 1 : 0;
                 if (worker.up)
-                    crash(worker);
+                    crash(worker, closes_connections);
             }
         }
         if (per_minute(options_.partitions_per_minute)) {
@@ -441,7 +445,12 @@
     /** Another incarnation responded: the worker that was addressed has crashed. */
     void retire(const worker_id& id)
     {
-        remove_worker(state_, id);
+        wire::record_crash crash;
+        crash.worker = id;
+        crash.items = on_worker_crash(state_, id);
+        crash.now = wall_;
+        const auto items = crash.items;
+        submit_command(std::move(crash), [this, items] { on_crash_recorded(state_, items); });
         const auto announced = announcements_.find(id);
         if (announced != announcements_.end())
             announced->second.presence.left = true;
@@ -459,8 +468,12 @@
         }
         for (const auto& id : known) {
             auto& worker = fleet_[index_of_.at(id)];
-            if (!is_reachable(worker) || now_ < worker.next_poll || recording_.contains(id))
+            if (now_ < worker.next_poll || recording_.contains(id))
                 continue;
+            if (!is_reachable(worker)) {
+                record_contact_loss(state_, id, now_, false);
+                continue;
+            }
             if (worker.announcement.worker.id != id) {
                 retire(id);
                 continue;
@@ -508,8 +521,14 @@
         expire_leases(state_, now_);
         for (const auto& command : plan_stops(state_, now_))
             send_stop(command);
-        for (const auto& command : plan_starts(state_, now_, wall_))
-            send_start(command);
+        for (const auto& command : plan_starts(state_, now_, wall_)) {
+            if (!command.suspect)
+                send_start(command);
+            else
+                submit_command(
+                    wire::record_suspect_start{command.task, command.run, command.worker},
+                    [this, command] { send_start(command); });
+        }
     }
 
     void send_stop(const stop_command& command)
@@ -529,6 +548,9 @@
 
     void send_start(const start_command& command)
     {
+        const auto known = state_.workers.find(command.worker);
+        if (known == state_.workers.end() || known->second.lost)
+            return on_start_result(state_, command, command_result::not_sent, now_);
         auto& worker = fleet_[index_of_.at(command.worker)];
         if (!is_reachable(worker) || worker.announcement.worker.id != command.worker)
             return on_start_result(state_, command, command_result::none, now_);
--- /dev/null
+++ b/tests/schedule/workercrashestest.cpp
@@ -0,0 +1,246 @@
+#include <galenaturn/schedule.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::schedule {
+
+/** Tests which tasks are suspected after the crash of a worker, and where suspects start again. */
+class worker_crashes_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_crashes_test);
+    CPPUNIT_TEST(only_tasks_that_have_just_started_are_suspected);
+    CPPUNIT_TEST(workers_lost_together_blame_no_task);
+    CPPUNIT_TEST(unconfirmed_run_is_not_blamed_alone);
+    CPPUNIT_TEST(task_waits_until_the_crash_is_recorded);
+    CPPUNIT_TEST(nothing_starts_beside_a_suspect);
+    CPPUNIT_TEST(suspect_waits_until_other_starts_have_survived);
+    CPPUNIT_TEST(suspects_leave_most_workers_to_others);
+    CPPUNIT_TEST(silent_worker_that_responds_again_has_not_crashed);
+    CPPUNIT_TEST(crash_found_after_the_lease_expired_is_recorded);
+    CPPUNIT_TEST(new_leader_records_the_crash_under_a_recorded_start);
+    CPPUNIT_TEST(leaving_worker_that_is_gone_has_not_crashed);
+    CPPUNIT_TEST(lost_worker_gets_no_tasks);
+    CPPUNIT_TEST_SUITE_END();
+
+    using items = std::vector<wire::record_crash::item>;
+    static constexpr duration survival = std::chrono::milliseconds{1100};
+    static constexpr duration moment = std::chrono::milliseconds{20};
+
+    job_scheduler state_;
+    time_point now_{std::chrono::hours{1}};
+    wall_time wall_{std::chrono::hours{500'000}};
+    std::map<worker_id, wire::worker_record> workers_in_ledger_;
+
+public:
+    void setUp() override { state_.settings.lease = std::chrono::seconds{8}; }
+
+private:
+    void add_worker(const std::string& id)
+    {
+        wire::worker_presence announcement;
+        announcement.worker.id = worker_id{id};
+        announcement.worker.service = service_id{"desk"};
+        announcement.worker.capacity = {millicores{8000}, bytes{std::int64_t{64} << 30}, {}};
+        workers_in_ledger_[announcement.worker.id] = announcement.worker;
+        on_worker_announcement(state_, announcement);
+        admit_worker(state_, announcement.worker.id);
+        report(id, {});
+        extend_lease(state_, announcement.worker.id, now_);
+    }
+
+    void report(const std::string& id, const worker_report& reported)
+    {
+        record_reply(state_, worker_id{id}, now_);
+        on_worker_report(state_, worker_id{id}, reported, now_, now_);
+    }
+
+    wire::job_record job(const std::string& id, std::uint32_t count, std::uint32_t crashes = 0)
+    {
+        wire::job_record record;
+        record.id = submission_id{id};
+        record.queue.service = service_id{"desk"};
+        wire::job_step step;
+        step.count = count;
+        step.demand.processors = millicores{1000};
+        step.estimate = std::chrono::seconds{1};
+        record.spec.steps.push_back(step);
+        record.tasks.resize(count);
+        for (std::uint32_t index = 0; index < count && crashes > 0; ++index)
+            record.crashes[index].count = crashes;
+        return record;
+    }
+
+    /** Plans starts and confirms them. */
+    std::vector<start_command> start()
+    {
+        auto commands = plan_starts(state_, now_, wall_);
+        for (const auto& command : commands)
+            on_start_result(state_, command, command_result::accepted, now_);
+        return commands;
+    }
+
+    /** Returns the crashes to record after the worker has closed its connection and was replaced.
+     */
+    items crash(const std::string& id)
+    {
+        record_contact_loss(state_, worker_id{id}, now_, true);
+        return on_worker_crash(state_, worker_id{id});
+    }
+
+    void only_tasks_that_have_just_started_are_suspected()
+    {
+        add_worker("w1");
+        auto survivor = job("survivor", 1, 1);
+        add_job(state_, survivor, now_);
+        start();
+        now_ += survival;
+        add_job(state_, job("recent", 1), now_);
+        start();
+        now_ += moment;
+        const auto crashes = crash("w1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashes.size());
+        CPPUNIT_ASSERT(crashes[0].suspicion == wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(crashes[1].suspicion == wire::crash_suspicion::cleared);
+    }
+
+    void workers_lost_together_blame_no_task()
+    {
+        add_worker("w1");
+        add_worker("w2");
+        add_job(state_, job("j", 1), now_);
+        const auto worker = start().front().worker.value();
+        now_ += moment;
+        record_contact_loss(state_, worker_id{worker == "w1" ? "w2" : "w1"}, now_, true);
+        CPPUNIT_ASSERT(crash(worker).front().suspicion == wire::crash_suspicion::suspect);
+    }
+
+    void unconfirmed_run_is_not_blamed_alone()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        plan_starts(state_, now_, wall_);
+        now_ += moment;
+        CPPUNIT_ASSERT(crash("w1").front().suspicion == wire::crash_suspicion::suspect);
+    }
+
+    void task_waits_until_the_crash_is_recorded()
+    {
+        add_worker("w1");
+        add_worker("w2");
+        add_job(state_, job("j", 1), now_);
+        const auto crashes = crash(start().front().worker.value());
+        CPPUNIT_ASSERT(start().empty());
+        on_crash_recorded(state_, crashes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
+
+    void nothing_starts_beside_a_suspect()
+    {
+        add_worker("w1");
+        add_job(state_, job("suspect", 1, 1), now_);
+        CPPUNIT_ASSERT(start().front().suspect);
+        add_job(state_, job("other", 1), now_);
+        now_ += moment;
+        CPPUNIT_ASSERT(start().empty());
+        now_ += survival;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
+
+    void suspect_waits_until_other_starts_have_survived()
+    {
+        add_worker("w1");
+        add_job(state_, job("other", 1), now_);
+        start();
+        add_job(state_, job("suspect", 2, 1), now_);
+        now_ += moment;
+        CPPUNIT_ASSERT(start().empty());
+        now_ += survival;
+        // Tasks of one job are not told apart, so its suspects may share a worker.
+        CPPUNIT_ASSERT(!start().empty());
+    }
+
+    void suspects_leave_most_workers_to_others()
+    {
+        for (int number = 0; number < 8; ++number)
+            add_worker("w" + std::to_string(number));
+        for (int number = 0; number < 8; ++number)
+            add_job(state_, job("suspect-" + std::to_string(number), 1, 1), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, start().size());
+    }
+
+    /** Starts a task on the only worker, which is then silent until its lease has expired. */
+    start_command start_and_lose_contact()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        const auto command = start().front();
+        now_ += moment;
+        record_contact_loss(state_, worker_id{"w1"}, now_, true);
+        now_ += std::chrono::seconds{10};
+        expire_leases(state_, now_);
+        return command;
+    }
+
+    void silent_worker_that_responds_again_has_not_crashed()
+    {
+        const auto command = start_and_lose_contact();
+        worker_report reported;
+        reported.ended.push_back({1, command.task, command.run, run_outcome::expired, ""});
+        report("w1", reported);
+        CPPUNIT_ASSERT(on_worker_crash(state_, worker_id{"w1"}).empty());
+    }
+
+    void crash_found_after_the_lease_expired_is_recorded()
+    {
+        const auto command = start_and_lose_contact();
+        // The task runs elsewhere meanwhile, as a suspect.
+        add_worker("w2");
+        CPPUNIT_ASSERT(start().front().suspect);
+        const auto crashes = on_worker_crash(state_, worker_id{"w1"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
+        CPPUNIT_ASSERT_EQUAL(command.run, crashes.front().run);
+        CPPUNIT_ASSERT(crashes.front().suspicion != wire::crash_suspicion::cleared);
+    }
+
+    void new_leader_records_the_crash_under_a_recorded_start()
+    {
+        add_worker("w1");
+        auto record = job("j", 1, 1);
+        record.crashes[0].last_run = 6;
+        record.crashes[0].started_run = 7;
+        record.crashes[0].started_on = worker_id{"w1"};
+        state_ = take_over({{record.id, record}}, workers_in_ledger_, state_.settings, now_, wall_);
+        const auto crashes = on_worker_crash(state_, worker_id{"w1"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
+        CPPUNIT_ASSERT_EQUAL(7U, crashes.front().run);
+        on_crash_recorded(state_, crashes);
+        add_worker("w2");
+        // Run numbers never repeat.
+        CPPUNIT_ASSERT(start().front().run > 7);
+    }
+
+    void leaving_worker_that_is_gone_has_not_crashed()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        start();
+        wire::worker_presence leaving;
+        leaving.worker = workers_in_ledger_.at(worker_id{"w1"});
+        leaving.leaving = true;
+        on_worker_announcement(state_, leaving);
+        CPPUNIT_ASSERT(crash("w1").empty());
+    }
+
+    void lost_worker_gets_no_tasks()
+    {
+        add_worker("w1");
+        record_contact_loss(state_, worker_id{"w1"}, now_, false);
+        add_job(state_, job("j", 1), now_);
+        CPPUNIT_ASSERT(start().empty());
+        report("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_crashes_test);
+
+} // namespace galenaturn::schedule
