--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -71,6 +71,7 @@
     counters_.add(name, {{"event", "failed"}}, counts_.failed);
     counters_.add(name, {{"event", "lapsed"}}, counts_.expired);
     counters_.add(name, {{"event", "lost"}}, counts_.lost);
+    counters_.add(name, {{"event", "unlisted"}}, counts_.unlisted);
     counters_.add(name, {{"event", "adopted"}}, counts_.adopted);
     counters_.add(name, {{"event", "stray"}}, counts_.orphans);
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -297,6 +297,8 @@
     std::uint64_t expired{0};
     /** Runs that ended with their worker. */
     std::uint64_t lost{0};
+    /** Runs that their worker no longer listed, without a known end. */
+    std::uint64_t unlisted{0};
     /** Workers that crashed, and runs that may have caused it. */
     std::uint64_t worker_crashes{0};
     std::uint64_t crash_suspects{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -175,6 +175,7 @@
             continue;
         const auto phase = task->run->phase;
         if (phase == run_phase::running || phase == run_phase::stopped) {
+            ++context.state.counts.unlisted;
             clear_run(context.state, ref, *task);
             forget_if_ended(context.state, ref.job);
         }
