--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -146,7 +146,8 @@
     {
         wire::worker_presence announcement;
         auto& record = announcement.worker;
-        record.id = worker_id{"w" + std::to_string(last_worker_++)};
+        const auto number = options_.ids_are_kept ? index : last_worker_++;
+        record.id = worker_id{"w" + std::to_string(number)};
         record.service = service_id{"desk"};
         record.address = {"10.0.0." + std::to_string(index + 1), 8129};
         record.capacity = {millicores{32'000}, bytes{std::int64_t{125} << 30}, {}};
--- a/tests/schedule/jobfaultsimulation.h
+++ b/tests/schedule/jobfaultsimulation.h
@@ -17,6 +17,8 @@
     int leader_losses_per_minute{0};
     /** Partitions of single workers that keep their runs. */
     int partitions_per_minute{0};
+    /** Workers that return have the id that they had before. */
+    bool ids_are_kept{false};
     /** Capacities that shrink and grow again. */
     int capacity_changes_per_minute{0};
 };
--- a/tests/schedule/jobfaultsimulationtest.cpp
+++ b/tests/schedule/jobfaultsimulationtest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(job_fault_simulation_test);
     CPPUNIT_TEST(a_task_that_crashes_its_workers_is_started_five_times_at_most);
     CPPUNIT_TEST(sound_jobs_survive_unrelated_crashes);
+    CPPUNIT_TEST(no_task_runs_twice_on_workers_that_restart_under_their_ids);
     CPPUNIT_TEST_SUITE_END();
 
     static void check_rules(const job_fault_counts& counts, const std::string& seed)
@@ -50,6 +51,22 @@
             check_rules(counts, text);
         }
     }
+
+    void no_task_runs_twice_on_workers_that_restart_under_their_ids()
+    {
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            job_fault_options options;
+            options.seed = seed;
+            options.ids_are_kept = true;
+            options.unrelated_crashes_per_minute = 30;
+            options.leader_losses_per_minute = 3;
+            options.crashing_job_percent = seed % 2 == 0 ? 5 : 0;
+            const auto counts = run_job_fault_simulation(options);
+            const auto text = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(text, counts.unrelated_crashes > 0);
+            check_rules(counts, text);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_fault_simulation_test);
