schedule, platform: each life of a worker is a worker of its own

Callers saw: tasks that had succeeded ran again. Cause: a worker that starts again under its id numbers its ends from 1. The leader kept the numbers of the earlier life, skipped the new ends as read and acknowledged them; the runs were then on no list, were cleared and started again. No start was unanswered, and nothing lapsed. Change: a worker's id holds its name and the time of its start, so that leases, clock offsets, runs, end numbers, pauses, the ledger's workers and announcements belong to one life. A report of another life than the one addressed ends the latter, and so does the announcement of a later one; those of earlier ones are outdated. A departure names no life and is taken for that of the one that was leaving. Commands name the worker only, so one to the earlier life may be carried out by the next: runs that are not known to have begun in the earlier life continue in the next as unknown, until its list or a stop settles them; a new leader reads the next life before it starts inherited tasks.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -228,8 +228,9 @@
     return effect != announcement_effect::outdated;
 }
 
-void job_service::on_announcement(const wire::worker_presence& presence)
+void job_service::on_announcement(wire::worker_presence presence)
 {
+    schedule::resolve_departure(announcements_, presence);
     if (!accept_announcement(presence))
         return;
     apply_announcement(presence);
@@ -284,6 +285,8 @@
         return;
     }
     schedule::on_worker_announcement(scheduler_, presence);
+    for (const auto& earlier : schedule::earlier_lives(scheduler_, id))
+        on_worker_crash(earlier, id);
     if (!recorded.contains(id))
         update_ledger_workers({presence.worker}, {});
 }
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -37,7 +37,7 @@
     result<void> start() override;
 
     /** Handles an announcement that a worker sent to this process. */
-    void on_announcement(const wire::worker_presence& presence);
+    void on_announcement(wire::worker_presence presence);
     /** Handles a request of a caller. Processes that do not lead reply `unavailable`. */
     boost::asio::awaitable<wire::job_response> handle_request(wire::job_request request);
 
@@ -97,8 +97,8 @@
     /** Logs the runs that end with the worker. */
     void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
-    /** Handles that another incarnation responded in place of the worker. */
-    void on_worker_crash(const worker_id& worker);
+    /** Handles that another worker responded in its place, or `next`, its next life. */
+    void on_worker_crash(const worker_id& worker, const worker_id& next = {});
     void forget_worker(const worker_id& worker);
     void update_clock(worker_connection& connection, const command_reply& reply);
     [[nodiscard]] std::optional<std::chrono::milliseconds>
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -155,7 +155,9 @@
     if (!in_term(generation) || connection == connections_.end())
         co_return false;
     if (polled.reply.result == command_result::other_incarnation) {
-        on_worker_crash(worker);
+        const bool is_next_life = polled.life > incarnation_of(worker);
+        on_worker_crash(worker,
+                        is_next_life ? make_worker_id(name_of(worker), polled.life) : worker_id{});
         co_return false;
     }
     update_clock(connection->second, polled.reply);
@@ -255,12 +257,12 @@
     forget_worker(worker);
 }
 
-void job_service::on_worker_crash(const worker_id& worker)
+void job_service::on_worker_crash(const worker_id& worker, const worker_id& next)
 {
-    log_lost_runs(worker, "other_life");
+    log_lost_runs(worker, next.empty() ? "other_life" : "next_life");
     wire::record_crash crash;
     crash.worker = worker;
-    crash.items = schedule::on_worker_crash(scheduler_, worker);
+    crash.items = schedule::on_worker_crash(scheduler_, worker, next, monotonic_now());
     crash.now = wall_now();
     for (const auto& item : crash.items) {
         if (item.suspicion != wire::crash_suspicion::cleared)
--- a/src/controld/workercommands.h
+++ b/src/controld/workercommands.h
@@ -32,6 +32,8 @@
 
 struct poll_reply {
     command_reply reply;
+    /** The life of the worker that replied, or 0 if it is not known. */
+    incarnation life;
     /** Set where the result is accepted. */
     schedule::worker_report report;
 };
--- a/src/libcore/ids.h
+++ b/src/libcore/ids.h
@@ -89,14 +89,25 @@
 /** One voter or learner of the ledger. A voter that lost its disk returns under a new id. */
 using voter_id = strong_name<struct voter_tag>;
 
+/** Number of a process's start; a restarted process has a higher one. */
+using incarnation = strong_number<struct incarnation_tag>;
+
+/**
+ * Returns the id of one life of a worker, so that nothing that is known of a worker is taken to
+ * hold for its next life. Without an incarnation the name is the id.
+ */
+worker_id make_worker_id(const std::string& name, incarnation life);
+/** Returns the name under which a worker announces itself in all its lives. */
+std::string name_of(const worker_id& worker);
+/** Returns the life of the worker, or 0 if it is not known. */
+incarnation incarnation_of(const worker_id& worker);
+
 /** Fencing token: a process that has seen a higher epoch rejects commands of a lower one. */
 using epoch = strong_number<struct epoch_tag>;
 /** Election number of the ledger's leader. */
 using term = strong_number<struct term_tag>;
 using log_index = strong_number<struct log_index_tag>;
 using catalogue_version = strong_number<struct catalogue_version_tag>;
-/** Number of a process's start; a restarted process has a higher one. */
-using incarnation = strong_number<struct incarnation_tag>;
 /** Sequence number of a heartbeat, assigned by its sender. */
 using heartbeat_number = strong_number<struct heartbeat_tag>;
 
--- a/src/libschedule/announcedworkers.h
+++ b/src/libschedule/announcedworkers.h
@@ -26,6 +26,8 @@
 
 announcement_effect record_announcement(announced_workers& workers,
                                         const wire::worker_presence& presence, time_point now);
+/** A departure names the worker but not its life: sets the life that was about to leave. */
+void resolve_departure(announced_workers& workers, wire::worker_presence& presence);
 /** Forgets workers that were silent for so long that no delayed announcement of them can arrive. */
 void forget_silent_workers(announced_workers& workers, time_point now);
 
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -111,11 +111,15 @@
 void remove_worker(job_scheduler& state, const worker_id& worker);
 
 /**
- * Removes a worker that has crashed: another incarnation responded in its place. Returns the
- * crashes to record in the ledger; until then the tasks do not start again.
+ * Removes a worker that has crashed: another one responded in its place, or `next`, its next life.
+ * Commands to the earlier life may still be carried out by the next one, so runs that are not known
+ * to have begun in the earlier life continue there as unknown. Returns the crashes to record in the
+ * ledger; until then the tasks do not start again.
  */
-std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state,
-                                                      const worker_id& worker);
+std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& worker,
+                                                      const worker_id& next, time_point now);
+/** Returns the workers that are earlier lives of this one. */
+std::vector<worker_id> earlier_lives(const job_scheduler& state, const worker_id& worker);
 /** Marks these crashes as recorded by the ledger. */
 void on_crash_recorded(job_scheduler& state, const std::vector<wire::record_crash::item>& items);
 /**
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -72,6 +72,8 @@
     time_point commanded_at;
     /** When the worker first confirmed it. */
     std::optional<time_point> confirmed_at;
+    /** A report of the worker has listed it. */
+    bool listed{false};
     bool stop_sent{false};
     stop_cause cause{stop_cause::none};
     /** Share of full speed that the run may use, in percent. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -37,6 +37,7 @@
     run.phase_since = context.now;
     run.commanded_at = context.now;
     run.confirmed_at = context.now;
+    run.listed = true;
     run.progressed_at = context.now;
     run.progress_percent = listed.percent;
     // Processor use far below the demand suggests that the earlier leader reduced the pace.
@@ -72,6 +73,7 @@
         task->run->number != listed.run)
         return mark_orphan();
     auto& run = *task->run;
+    run.listed = true;
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
     if (run.phase == run_phase::commanded || run.phase == run_phase::unknown)
@@ -184,6 +186,44 @@
     }
 }
 
+/** Returns whether the run has certainly begun in this life of the worker, and ended with it. */
+bool has_ended_with(const job_worker& worker, const task_run& run)
+{
+    if (incarnation_of(worker.record.id) == incarnation{})
+        return false;
+    return run.listed || (worker.lost && worker.lost->closed && run.confirmed_at &&
+                          *run.confirmed_at <= worker.lost->at);
+}
+
+/** Moves the runs that the next life of the worker may have, or may still get. */
+void begin_next_life(job_scheduler& state, const job_worker& earlier, const worker_id& next,
+                     time_point now)
+{
+    const auto [found, added] = state.workers.try_emplace(next);
+    auto& worker = found->second;
+    if (added) {
+        worker.record = earlier.record;
+        worker.record.id = next;
+    }
+    worker.lease_expires_at =
+        std::max(worker.lease_expires_at, now + certain_expiry(state.settings.lease));
+    if (state.unread_workers.erase(earlier.record.id) > 0 && !worker.report_read)
+        state.unread_workers.insert(next);
+    const auto runs = earlier.runs;
+    for (const auto& [ref, number] : runs) {
+        auto* task = find_task(state, ref);
+        if (task == nullptr || task->succeeded || has_ended_with(earlier, *task->run))
+            continue;
+        auto run = *task->run;
+        clear_run(state, ref, *task);
+        run.worker = next;
+        run.stop_sent = false;
+        run.confirmed_at.reset();
+        set_phase(run, run_phase::unknown, now);
+        begin_run(state, ref, *task, std::move(run));
+    }
+}
+
 void end_all_runs(job_scheduler& state, job_worker& worker)
 {
     const auto runs = worker.runs;
@@ -226,33 +266,51 @@
     state.workers.erase(worker);
 }
 
-std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& id)
+std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& id,
+                                                      const worker_id& next, time_point now)
 {
     const auto found = state.workers.find(id);
     if (found == state.workers.end())
         return {};
     auto& worker = found->second;
-    // A worker that leaves ends its remaining runs without a crash.
-    if (worker.leaving) {
-        remove_worker(state, id);
-        return {};
+    std::vector<wire::record_crash::item> items;
+    // A worker that leaves ends its remaining runs without a crash. Of a worker whose life is not
+    // known, the next one may be the same.
+    const bool may_be_same = !next.empty() && incarnation_of(id) == incarnation{};
+    if (!worker.leaving && !may_be_same) {
+        items = crash_items(state, worker);
+        items.insert(items.end(), worker.unexplained.begin(), worker.unexplained.end());
+        ++state.counts.worker_crashes;
     }
-    auto items = crash_items(state, worker);
-    items.insert(items.end(), worker.unexplained.begin(), worker.unexplained.end());
-    ++state.counts.worker_crashes;
+    if (!next.empty())
+        begin_next_life(state, worker, next, now);
     remove_worker(state, id);
     std::erase_if(items, [&](const auto& item) {
         auto* task = find_task(state, item.task);
         if (task == nullptr)
             return true;
         state.counts.crash_suspects += item.suspicion == wire::crash_suspicion::cleared ? 0 : 1;
-        // After its lease has expired, the task may run elsewhere.
+        // It may run elsewhere, or in the next life of the worker.
         task->recording = task->recording || !task->run;
         return false;
     });
     return items;
 }
 
+std::vector<worker_id> earlier_lives(const job_scheduler& state, const worker_id& id)
+{
+    const auto name = name_of(id);
+    std::vector<worker_id> earlier;
+    for (auto worker = state.workers.lower_bound(worker_id{name}); worker != state.workers.end();
+         ++worker) {
+        if (!worker->first.value().starts_with(name))
+            break;
+        if (name_of(worker->first) == name && incarnation_of(worker->first) < incarnation_of(id))
+            earlier.push_back(worker->first);
+    }
+    return earlier;
+}
+
 void on_crash_recorded(job_scheduler& state, const std::vector<wire::record_crash::item>& items)
 {
     for (const auto& item : items) {
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -67,7 +67,7 @@
     if (starts.last_job != job)
         starts.other_at = starts.last_at;
     starts.last_job = job;
-    starts.last_at = now;
+    starts.last_at = std::max(starts.last_at, now);
 }
 
 void isolate(job_worker& worker, const submission_id& job, time_point now)
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -39,6 +39,9 @@
     CPPUNIT_TEST(task_names_round_trip);
     CPPUNIT_TEST(reads_an_announcement);
     CPPUNIT_TEST(rejects_malformed_announcements);
+    CPPUNIT_TEST(an_announcement_names_the_life_of_its_worker);
+    CPPUNIT_TEST(an_announcement_with_an_implausible_start_names_no_worker);
+    CPPUNIT_TEST(a_worker_report_names_the_life_of_its_worker);
     CPPUNIT_TEST(reads_a_worker_report);
     CPPUNIT_TEST(rejects_incomplete_worker_reports);
     CPPUNIT_TEST(commands_have_the_fencing_token_and_the_lease);
@@ -92,7 +95,7 @@
 
     void reads_an_announcement()
     {
-        const auto presence = read_announcement(worker_id{"w"}, announcement);
+        const auto presence = read_announcement("w", announcement);
         CPPUNIT_ASSERT(presence.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string{"r1-3"}, presence->worker.rack.value());
         CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, presence->worker.capacity.processors.value());
@@ -112,7 +115,36 @@
             replaced(announcement, "16000", "-1"),
         };
         for (const auto& body : broken)
-            CPPUNIT_ASSERT_MESSAGE(body, !read_announcement(worker_id{"w"}, body));
+            CPPUNIT_ASSERT_MESSAGE(body, !read_announcement("w", body));
+    }
+
+    static std::string started(const std::string& value)
+    {
+        return replaced(announcement, R"("sequence":4)", R"("sequence":4,"born":)" + value);
+    }
+
+    void an_announcement_names_the_life_of_its_worker()
+    {
+        const auto presence = read_announcement("w", started("1773226114081"));
+        CPPUNIT_ASSERT(presence.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"w"}, name_of(presence->worker.id));
+        CPPUNIT_ASSERT(incarnation_of(presence->worker.id) == incarnation{1773226114081});
+        // Platforms whose workers never return under the same name do not have the field.
+        CPPUNIT_ASSERT(read_announcement("w", announcement)->worker.id == worker_id{"w"});
+    }
+
+    void an_announcement_with_an_implausible_start_names_no_worker()
+    {
+        for (const char* value : {R"("1773226114081")", "-1", "0", "null", "[]", "1.5", "true",
+                                  "1e300", "9007199254740993"})
+            CPPUNIT_ASSERT_MESSAGE(value, !read_announcement("w", started(value)));
+    }
+
+    void a_worker_report_names_the_life_of_its_worker()
+    {
+        const auto report = read_report(R"({"clockMs":1,"born":12,"running":[],"endedRuns":[]})");
+        CPPUNIT_ASSERT(report->life == incarnation{12});
+        CPPUNIT_ASSERT(!read_report(R"({"born":"12","running":[],"endedRuns":[]})"));
     }
 
     void reads_a_worker_report()
@@ -121,8 +153,8 @@
             read_report(R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c1",41,310]],)"
                         R"("endedRuns":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
         CPPUNIT_ASSERT(report.has_value());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{310}, report->running.front().measurement);
-        CPPUNIT_ASSERT(report->ended.front().outcome == schedule::run_outcome::succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{310}, report->report.running.front().measurement);
+        CPPUNIT_ASSERT(report->report.ended.front().outcome == schedule::run_outcome::succeeded);
     }
 
     void rejects_incomplete_worker_reports()
--- a/tests/schedule/announcedworkerstest.cpp
+++ b/tests/schedule/announcedworkerstest.cpp
@@ -5,8 +5,8 @@
 namespace galenaturn::schedule {
 
 /**
- * Tests announcements that arrive late, twice or not at all, and that a worker that has left never
- * returns.
+ * Tests announcements that arrive late, twice or not at all, and those of several lives of a
+ * worker.
  */
 class announced_workers_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(announced_workers_test);
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(overtaken_announcement_is_outdated);
     CPPUNIT_TEST(departure_is_reported_once);
     CPPUNIT_TEST(silent_workers_are_forgotten);
+    CPPUNIT_TEST(next_life_of_a_worker_is_a_new_worker);
+    CPPUNIT_TEST(announcement_of_an_earlier_life_is_outdated);
+    CPPUNIT_TEST(departure_removes_the_life_that_announced_it);
+    CPPUNIT_TEST(late_departure_of_an_earlier_life_does_not_remove_the_next_one);
     CPPUNIT_TEST_SUITE_END();
 
     announced_workers workers_;
@@ -76,6 +80,51 @@
         forget_silent_workers(workers_, now_);
         CPPUNIT_ASSERT(workers_.empty());
     }
+
+    static wire::worker_presence life(std::uint64_t number, std::uint64_t sequence)
+    {
+        auto announcement = announcement_with(sequence);
+        announcement.worker.id = make_worker_id("w1", incarnation{number});
+        return announcement;
+    }
+
+    void next_life_of_a_worker_is_a_new_worker()
+    {
+        record(life(100, 9));
+        CPPUNIT_ASSERT(record(life(200, 1)) == announcement_effect::new_worker);
+        CPPUNIT_ASSERT(record(life(200, 2)) == announcement_effect::unchanged);
+        CPPUNIT_ASSERT(workers_.at(life(100, 9).worker.id).presence.left);
+    }
+
+    void announcement_of_an_earlier_life_is_outdated()
+    {
+        record(life(200, 1));
+        CPPUNIT_ASSERT(record(life(100, 10)) == announcement_effect::outdated);
+        CPPUNIT_ASSERT(record(announcement_with(10)) == announcement_effect::outdated);
+    }
+
+    void departure_removes_the_life_that_announced_it()
+    {
+        auto leaving = life(100, 4);
+        leaving.leaving = true;
+        record(leaving);
+        auto departure = departure_announcement();
+        resolve_departure(workers_, departure);
+        CPPUNIT_ASSERT(record(departure) == announcement_effect::departure);
+        CPPUNIT_ASSERT(workers_.at(leaving.worker.id).presence.left);
+    }
+
+    void late_departure_of_an_earlier_life_does_not_remove_the_next_one()
+    {
+        auto leaving = life(100, 4);
+        leaving.leaving = true;
+        record(leaving);
+        record(life(200, 1));
+        auto departure = departure_announcement();
+        resolve_departure(workers_, departure);
+        CPPUNIT_ASSERT(record(departure) == announcement_effect::outdated);
+        CPPUNIT_ASSERT(!workers_.at(life(200, 1).worker.id).presence.left);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(announced_workers_test);
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -147,7 +147,9 @@
         wire::worker_presence announcement;
         auto& record = announcement.worker;
         const auto number = options_.ids_are_kept ? index : last_worker_++;
-        record.id = worker_id{"w" + std::to_string(number)};
+        const auto started = static_cast<std::uint64_t>(wall_.time_since_epoch().count());
+        record.id = make_worker_id("w" + std::to_string(number),
+                                   incarnation{options_.ids_are_kept ? started : 0});
         record.service = service_id{"desk"};
         record.address = {"10.0.0." + std::to_string(index + 1), 8129};
         record.capacity = {millicores{32'000}, bytes{std::int64_t{125} << 30}, {}};
@@ -221,6 +223,12 @@
         return job.crashes && ref.step == 0 && (options_.all_tasks_crash || ref.index == 0);
     }
 
+    /** A command names the worker, but not its life. */
+    static bool accepts_commands_to(const simulated_job_worker& worker, const worker_id& id)
+    {
+        return name_of(worker.announcement.worker.id) == name_of(id);
+    }
+
     command_result execute(simulated_job_worker& worker, const start_command& command)
     {
         auto& highest = worker.highest_runs[command.task];
@@ -265,8 +273,10 @@
             if (now_ < late.due)
                 return false;
             auto& worker = fleet_[index_of_.at(late.command.worker)];
-            if (worker.up && worker.announcement.worker.id == late.command.worker)
+            if (worker.up && accepts_commands_to(worker, late.command.worker)) {
+                worker.lease_until = std::max(worker.lease_until, now_ + lease);
                 execute(worker, late.command);
+            }
             return true;
         });
     }
@@ -439,16 +449,18 @@
         if (!term_active_ || presence.left)
             return;
         on_worker_announcement(state_, presence);
+        for (const auto& earlier : earlier_lives(state_, presence.worker.id))
+            retire(earlier, presence.worker.id);
         if (!ledger_.workers.contains(presence.worker.id))
             submit_command(wire::record_workers{{presence.worker}, {}}, [] {});
     }
 
-    /** Another incarnation responded: the worker that was addressed has crashed. */
-    void retire(const worker_id& id)
+    /** Another worker or the next life responded: the worker that was addressed has crashed. */
+    void retire(const worker_id& id, const worker_id& next)
     {
         wire::record_crash crash;
         crash.worker = id;
-        crash.items = on_worker_crash(state_, id);
+        crash.items = on_worker_crash(state_, id, next, now_);
         crash.now = wall_;
         const auto items = crash.items;
         submit_command(std::move(crash), [this, items] { on_crash_recorded(state_, items); });
@@ -475,8 +487,10 @@
                 record_contact_loss(state_, id, now_, false);
                 continue;
             }
-            if (worker.announcement.worker.id != id) {
-                retire(id);
+            const auto& present = worker.announcement.worker.id;
+            if (present != id) {
+                forget_acknowledged(worker, id);
+                retire(id, accepts_commands_to(worker, id) ? present : worker_id{});
                 continue;
             }
             worker.next_poll = now_ + poll_interval;
@@ -484,10 +498,9 @@
         }
     }
 
-    void poll(simulated_job_worker& worker, const worker_id& id)
+    /** The worker forgets the completions that the leader has read from the addressed life. */
+    void forget_acknowledged(simulated_job_worker& worker, const worker_id& id)
     {
-        extend_lease(state_, id, now_);
-        worker.lease_until = now_ + lease;
         const auto acknowledged = state_.workers.at(id).completions_acknowledged;
         std::erase_if(worker.ended, [&](const auto& ended) {
             if (ended.number > acknowledged)
@@ -496,6 +509,13 @@
                 history_[ended.task].success_recorded = true;
             return true;
         });
+    }
+
+    void poll(simulated_job_worker& worker, const worker_id& id)
+    {
+        extend_lease(state_, id, now_);
+        worker.lease_until = now_ + lease;
+        forget_acknowledged(worker, id);
         worker_report report;
         report.ended = worker.ended;
         for (const auto& [ref, run] : worker.runs)
@@ -535,7 +555,7 @@
     void send_stop(const stop_command& command)
     {
         auto& worker = fleet_[index_of_.at(command.worker)];
-        if (!is_reachable(worker) || worker.announcement.worker.id != command.worker)
+        if (!is_reachable(worker) || !accepts_commands_to(worker, command.worker))
             return on_stop_result(state_, command, command_result::none, now_);
         auto& highest = worker.highest_runs[command.task];
         highest = std::max(highest, command.run);
@@ -553,7 +573,7 @@
         if (known == state_.workers.end() || known->second.lost)
             return on_start_result(state_, command, command_result::not_sent, now_);
         auto& worker = fleet_[index_of_.at(command.worker)];
-        if (!is_reachable(worker) || worker.announcement.worker.id != command.worker)
+        if (!is_reachable(worker) || !accepts_commands_to(worker, command.worker))
             return on_start_result(state_, command, command_result::none, now_);
         extend_lease(state_, command.worker, now_);
         if (chance(2)) {
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -19,6 +19,11 @@
     CPPUNIT_TEST(new_leader_records_the_crash_under_a_recorded_start);
     CPPUNIT_TEST(leaving_worker_that_is_gone_has_not_crashed);
     CPPUNIT_TEST(lost_worker_gets_no_tasks);
+    CPPUNIT_TEST(ends_of_the_next_life_are_read_from_the_first);
+    CPPUNIT_TEST(confirmed_run_ends_with_its_life);
+    CPPUNIT_TEST(unconfirmed_start_may_be_carried_out_by_the_next_life);
+    CPPUNIT_TEST(runs_of_a_worker_of_unknown_life_continue_in_the_next_one);
+    CPPUNIT_TEST(new_leader_reads_the_next_life_before_it_starts_inherited_tasks);
     CPPUNIT_TEST_SUITE_END();
 
     using items = std::vector<wire::record_crash::item>;
@@ -83,7 +88,7 @@
     items crash(const std::string& id)
     {
         record_contact_loss(state_, worker_id{id}, now_, true);
-        return on_worker_crash(state_, worker_id{id});
+        return on_worker_crash(state_, worker_id{id}, {}, now_);
     }
 
     void only_tasks_that_have_just_started_are_suspected()
@@ -186,7 +191,7 @@
         worker_report reported;
         reported.ended.push_back({1, command.task, command.run, run_outcome::expired, ""});
         report("w1", reported);
-        CPPUNIT_ASSERT(on_worker_crash(state_, worker_id{"w1"}).empty());
+        CPPUNIT_ASSERT(on_worker_crash(state_, worker_id{"w1"}, {}, now_).empty());
     }
 
     void crash_found_after_the_lease_expired_is_recorded()
@@ -195,7 +200,7 @@
         // The task runs elsewhere meanwhile, as a suspect.
         add_worker("w2");
         CPPUNIT_ASSERT(start().front().suspect);
-        const auto crashes = on_worker_crash(state_, worker_id{"w1"});
+        const auto crashes = on_worker_crash(state_, worker_id{"w1"}, {}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
         CPPUNIT_ASSERT_EQUAL(command.run, crashes.front().run);
         CPPUNIT_ASSERT(crashes.front().suspicion != wire::crash_suspicion::cleared);
@@ -209,7 +214,7 @@
         record.crashes[0].started_run = 7;
         record.crashes[0].started_on = worker_id{"w1"};
         state_ = take_over({{record.id, record}}, workers_in_ledger_, state_.settings, now_, wall_);
-        const auto crashes = on_worker_crash(state_, worker_id{"w1"});
+        const auto crashes = on_worker_crash(state_, worker_id{"w1"}, {}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
         CPPUNIT_ASSERT_EQUAL(7U, crashes.front().run);
         on_crash_recorded(state_, crashes);
@@ -239,6 +244,90 @@
         report("w1", {});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
     }
+
+    static std::string life(std::uint64_t number)
+    {
+        return make_worker_id("w1", incarnation{number}).value();
+    }
+
+    /** Starts a task in life 100 of the only worker, ends that life, and returns the start. */
+    start_command start_before_the_next_life(bool confirmed, bool listed)
+    {
+        add_worker(life(100));
+        add_job(state_, job("j", 1), now_);
+        const auto command = plan_starts(state_, now_, wall_).front();
+        if (confirmed)
+            on_start_result(state_, command, command_result::accepted, now_);
+        if (listed)
+            report(life(100), {{{command.task, command.run, "", 10, 0}}, {}});
+        now_ += moment;
+        add_worker(life(200));
+        const auto earlier = earlier_lives(state_, worker_id{life(200)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, earlier.size());
+        on_crash_recorded(state_,
+                          on_worker_crash(state_, earlier.front(), worker_id{life(200)}, now_));
+        now_ += moment;
+        return command;
+    }
+
+    void ends_of_the_next_life_are_read_from_the_first()
+    {
+        add_worker(life(100));
+        worker_report old;
+        old.ended.push_back({37, {submission_id{"ended"}}, 1, run_outcome::succeeded, ""});
+        report(life(100), old);
+        start_before_the_next_life(true, true);
+        const auto command = start().front();
+        worker_report reported;
+        reported.ended.push_back({1, command.task, command.run, run_outcome::succeeded, ""});
+        const auto to_record =
+            on_worker_report(state_, command.worker, reported, now_ + moment, now_ + moment);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, to_record.size());
+    }
+
+    void confirmed_run_ends_with_its_life()
+    {
+        const auto before = start_before_the_next_life(true, true);
+        now_ += survival;
+        CPPUNIT_ASSERT(start().front().run > before.run);
+    }
+
+    void unconfirmed_start_may_be_carried_out_by_the_next_life()
+    {
+        const auto before = start_before_the_next_life(false, false);
+        CPPUNIT_ASSERT(start().empty());
+        report(life(200), {});
+        const auto stops = plan_stops(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        CPPUNIT_ASSERT_EQUAL(before.run, stops.front().run);
+        CPPUNIT_ASSERT_EQUAL(life(200), stops.front().worker.value());
+    }
+
+    void runs_of_a_worker_of_unknown_life_continue_in_the_next_one()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        const auto command = start().front();
+        add_worker(life(200));
+        CPPUNIT_ASSERT(
+            on_worker_crash(state_, worker_id{"w1"}, worker_id{life(200)}, now_).empty());
+        now_ += moment;
+        report(life(200), {{{command.task, command.run, "", 10, 0}}, {}});
+        CPPUNIT_ASSERT(start().empty());
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+    }
+
+    void new_leader_reads_the_next_life_before_it_starts_inherited_tasks()
+    {
+        add_worker(life(100));
+        const auto record = job("j", 1);
+        state_ = take_over({{record.id, record}}, workers_in_ledger_, state_.settings, now_, wall_);
+        on_worker_crash(state_, worker_id{life(100)}, worker_id{life(200)}, now_);
+        add_job(state_, record, now_);
+        CPPUNIT_ASSERT(state_.unread_workers.contains(worker_id{life(200)}));
+        add_worker(life(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_crashes_test);
