schedule: no start beside runs that are not reserved, or on a worker that has shrunk meanwhile

Looked for: starts beyond a capacity that shrinks and grows while the worker runs. Cause: runs that this leader neither started nor adopted were stopped, but counted nowhere until their end; a start was planned with one capacity and sent after a smaller one was announced; the ledger kept the capacity of a worker's first announcement, for the next leader. Change: a worker that lists such runs gets no tasks until it lists none; a start that no longer fits is not sent and is planned anew; a changed capacity is recorded in the ledger. Result: nothing_starts_beside_an_orphan_run fails without the change. no_start_exceeds_a_capacity_that_shrinks_and_grows and shrunk_worker_gets_nothing_until_its_runs_fit passed before too.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -287,7 +287,9 @@
     schedule::on_worker_announcement(scheduler_, presence);
     for (const auto& earlier : schedule::earlier_lives(scheduler_, id))
         on_worker_crash(earlier, id);
-    if (!recorded.contains(id))
+    // The next leader may not have heard of a capacity that has changed.
+    const auto found = recorded.find(id);
+    if (found == recorded.end() || found->second.capacity != presence.worker.capacity)
         update_ledger_workers({presence.worker}, {});
 }
 
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -333,7 +333,7 @@
     const auto requested_at = monotonic_now();
     header.reply_deadline = requested_at + command_timeout;
     command_reply reply;
-    if (!header.lease_until || !hub_.leads() || found->second.lost) {
+    if (!header.lease_until || !hub_.leads() || !schedule::may_send(scheduler_, command)) {
         reply.result = command_result::not_sent;
     }
     else {
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -411,6 +411,13 @@
     return commands;
 }
 
+bool may_send(const job_scheduler& state, const start_command& command)
+{
+    const auto worker = state.workers.find(command.worker);
+    return worker != state.workers.end() && !worker->second.lost &&
+           fits(worker->second.reserved, worker->second.record.capacity);
+}
+
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now)
 {
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -147,6 +147,11 @@
 /** Returns the pace changes to send now. */
 std::vector<pace_command> plan_paces(job_scheduler& state, time_point now);
 
+/**
+ * Returns whether a planned start may still be sent: its worker responds, and has not become
+ * smaller than what is reserved on it.
+ */
+bool may_send(const job_scheduler& state, const start_command& command);
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now);
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -273,6 +273,8 @@
     time_point isolated_until;
     /** Runs that were cleared when its lease expired, until it is known whether it has crashed. */
     std::vector<wire::record_crash::item> unexplained;
+    /** The last report listed runs that are not reserved here and are being stopped. */
+    bool has_orphans{false};
     /** Failed runs since the last success. */
     std::uint32_t failure_streak{0};
     /** The highest completion number read, and the highest that the worker may forget. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -62,6 +62,7 @@
     auto* task = find_task(context.state, listed.task);
     const auto mark_orphan = [&] {
         ++context.state.counts.orphans;
+        context.worker.has_orphans = true;
         context.state.orphans.push_back({listed.task, listed.run, context.worker.record.id});
     };
     if (task == nullptr || task->succeeded)
@@ -343,6 +344,7 @@
         return {};
     report_context context{state, worker->second, requested_at, now, {}};
     clear_surviving_suspects(state, worker->second, now);
+    worker->second.has_orphans = false;
     // Completions first: a task that ended and runs again is in both lists.
     for (const auto& ended : report.ended) {
         if (ended.number <= worker->second.completions_read)
--- a/tests/core/unitstest.cpp
+++ b/tests/core/unitstest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(demand_fits_only_if_every_resource_fits);
     CPPUNIT_TEST(amounts_with_units_are_parsed);
     CPPUNIT_TEST(amounts_with_missing_or_wrong_units_are_rejected);
+    CPPUNIT_TEST(a_worker_id_holds_its_name_and_life);
     CPPUNIT_TEST_SUITE_END();
 
     void demand_fits_only_if_every_resource_fits()
@@ -38,6 +39,17 @@
         CPPUNIT_ASSERT(!parse_endpoint("localhost:80"));
         CPPUNIT_ASSERT(!parse_endpoint("127.0.0.1:70000"));
     }
+
+    void a_worker_id_holds_its_name_and_life()
+    {
+        const auto worker = make_worker_id("w@1", incarnation{7});
+        CPPUNIT_ASSERT_EQUAL(std::string{"w@1"}, name_of(worker));
+        CPPUNIT_ASSERT(incarnation_of(worker) == incarnation{7});
+        for (const char* name : {"w1", "w@", "w@x", "w@-1"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string{name}, name_of(worker_id{name}));
+            CPPUNIT_ASSERT(incarnation_of(make_worker_id(name, {})) == incarnation{});
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(units_test);
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -569,8 +569,7 @@
 
     void send_start(const start_command& command)
     {
-        const auto known = state_.workers.find(command.worker);
-        if (known == state_.workers.end() || known->second.lost)
+        if (!may_send(state_, command))
             return on_start_result(state_, command, command_result::not_sent, now_);
         auto& worker = fleet_[index_of_.at(command.worker)];
         if (!is_reachable(worker) || !accepts_commands_to(worker, command.worker))
--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(new_leader_waits_for_the_lease_of_a_silent_worker_to_expire);
     CPPUNIT_TEST(cancelled_job_is_stopped_and_forgotten);
     CPPUNIT_TEST(orphan_run_is_stopped);
+    CPPUNIT_TEST(nothing_starts_beside_an_orphan_run);
+    CPPUNIT_TEST(shrunk_worker_gets_nothing_until_its_runs_fit);
+    CPPUNIT_TEST(start_that_no_longer_fits_is_not_sent);
     CPPUNIT_TEST(long_running_task_is_restarted_from_its_checkpoint);
     CPPUNIT_TEST(gang_is_placed_all_or_nothing);
     CPPUNIT_TEST(late_success_of_a_gang_keeps_the_capacity_of_its_next_run);
@@ -298,6 +301,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
     }
 
+    void nothing_starts_beside_an_orphan_run()
+    {
+        add_worker("w1", 4);
+        const wire::task_ref orphan{submission_id{"0123456789abcde0"}, 0, 0, 0};
+        report("w1", {{{orphan, 1, "", 50, 0}}, {}});
+        add_job(state_, job({step(1, 2)}), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        report("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void shrunk_worker_gets_nothing_until_its_runs_fit()
+    {
+        add_worker("w1", 4);
+        add_job(state_, job({step(2, 2)}), now_);
+        const auto commands = plan();
+        accept(commands);
+        on_worker_announcement(state_, announcement_of("w1", 3));
+        add_job(state_, job({step(1, 1)}, 'e'), now_);
+        CPPUNIT_ASSERT(plan().empty());
+        auto reported = ended(commands[0], run_outcome::succeeded);
+        reported.running.push_back({commands[1].task, commands[1].run, "", 50, 0});
+        report("w1", std::move(reported));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
+    }
+
+    void start_that_no_longer_fits_is_not_sent()
+    {
+        add_worker("w1", 4);
+        add_job(state_, job({step(2, 2)}), now_);
+        const auto commands = plan();
+        CPPUNIT_ASSERT(may_send(state_, commands[1]));
+        on_worker_announcement(state_, announcement_of("w1", 3));
+        CPPUNIT_ASSERT(!may_send(state_, commands[1]));
+        on_start_result(state_, commands[1], command_result::not_sent, now_);
+        CPPUNIT_ASSERT(may_send(state_, commands[0]));
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
     void long_running_task_is_restarted_from_its_checkpoint()
     {
         add_worker("w1", 4);
