--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -228,9 +228,9 @@
         pass.commands.resize(commands_before);
         return false;
     }
-    for (const auto& [worker, starts] : starts_before) {
-        if (suspect)
-            isolate(*worker, job.id, pass.now);
+    if (suspect) {
+        for (const auto& entry : starts_before)
+            isolate(*entry.first, job.id, pass.now);
     }
     return true;
 }
