schedule, ledger: recording a crash does not release a task whose success is being recorded

Cause: one mark told that a completion or a crash was being recorded. A task whose lease had expired in a silence could run elsewhere and succeed while the crash of its first worker was recorded; the mark was then removed early, and the task could start again. Also: a crash under a task that has succeeded counted, and a run moved to the next life of its worker was taken to be listed there.

--- a/src/libledger/applyjobs.cpp
+++ b/src/libledger/applyjobs.cpp
@@ -82,7 +82,7 @@
                         const wire::record_crash::item& item, wall_time now)
 {
     const auto position = wire::position_of(job.spec, item.task);
-    if (job.phase != job_phase::open || !position)
+    if (job.phase != job_phase::open || !position || job.tasks[*position].succeeded)
         return;
     auto& crashes = job.crashes[static_cast<std::uint32_t>(*position)];
     // This run or a later one was recorded already.
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -76,7 +76,7 @@
 
 bool needs_run(const open_task& task)
 {
-    return !task.succeeded && !task.run && !task.recording;
+    return !task.succeeded && !task.run && !task.recording && !task.recording_crash;
 }
 
 millicores claimed_processors(const task_run& run)
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -105,6 +105,8 @@
      * then.
      */
     bool recording{false};
+    /** A crash under it is being recorded; it is not started until then. */
+    bool recording_crash{false};
     /** Workers where the task failed: the next attempt avoids them if it can. */
     std::set<worker_id> failed_on;
     /** Number of crashes in a row that it may have caused, as recorded in the ledger. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -219,6 +219,7 @@
         clear_run(state, ref, *task);
         run.worker = next;
         run.stop_sent = false;
+        run.listed = false;
         run.confirmed_at.reset();
         set_phase(run, run_phase::unknown, now);
         begin_run(state, ref, *task, std::move(run));
@@ -291,8 +292,7 @@
         if (task == nullptr)
             return true;
         state.counts.crash_suspects += item.suspicion == wire::crash_suspicion::cleared ? 0 : 1;
-        // It may run elsewhere, or in the next life of the worker.
-        task->recording = task->recording || !task->run;
+        task->recording_crash = true;
         return false;
     });
     return items;
@@ -316,7 +316,7 @@
 {
     for (const auto& item : items) {
         if (auto* task = find_task(state, item.task))
-            task->recording = false;
+            task->recording_crash = false;
     }
 }
 
--- a/tests/ledger/jobrecordtest.cpp
+++ b/tests/ledger/jobrecordtest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_task_among_other_suspects_fails_its_job_after_four_crashes);
     CPPUNIT_TEST(a_crash_recorded_twice_counts_once);
     CPPUNIT_TEST(crashes_that_a_task_survived_the_start_of_do_not_count);
+    CPPUNIT_TEST(crashes_under_a_task_that_has_succeeded_do_not_count);
     CPPUNIT_TEST(a_snapshot_restores_crashes);
     CPPUNIT_TEST(a_snapshot_of_version_2_is_read);
     CPPUNIT_TEST_SUITE_END();
@@ -196,6 +197,15 @@
         CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
     }
 
+    void crashes_under_a_task_that_has_succeeded_do_not_count()
+    {
+        run(job(2));
+        end(0, 1, true);
+        for (std::uint32_t number = 2; number <= 6; ++number)
+            crash(number, wire::crash_suspicion::only_suspect);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::open);
+    }
+
     void a_snapshot_restores_crashes()
     {
         run(job(2));
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(suspects_leave_most_workers_to_others);
     CPPUNIT_TEST(silent_worker_that_responds_again_has_not_crashed);
     CPPUNIT_TEST(crash_found_after_the_lease_expired_is_recorded);
+    CPPUNIT_TEST(recorded_crash_does_not_release_a_task_whose_success_is_being_recorded);
     CPPUNIT_TEST(new_leader_records_the_crash_under_a_recorded_start);
     CPPUNIT_TEST(leaving_worker_that_is_gone_has_not_crashed);
     CPPUNIT_TEST(lost_worker_gets_no_tasks);
@@ -206,6 +207,20 @@
         CPPUNIT_ASSERT(crashes.front().suspicion != wire::crash_suspicion::cleared);
     }
 
+    void recorded_crash_does_not_release_a_task_whose_success_is_being_recorded()
+    {
+        start_and_lose_contact();
+        add_worker("w2");
+        const auto command = start().front();
+        const auto crashes = on_worker_crash(state_, worker_id{"w1"}, {}, now_);
+        worker_report reported;
+        reported.ended.push_back({1, command.task, command.run, run_outcome::succeeded, ""});
+        report("w2", reported);
+        on_crash_recorded(state_, crashes);
+        now_ += survival;
+        CPPUNIT_ASSERT(start().empty());
+    }
+
     void new_leader_records_the_crash_under_a_recorded_start()
     {
         add_worker("w1");
