tests: all power is lost together with a disk

The term of the platform that all machines may lose power at the moment when a disk is lost had no test of the ledger. Change: an option of the simulation, two tests.

--- a/tests/ledger/simulation/simfaults.cpp
+++ b/tests/ledger/simulation/simfaults.cpp
@@ -129,6 +129,13 @@
     node.disk = fake_disk{};
     node.last_read_index = log_index{};
     node.voter = voter_id{"v" + std::to_string(++last_voter_)};
+    if (!options_.power_lost_with_disks)
+        return;
+    ++result_.power_losses;
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        if (nodes_[other].alive())
+            crash(other);
+    }
 }
 
 void simulation::cut_links()
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -29,6 +29,8 @@
     bool crashes{true};
     bool partitions{true};
     bool voter_changes{true};
+    /** Whenever a disk is lost, all other processes lose power at the same moment. */
+    bool power_lost_with_disks{false};
 };
 
 struct simulation_result {
@@ -43,6 +45,7 @@
     std::uint64_t snapshots_installed{0};
     std::uint64_t voter_changes{0};
     std::uint64_t disks_lost{0};
+    std::uint64_t power_losses{0};
     std::uint64_t fresh_reads{0};
     std::uint64_t write_races_won{0};
 };
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -7,6 +7,8 @@
 class simulation_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(simulation_test);
     CPPUNIT_TEST(invariants_hold_under_every_kind_of_failure);
+    CPPUNIT_TEST(nothing_acknowledged_is_lost_when_all_power_is_lost_with_a_disk);
+    CPPUNIT_TEST(a_leader_is_elected_after_all_power_was_lost_with_disks);
     CPPUNIT_TEST(a_delayed_append_does_not_mark_a_restarted_voter_as_caught_up);
     CPPUNIT_TEST(voting_twice_is_detected);
     CPPUNIT_TEST(acknowledging_before_the_sync_is_detected);
@@ -47,6 +49,27 @@
         CPPUNIT_ASSERT(sum.fresh_reads > 1'000);
     }
 
+    void nothing_acknowledged_is_lost_when_all_power_is_lost_with_a_disk()
+    {
+        std::uint64_t power_losses = 0;
+        for (std::uint64_t seed = 301; seed < 309; ++seed) {
+            auto options = options_for_seed(seed);
+            options.power_lost_with_disks = true;
+            const auto result = run_simulation(options);
+            CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+            power_losses += result.power_losses;
+        }
+        CPPUNIT_ASSERT(power_losses > 5);
+    }
+
+    void a_leader_is_elected_after_all_power_was_lost_with_disks()
+    {
+        auto options = options_for_seed(329);
+        options.power_lost_with_disks = true;
+        const auto result = run_simulation(options);
+        CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+    }
+
     void a_delayed_append_does_not_mark_a_restarted_voter_as_caught_up()
     {
         auto options = options_for_seed(7);
