--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -178,7 +178,7 @@
     {
         add_worker("w1");
         add_job(state_, job("j", 1), now_);
-        const auto command = start().front();
+        auto command = start().front();
         now_ += moment;
         record_contact_loss(state_, worker_id{"w1"}, now_, true);
         now_ += std::chrono::seconds{10};
@@ -270,7 +270,7 @@
     {
         add_worker(life(100));
         add_job(state_, job("j", 1), now_);
-        const auto command = plan_starts(state_, now_, wall_).front();
+        auto command = plan_starts(state_, now_, wall_).front();
         if (confirmed)
             on_start_result(state_, command, command_result::accepted, now_);
         if (listed)
