--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-using schedule::announcement_effect;
 using wire::command_status;
 
 /**
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -88,7 +88,7 @@
     static boost::asio::awaitable<void> poll_worker(job_service* self, worker_id worker,
                                                     std::uint64_t generation);
     boost::asio::awaitable<bool> poll_once(worker_id worker, std::uint64_t generation);
-    boost::asio::awaitable<void> submit_until_recorded(wire::command body,
+    boost::asio::awaitable<void> submit_until_recorded(wire::command body, std::size_t items,
                                                        std::uint64_t generation);
     static boost::asio::awaitable<void> record_crash(job_service* self, wire::record_crash crash,
                                                      std::uint64_t generation);
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -184,7 +184,7 @@
 }
 
 /** Submits the command to the ledger until it is recorded or the term is over. */
-asio::awaitable<void> job_service::submit_until_recorded(wire::command body,
+asio::awaitable<void> job_service::submit_until_recorded(wire::command body, std::size_t items,
                                                          std::uint64_t generation)
 {
     const auto began = monotonic_now();
@@ -193,7 +193,9 @@
         if (outcome.status == command_status::accepted)
             break;
         log_event(log_level::warning, "ends_not_recorded",
-                  {{"status", wire::to_string(outcome.status)}, {"reason", outcome.reason}});
+                  {{"items", items},
+                   {"status", wire::to_string(outcome.status)},
+                   {"reason", outcome.reason}});
         co_await pause(shared_.io, record_retry_pause);
     }
     const auto elapsed = monotonic_now() - began;
@@ -209,7 +211,7 @@
     completions.items = items;
     completions.now = wall_now();
     wire::command body{std::move(completions)};
-    co_await submit_until_recorded(std::move(body), generation);
+    co_await submit_until_recorded(std::move(body), items.size(), generation);
     if (in_term(generation))
         schedule::on_completions_recorded(scheduler_, items);
 }
@@ -219,7 +221,7 @@
 {
     const auto items = crash.items;
     wire::command body{std::move(crash)};
-    co_await self->submit_until_recorded(std::move(body), generation);
+    co_await self->submit_until_recorded(std::move(body), items.size(), generation);
     if (!self->in_term(generation))
         co_return;
     schedule::on_crash_recorded(self->scheduler_, items);
