controld: jobs_counted logs what a count of waiting jobs was made of

Change: each count logs the open jobs of the queue, those of which a worker has confirmed or listed a run, those with a planned start only, those that are ending, the longest wait, the token and the age of the term. The answer itself is unchanged.

--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -32,6 +32,7 @@
     else {
         response.status = job_response_status::ok;
         response.waiting = schedule::jobs_waiting(scheduler_, queue_name);
+        log_count(queue_name, response.waiting);
     }
     response_counters_[response.status]->add();
     const auto elapsed = monotonic_now() - arrived;
@@ -106,6 +107,23 @@
     co_return response;
 }
 
+void job_service::log_count(const std::string& queue, std::uint64_t waiting) const
+{
+    const auto now = monotonic_now();
+    const auto summary = schedule::summarize_queue(scheduler_, queue, now);
+    log_event(log_level::info, "jobs_counted",
+              {{"queue", queue},
+               {"waiting", waiting},
+               {"open", summary.open},
+               {"begun", summary.begun},
+               {"unconfirmed", summary.unconfirmed},
+               {"ending", summary.ending},
+               {"longest_wait_us", summary.longest_wait.count()},
+               {"queues_version", queues_.version},
+               {"token", token_},
+               {"term_age_us", (now - term_began_at_).count()}});
+}
+
 wire::job_response job_service::show(const wire::job_request& request) const
 {
     wire::job_response response;
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -141,6 +141,7 @@
     token_ = hub_.current_term();
     connections_.clear();
     const auto now = monotonic_now();
+    term_began_at_ = now;
     scheduler_ =
         schedule::take_over(state.jobs, state.workers, shared_.settings.jobs, now, wall_now());
     scheduler_.interference = last_model_;
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -144,6 +144,8 @@
                                                       wire::queue_settings queue);
     boost::asio::awaitable<wire::job_response> cancel(wire::job_request request);
     wire::job_response show(const wire::job_request& request) const;
+    /** Logs what a count of waiting jobs was made of. */
+    void log_count(const std::string& queue, std::uint64_t waiting) const;
 
     daemon::context& shared_;
     control_hub& hub_;
@@ -161,6 +163,7 @@
     std::uint64_t generation_{0};
     bool term_active_{false};
     term token_;
+    time_point term_began_at_;
     schedule::job_scheduler scheduler_;
     schedule::job_counts counts_;
     counter_mirror counters_;
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -160,11 +160,18 @@
     run.phase_since = now;
 }
 
+void mark_begun(open_job& job, time_point now)
+{
+    if (!job.begun_at)
+        job.begun_at = now;
+}
+
 void confirm_run(job_scheduler& state, const wire::task_ref& ref, task_run& run, time_point now)
 {
     set_phase(run, run_phase::running, now);
     if (!run.confirmed_at)
         run.confirmed_at = now;
+    mark_begun(*find_job(state, ref.job), now);
     // Workers start every run at full speed.
     if (run.pace_percent < full_pace_percent)
         state.paces_due.insert(ref);
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -188,6 +188,20 @@
 };
 
 capacity_summary summarize_capacity(const job_scheduler& state);
+/** Open jobs of a queue. */
+struct queue_summary {
+    std::uint64_t open{0};
+    /** A worker has confirmed or listed a run. */
+    std::uint64_t begun{0};
+    /** A start was planned, and no worker has confirmed or listed a run. */
+    std::uint64_t unconfirmed{0};
+    /** Cancelled or ended; their runs are being stopped. */
+    std::uint64_t ending{0};
+    /** Longest time since the arrival of a job that has neither begun nor is ending. */
+    duration longest_wait{};
+};
+
+queue_summary summarize_queue(const job_scheduler& state, const std::string& queue, time_point now);
 /** Returns how many jobs of a queue wait for their first start. */
 std::uint64_t jobs_waiting(const job_scheduler& state, const std::string& queue);
 bool has_started(const job_scheduler& state, const submission_id& job);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -155,6 +155,8 @@
      */
     bool inherited{false};
     bool started{false};
+    /** When a worker first confirmed or listed a run of the job. */
+    std::optional<time_point> begun_at;
     /** Cancelled or ended: its runs are being stopped. */
     bool ending{false};
     /** Since when the job has had tasks that could start. */
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -175,6 +175,27 @@
         }));
 }
 
+queue_summary summarize_queue(const job_scheduler& state, const std::string& queue, time_point now)
+{
+    queue_summary sum;
+    for (const auto& [id, job] : state.jobs) {
+        if (job.queue.name != queue)
+            continue;
+        ++sum.open;
+        if (job.ending) {
+            ++sum.ending;
+            continue;
+        }
+        if (job.begun_at) {
+            ++sum.begun;
+            continue;
+        }
+        sum.unconfirmed += job.started ? 1 : 0;
+        sum.longest_wait = std::max(sum.longest_wait, now - job.arrived);
+    }
+    return sum;
+}
+
 capacity_summary summarize_capacity(const job_scheduler& state)
 {
     capacity_summary sum;
