tests: starts that wait behind others, or are carried out late, and the count of waiting jobs

A job counts as begun from the plan of its first start, so the count leaves out jobs whose starts were refused, got no response, or still wait behind another command. No test let a start wait: the simulation carried each out at once. Change: the simulation of job faults can queue the commands of a worker, let a share of them get no response and be carried out 2 to 12 s later, and cancel jobs; it compares the count and the state that callers see with what workers did.

--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -28,6 +28,9 @@
 /** Starts of a task that are tolerated after three workers have crashed under it. */
 constexpr std::uint32_t tolerated_starts = 2;
 constexpr std::uint32_t crashes_before_limit = 3;
+constexpr duration command_timeout = milliseconds{800};
+/** Jobs that were accepted this long ago are in the counts. */
+constexpr duration counted_after = seconds{5};
 
 /** A run on a simulated worker. */
 struct worker_run {
@@ -67,6 +70,24 @@
 struct late_start {
     time_point due;
     start_command command;
+    time_point sent_at;
+    /** The lease that it grants; the worker refuses it afterwards. */
+    time_point lease_until;
+};
+
+/** A stop that its worker executes late; its response is lost. */
+struct late_stop {
+    time_point due;
+    stop_command command;
+};
+
+/** Commands to one worker, of which one at a time is in flight. */
+struct command_queue {
+    std::deque<start_command> starts;
+    std::deque<stop_command> stops;
+    /** The command in flight gets no response; it times out at `busy_until`. */
+    std::function<void()> on_timeout;
+    time_point busy_until;
 };
 
 /** What is known of a task outside the scheduler. */
@@ -81,6 +102,10 @@
     wire::job_spec spec;
     bool crashes{false};
     bool counted{false};
+    bool cancelled{false};
+    time_point cancelled_at;
+    /** A worker has started a task of it. */
+    bool begun{false};
 };
 
 class job_fault_simulation {
@@ -114,11 +139,14 @@
                 begin_term();
             advance_workers();
             execute_late_starts();
+            execute_late_stops();
             announce();
             commit();
             exchange_with_workers();
             pass();
+            advance_command_queues();
             count_ended_jobs();
+            check_counts();
         }
         return counts_;
     }
@@ -229,14 +257,18 @@
         return name_of(worker.announcement.worker.id) == name_of(id);
     }
 
-    command_result execute(simulated_job_worker& worker, const start_command& command)
+    command_result execute(simulated_job_worker& worker, const start_command& command,
+                           time_point sent_at)
     {
         auto& highest = worker.highest_runs[command.task];
         if (command.run <= highest)
             return command_result::stale_run;
         highest = command.run;
         check_start(worker, command.task);
-        const auto& step = jobs_.at(command.task.job).spec.steps[command.task.step];
+        auto& job = jobs_.at(command.task.job);
+        job.begun = true;
+        counts_.starts_after_cancel += job.cancelled && sent_at > job.cancelled_at ? 1 : 0;
+        const auto& step = job.spec.steps[command.task.step];
         worker_run run;
         run.number = command.run;
         run.demand = step.demand;
@@ -273,14 +305,27 @@
             if (now_ < late.due)
                 return false;
             auto& worker = fleet_[index_of_.at(late.command.worker)];
-            if (worker.up && accepts_commands_to(worker, late.command.worker)) {
-                worker.lease_until = std::max(worker.lease_until, now_ + lease);
-                execute(worker, late.command);
+            if (worker.up && accepts_commands_to(worker, late.command.worker) &&
+                now_ < std::max(worker.lease_until, late.lease_until)) {
+                worker.lease_until = std::max(worker.lease_until, late.lease_until);
+                execute(worker, late.command, late.sent_at);
             }
             return true;
         });
     }
 
+    void execute_late_stops()
+    {
+        std::erase_if(late_stops_, [&](const late_stop& late) {
+            if (now_ < late.due)
+                return false;
+            auto& worker = fleet_[index_of_.at(late.command.worker)];
+            if (worker.up && accepts_commands_to(worker, late.command.worker))
+                execute(worker, late.command);
+            return true;
+        });
+    }
+
     // Faults.
 
     void cause_faults()
@@ -300,6 +345,8 @@
         }
         if (per_minute(options_.capacity_changes_per_minute))
             change_capacity(draw_worker());
+        if (options_.cancels_per_minute > 0 && per_minute(options_.cancels_per_minute))
+            cancel_any_job();
         if (term_active_ && per_minute(options_.leader_losses_per_minute)) {
             ++counts_.leader_losses;
             term_active_ = false;
@@ -365,6 +412,39 @@
             ++(job.crashes ? counts_.crashing_jobs : counts_.sound_jobs);
     }
 
+    void cancel_any_job()
+    {
+        const auto chosen =
+            std::next(jobs_.begin(), draw(0, static_cast<std::int64_t>(jobs_.size()) - 1));
+        const auto& id = chosen->first;
+        auto& job = chosen->second;
+        if (job.cancelled || ledger_.jobs.at(id).phase != wire::job_phase::open ||
+            ledger_.jobs.at(id).spec.steps.front().long_running)
+            return;
+        ++counts_.cancels;
+        --(job.crashes ? counts_.crashing_jobs : counts_.sound_jobs);
+        job.cancelled = true;
+        job.counted = true;
+        job.cancelled_at = now_;
+        apply(wire::cancel_job{id, wall_});
+    }
+
+    /** Compares what callers are told of the jobs with what the workers have done. */
+    void check_counts()
+    {
+        if (!term_active_)
+            return;
+        std::uint64_t waiting = 0;
+        for (const auto& [id, job] : jobs_) {
+            const bool is_open = ledger_.jobs.at(id).phase == wire::job_phase::open;
+            if (!is_open || job.begun)
+                continue;
+            waiting += now_ - job.at >= counted_after ? 1 : 0;
+            counts_.premature_starts += has_started(state_, id) ? 1 : 0;
+        }
+        counts_.low_counts += 2 * jobs_waiting(state_, "q") < waiting ? 1 : 0;
+    }
+
     void count_ended_jobs()
     {
         for (auto& [id, job] : jobs_) {
@@ -426,6 +506,7 @@
         ++generation_;
         pending_.clear();
         recording_.clear();
+        queues_.clear();
         state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
         for (const auto& [id, announced] : announcements_)
             apply_announcement(announced.presence);
@@ -463,6 +544,7 @@
         crash.items = on_worker_crash(state_, id, next, now_);
         crash.now = wall_;
         const auto items = crash.items;
+        queues_.erase(id);
         submit_command(std::move(crash), [this, items] { on_crash_recorded(state_, items); });
         const auto announced = announcements_.find(id);
         if (announced != announcements_.end())
@@ -552,23 +634,32 @@
         }
     }
 
+    void execute(simulated_job_worker& worker, const stop_command& command)
+    {
+        auto& highest = worker.highest_runs[command.task];
+        highest = std::max(highest, command.run);
+        const auto run = worker.runs.find(command.task);
+        if (run == worker.runs.end() || run->second.number != command.run)
+            return;
+        run->second.ends_at = now_ + stop_span;
+        run->second.outcome = run_outcome::stopped;
+    }
+
     void send_stop(const stop_command& command)
     {
+        if (options_.commands_wait)
+            return queues_[command.worker].stops.push_back(command);
         auto& worker = fleet_[index_of_.at(command.worker)];
         if (!is_reachable(worker) || !accepts_commands_to(worker, command.worker))
             return on_stop_result(state_, command, command_result::none, now_);
-        auto& highest = worker.highest_runs[command.task];
-        highest = std::max(highest, command.run);
-        const auto run = worker.runs.find(command.task);
-        if (run != worker.runs.end() && run->second.number == command.run) {
-            run->second.ends_at = now_ + stop_span;
-            run->second.outcome = run_outcome::stopped;
-        }
+        execute(worker, command);
         on_stop_result(state_, command, command_result::accepted, now_);
     }
 
     void send_start(const start_command& command)
     {
+        if (options_.commands_wait)
+            return queues_[command.worker].starts.push_back(command);
         if (!may_send(state_, command))
             return on_start_result(state_, command, command_result::not_sent, now_);
         auto& worker = fleet_[index_of_.at(command.worker)];
@@ -576,11 +667,76 @@
             return on_start_result(state_, command, command_result::none, now_);
         extend_lease(state_, command.worker, now_);
         if (chance(2)) {
-            late_starts_.push_back({now_ + draw_span(0, 4000), command});
+            const auto due = now_ + draw_span(0, 4000);
+            late_starts_.push_back({due, command, now_, due + lease});
             return on_start_result(state_, command, command_result::none, now_);
         }
         worker.lease_until = now_ + lease;
-        on_start_result(state_, command, execute(worker, command), now_);
+        on_start_result(state_, command, execute(worker, command, now_), now_);
+    }
+
+    void advance_command_queues()
+    {
+        if (!term_active_)
+            return;
+        for (auto& [id, queue] : queues_) {
+            if (now_ < queue.busy_until)
+                continue;
+            if (const auto on_timeout = std::exchange(queue.on_timeout, nullptr))
+                on_timeout();
+            while (now_ >= queue.busy_until && !(queue.stops.empty() && queue.starts.empty()))
+                send_first(queue);
+        }
+    }
+
+    void send_first(command_queue& queue)
+    {
+        if (!queue.stops.empty()) {
+            const auto command = queue.stops.front();
+            queue.stops.pop_front();
+            auto& worker = fleet_[index_of_.at(command.worker)];
+            const bool reaches =
+                is_reachable(worker) && accepts_commands_to(worker, command.worker);
+            const bool late = reaches && chance(options_.late_command_percent);
+            if (late)
+                late_stops_.push_back({now_ + draw_late(), command});
+            if (!reaches || late)
+                return wait_for_timeout(queue, command, on_stop_result);
+            execute(worker, command);
+            return on_stop_result(state_, command, command_result::accepted, now_);
+        }
+        const auto command = queue.starts.front();
+        queue.starts.pop_front();
+        if (!may_send(state_, command))
+            return on_start_result(state_, command, command_result::not_sent, now_);
+        extend_lease(state_, command.worker, now_);
+        auto& worker = fleet_[index_of_.at(command.worker)];
+        const bool reaches = is_reachable(worker) && accepts_commands_to(worker, command.worker);
+        const bool late = reaches && chance(options_.late_command_percent);
+        if (late)
+            late_starts_.push_back({now_ + draw_late(), command, now_, now_ + lease});
+        if (!reaches || late)
+            return wait_for_timeout(queue, command, on_start_result);
+        worker.lease_until = std::max(worker.lease_until, now_ + lease);
+        on_start_result(state_, command, execute(worker, command, now_), now_);
+    }
+
+    duration draw_late()
+    {
+        ++counts_.late_commands;
+        return draw_span(2000, 12'000);
+    }
+
+    /** Nothing is sent to the worker until the command times out. */
+    template <class Command>
+    void wait_for_timeout(command_queue& queue, const Command& command,
+                          void (*on_result)(job_scheduler&, const Command&, command_result,
+                                            time_point))
+    {
+        queue.busy_until = now_ + command_timeout;
+        queue.on_timeout = [this, command, on_result] {
+            on_result(state_, command, command_result::none, now_);
+        };
     }
 
     job_fault_options options_;
@@ -599,6 +755,8 @@
     std::uint64_t index_{0};
     std::deque<pending_command> pending_;
     std::vector<late_start> late_starts_;
+    std::vector<late_stop> late_stops_;
+    std::map<worker_id, command_queue> queues_;
     announced_workers announcements_;
     job_scheduler state_;
     /** Workers whose completions are being recorded; they are not polled meanwhile. */
@@ -610,6 +768,18 @@
 
 } // namespace
 
+job_fault_options late_command_options(std::uint64_t seed)
+{
+    job_fault_options options;
+    options.seed = seed;
+    options.commands_wait = true;
+    options.late_command_percent = seed % 2 == 0 ? 10 : 60;
+    options.partitions_per_minute = 20;
+    options.leader_losses_per_minute = 3;
+    options.cancels_per_minute = 30;
+    return options;
+}
+
 job_fault_counts run_job_fault_simulation(const job_fault_options& options)
 {
     return job_fault_simulation{options}.run();
--- a/tests/schedule/jobfaultsimulation.h
+++ b/tests/schedule/jobfaultsimulation.h
@@ -21,6 +21,14 @@
     bool ids_are_kept{false};
     /** Capacities that shrink and grow again. */
     int capacity_changes_per_minute{0};
+    /**
+     * Commands to a worker wait for the response to the one before, as in the daemon. A command
+     * that gets no response holds up those behind it until it times out.
+     */
+    bool commands_wait{false};
+    /** Share of the commands that get no response and are carried out 2 to 12 s later. */
+    int late_command_percent{0};
+    int cancels_per_minute{0};
 };
 
 /** What happened in a run, seen from the workers and the callers. */
@@ -44,6 +52,14 @@
     std::uint64_t doubled_starts{0};
     /** Starts that exceed the capacity which the worker announced 4 s before or later. */
     std::uint64_t oversized_starts{0};
+    std::uint64_t late_commands{0};
+    std::uint64_t cancels{0};
+    /** Starts that were sent although the cancellation of the job was recorded. */
+    std::uint64_t starts_after_cancel{0};
+    /** Counts of the waiting jobs under half of those that have waited for 5 s. */
+    std::uint64_t low_counts{0};
+    /** Observations of a job that is said to have started before any task of it had. */
+    std::uint64_t premature_starts{0};
 };
 
 /**
@@ -52,4 +68,7 @@
  */
 job_fault_counts run_job_fault_simulation(const job_fault_options& options);
 
+/** Options of a run in which commands wait behind others that get no response. */
+job_fault_options late_command_options(std::uint64_t seed);
+
 } // namespace galenaturn::schedule
--- a/tests/schedule/jobfaultsimulationtest.cpp
+++ b/tests/schedule/jobfaultsimulationtest.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(no_task_runs_twice_on_workers_that_restart_under_their_ids);
     CPPUNIT_TEST(tasks_crash_workers_that_restart_under_their_ids);
     CPPUNIT_TEST(no_start_exceeds_a_capacity_that_shrinks_and_grows);
+    CPPUNIT_TEST(waiting_jobs_are_counted_while_starts_wait_and_are_carried_out_late);
+    CPPUNIT_TEST(no_task_runs_twice_while_starts_wait_and_are_carried_out_late);
+    CPPUNIT_TEST(nothing_starts_after_its_job_was_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
     using count = std::uint64_t job_fault_counts::*;
@@ -89,6 +92,36 @@
         options.leader_losses_per_minute = 6;
         check_seeds(options, &job_fault_counts::capacity_changes);
     }
+    void waiting_jobs_are_counted_while_starts_wait_and_are_carried_out_late()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            const auto counts = run_job_fault_simulation(late_command_options(seed));
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, counts.late_commands > 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.low_counts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.premature_starts);
+        }
+    }
+
+    void no_task_runs_twice_while_starts_wait_and_are_carried_out_late()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            const auto counts = run_job_fault_simulation(late_command_options(seed));
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.doubled_starts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.oversized_starts);
+        }
+    }
+
+    void nothing_starts_after_its_job_was_cancelled()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            const auto counts = run_job_fault_simulation(late_command_options(seed));
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, counts.cancels > 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.starts_after_cancel);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_fault_simulation_test);
--- /dev/null
+++ b/tests/schedule/startstest.cpp
@@ -0,0 +1,137 @@
+#include <galenaturn/schedule.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::schedule {
+
+/** Tests that planned, sent and begun starts are told apart. */
+class starts_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(starts_test);
+    CPPUNIT_TEST(job_with_a_planned_start_is_counted_as_waiting);
+    CPPUNIT_TEST(job_whose_starts_did_not_begin_is_counted_as_waiting);
+    CPPUNIT_TEST(job_whose_start_was_lost_with_its_worker_is_counted_as_waiting);
+    CPPUNIT_TEST(job_of_which_a_run_was_listed_has_started);
+    CPPUNIT_TEST(job_of_which_a_run_has_ended_has_started_for_the_next_leader);
+    CPPUNIT_TEST_SUITE_END();
+
+    const submission_id job_id_{"0123456789abcdef"};
+    job_scheduler state_;
+    time_point now_{std::chrono::hours{1}};
+    wall_time wall_{std::chrono::hours{500'000}};
+
+public:
+    void setUp() override { state_.settings.lease = std::chrono::seconds{8}; }
+
+private:
+    void add_worker(const std::string& id)
+    {
+        wire::worker_presence announcement;
+        announcement.worker.id = worker_id{id};
+        announcement.worker.service = service_id{"desk"};
+        announcement.worker.capacity = {millicores{4000}, bytes{std::int64_t{64} << 30}, {}};
+        on_worker_announcement(state_, announcement);
+        admit_worker(state_, announcement.worker.id);
+        report(id, {});
+        extend_lease(state_, announcement.worker.id, now_);
+    }
+
+    void report(const std::string& id, const worker_report& reported)
+    {
+        record_reply(state_, worker_id{id}, now_);
+        on_worker_report(state_, worker_id{id}, reported, now_, now_);
+    }
+
+    [[nodiscard]] wire::job_record job() const
+    {
+        wire::job_record record;
+        record.id = job_id_;
+        record.queue.name = "q";
+        record.queue.service = service_id{"desk"};
+        record.queue.max_attempts = 3;
+        record.queue.latency = std::chrono::seconds{1};
+        wire::job_step step;
+        step.demand.processors = millicores{4000};
+        step.estimate = std::chrono::seconds{1};
+        record.spec.steps.push_back(step);
+        record.tasks.resize(1);
+        return record;
+    }
+
+    start_command plan_one()
+    {
+        const auto commands = plan_starts(state_, now_, wall_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        return commands.front();
+    }
+
+    void check_waits(const std::string& message)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{1}, jobs_waiting(state_, "q"));
+        CPPUNIT_ASSERT_MESSAGE(message, !has_started(state_, job_id_));
+    }
+
+    void check_has_started(const std::string& message)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, jobs_waiting(state_, "q"));
+        CPPUNIT_ASSERT_MESSAGE(message, has_started(state_, job_id_));
+    }
+
+    void job_with_a_planned_start_is_counted_as_waiting()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        check_waits("planned");
+        on_start_result(state_, command, command_result::accepted, now_);
+        check_has_started("accepted");
+    }
+
+    void job_whose_starts_did_not_begin_is_counted_as_waiting()
+    {
+        for (const auto result :
+             {command_result::no_capacity, command_result::too_late, command_result::unhealthy,
+              command_result::refused, command_result::not_sent, command_result::none}) {
+            state_ = {};
+            setUp();
+            add_worker("w1");
+            add_job(state_, job(), now_);
+            on_start_result(state_, plan_one(), result, now_);
+            check_waits(to_string(result));
+        }
+    }
+
+    void job_whose_start_was_lost_with_its_worker_is_counted_as_waiting()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        plan_one();
+        on_worker_crash(state_, worker_id{"w1"}, {}, now_);
+        check_waits("lost");
+    }
+
+    void job_of_which_a_run_was_listed_has_started()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        on_start_result(state_, command, command_result::none, now_);
+        now_ += std::chrono::milliseconds{10};
+        worker_report reported;
+        reported.running.push_back({command.task, command.run, "", 0, 0});
+        report("w1", reported);
+        check_has_started("listed");
+    }
+
+    void job_of_which_a_run_has_ended_has_started_for_the_next_leader()
+    {
+        auto record = job();
+        record.tasks[0].failures = 1;
+        record.tasks[0].last_run = 1;
+        state_ = take_over({{record.id, record}}, {}, state_.settings, now_, wall_);
+        check_has_started("a failure is recorded");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(starts_test);
+
+} // namespace galenaturn::schedule
