schedule: a job counts as begun when a run of it is known to have begun

Cause: `started` of a job was set in the pass that planned its first start, before anything was sent, and was never taken back. Starts that were refused, not sent, unanswered, lost with their worker or still queued made a job `running` and took it out of the count. A new leader, in contrast, took jobs with recorded ends for jobs that had not begun. Change: a job has begun when a worker has accepted or listed a run or reported its end, or when the ledger has an end of one. The count, the state that callers are shown and `job_started` in the log use this. Why it works: the count is then made of what workers have said. Until a start is confirmed the job counts as waiting, which is true or, for an unanswered start, errs on the side that callers can act on.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -227,15 +227,11 @@
     load_.longest_pass = std::max(load_.longest_pass, ended - began);
 }
 
-void job_service::log_first_start(const schedule::start_command& command) const
+void job_service::log_begun_jobs()
 {
-    const auto job = scheduler_.jobs.find(command.task.job);
-    if (!command.job_wait || job == scheduler_.jobs.end())
-        return;
-    log_event(log_level::info, "job_started",
-              {{"job", job->first},
-               {"queue", job->second.queue.name},
-               {"waited_us", command.job_wait->count()}});
+    for (const auto& job : std::exchange(scheduler_.begun_jobs, {}))
+        log_event(log_level::info, "job_started",
+                  {{"job", job.id}, {"queue", job.queue}, {"waited_us", job.waited.count()}});
 }
 
 void job_service::log_end(const wire::job_record& record, time_point now) const
@@ -293,12 +289,12 @@
     if (!term_active_ || !hub_.leads())
         return;
     const auto now = monotonic_now();
+    log_begun_jobs();
     schedule::expire_leases(scheduler_, now);
     schedule::drain_leaving_workers(scheduler_, now);
     queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
     queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
     for (auto& command : schedule::plan_starts(scheduler_, now, wall_now())) {
-        log_first_start(command);
         if (command.suspect)
             asio::co_spawn(shared_.io, start_suspect(this, std::move(command), generation_),
                            asio::detached);
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -131,7 +131,7 @@
     static boost::asio::awaitable<void>
     start_suspect(job_service* self, schedule::start_command command, std::uint64_t generation);
     void set_next_pass(time_point began);
-    void log_first_start(const schedule::start_command& command) const;
+    void log_begun_jobs();
     /** Logs the end of a job that is still open in the scheduler. */
     void log_end(const wire::job_record& record, time_point now) const;
     void schedule_tick();
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -103,12 +103,9 @@
     pass.state.counts.slowed_starts += is_slowed ? 1 : 0;
     job.unplaced_since.reset();
     begin_run(pass.state, ref, task, std::move(run));
-    std::optional<duration> job_wait;
-    if (!std::exchange(job.started, true))
-        job_wait = pass.now - job.arrived;
     ++pass.state.counts.starts;
-    pass.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint,
-                             job_wait, is_suspect(task)});
+    pass.commands.push_back(
+        {ref, run_number, worker.record.id, job.spec.text, task.checkpoint, is_suspect(task)});
 }
 
 bool has_runs(const open_job& job)
@@ -421,6 +418,8 @@
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now)
 {
+    if (outcome == command_result::accepted)
+        mark_begun(state, command.task.job, now);
     auto* task = find_task(state, command.task);
     const bool is_current = task != nullptr && task->run && task->run->number == command.run &&
                             task->run->worker == command.worker;
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -6,6 +6,7 @@
 #include "workercrashes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace galenaturn::schedule {
 
@@ -160,10 +161,12 @@
     run.phase_since = now;
 }
 
-void mark_begun(open_job& job, time_point now)
+void mark_begun(job_scheduler& state, const submission_id& id, time_point now)
 {
-    if (!job.begun_at)
-        job.begun_at = now;
+    auto* job = find_job(state, id);
+    if (job == nullptr || std::exchange(job->begun, true))
+        return;
+    state.begun_jobs.push_back({id, job->queue.name, now - job->arrived});
 }
 
 void confirm_run(job_scheduler& state, const wire::task_ref& ref, task_run& run, time_point now)
@@ -171,7 +174,7 @@
     set_phase(run, run_phase::running, now);
     if (!run.confirmed_at)
         run.confirmed_at = now;
-    mark_begun(*find_job(state, ref.job), now);
+    mark_begun(state, ref.job, now);
     // Workers start every run at full speed.
     if (run.pace_percent < full_pace_percent)
         state.paces_due.insert(ref);
--- a/src/libschedule/jobruns.h
+++ b/src/libschedule/jobruns.h
@@ -47,8 +47,8 @@
               time_point now);
 /** Sets the phase of a run and when it began. */
 void set_phase(task_run& run, run_phase phase, time_point now);
-/** Records that a task of the job has begun on a worker. */
-void mark_begun(open_job& job, time_point now);
+/** Records that a run of the job has begun on a worker. */
+void mark_begun(job_scheduler& state, const submission_id& job, time_point now);
 /** Records that the worker has started the run. */
 void confirm_run(job_scheduler& state, const wire::task_ref& ref, task_run& run, time_point now);
 /** Forgets the job if it has ended and has no runs left. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -11,8 +11,6 @@
     worker_id worker;
     std::string text;
     std::string checkpoint;
-    /** How long the job has waited; set for its first start only. */
-    std::optional<duration> job_wait{};
     /** The task may crash its worker: the ledger has to record the start before it is sent. */
     bool suspect{false};
 };
@@ -191,9 +189,9 @@
 /** Open jobs of a queue. */
 struct queue_summary {
     std::uint64_t open{0};
-    /** A worker has confirmed or listed a run. */
+    /** A run has certainly begun. */
     std::uint64_t begun{0};
-    /** A start was planned, and no worker has confirmed or listed a run. */
+    /** A start is planned, sent or unanswered, and no run is known to have begun. */
     std::uint64_t unconfirmed{0};
     /** Cancelled or ended; their runs are being stopped. */
     std::uint64_t ending{0};
@@ -202,8 +200,9 @@
 };
 
 queue_summary summarize_queue(const job_scheduler& state, const std::string& queue, time_point now);
-/** Returns how many jobs of a queue wait for their first start. */
+/** Returns how many jobs of a queue wait, because no run of them is known to have begun. */
 std::uint64_t jobs_waiting(const job_scheduler& state, const std::string& queue);
+/** Returns whether a run of the job has certainly begun. */
 bool has_started(const job_scheduler& state, const submission_id& job);
 
 const char* to_string(stop_cause cause);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -154,9 +154,8 @@
      * been read.
      */
     bool inherited{false};
-    bool started{false};
-    /** When a worker first confirmed or listed a run of the job. */
-    std::optional<time_point> begun_at;
+    /** A run has certainly begun: a worker has confirmed or listed it, or the ledger its end. */
+    bool begun{false};
     /** Cancelled or ended: its runs are being stopped. */
     bool ending{false};
     /** Since when the job has had tasks that could start. */
@@ -293,6 +292,13 @@
     worker_id worker;
 };
 
+/** A job of which the first run has begun. */
+struct begun_job {
+    submission_id id;
+    std::string queue;
+    duration waited{};
+};
+
 /** Event counts, for operators. */
 struct job_counts {
     std::uint64_t starts{0};
@@ -363,6 +369,8 @@
     std::size_t serving_workers{0};
     /** Sizes of the finite jobs, by queue. */
     std::map<std::string, queue_sizes> queue_sizes_of;
+    /** Jobs that have begun since the service last logged them. */
+    std::vector<begun_job> begun_jobs;
     job_counts counts;
     job_settings settings;
 };
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -51,6 +51,7 @@
             task.last_run = recorded.last_run;
         task.succeeded = recorded.succeeded;
         task.failures = recorded.failures;
+        job.begun = job.begun || recorded.succeeded || recorded.failures > 0;
     }
     for (const auto& [position, crashes] : record.crashes) {
         auto& task = job.tasks[position];
@@ -171,7 +172,7 @@
 {
     return static_cast<std::uint64_t>(
         std::count_if(state.jobs.begin(), state.jobs.end(), [&](const auto& job) {
-            return job.second.queue.name == queue && !job.second.started && !job.second.ending;
+            return job.second.queue.name == queue && !job.second.begun && !job.second.ending;
         }));
 }
 
@@ -186,11 +187,13 @@
             ++sum.ending;
             continue;
         }
-        if (job.begun_at) {
+        if (job.begun) {
             ++sum.begun;
             continue;
         }
-        sum.unconfirmed += job.started ? 1 : 0;
+        const bool has_run = std::any_of(job.tasks.begin(), job.tasks.end(),
+                                         [](const auto& task) { return task.run.has_value(); });
+        sum.unconfirmed += has_run ? 1 : 0;
         sum.longest_wait = std::max(sum.longest_wait, now - job.arrived);
     }
     return sum;
@@ -225,7 +228,7 @@
 bool has_started(const job_scheduler& state, const submission_id& job)
 {
     const auto recorded = state.jobs.find(job);
-    return recorded != state.jobs.end() && recorded->second.started;
+    return recorded != state.jobs.end() && recorded->second.begun;
 }
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -52,9 +52,7 @@
     begin_run(context.state, listed.task, task, std::move(run));
     if (is_throttled)
         context.state.paces_due.insert(listed.task);
-    auto& job = *find_job(context.state, listed.task.job);
-    job.started = true;
-    mark_begun(job, context.now);
+    find_job(context.state, listed.task.job)->begun = true;
     ++context.state.counts.adopted;
 }
 
@@ -128,7 +126,7 @@
     auto* task = find_task(context.state, ended.task);
     if (task == nullptr)
         return;
-    mark_begun(*job, context.now);
+    mark_begun(context.state, ended.task.job, context.now);
     task->last_run = std::max(task->last_run, ended.run);
     if (!ended.checkpoint.empty())
         task->checkpoint = ended.checkpoint;
