schedule, controld: a start is checked against its run before it is sent

Cause: a planned start waits in the queue of its worker's connection, at most 0.8 s for each command before it. Meanwhile its run could be cleared, with the lease of the worker or on cancellation, and the task start elsewhere; the queued start was then sent all the same, because only the worker was checked. Change: a run is `planned` until its command is sent. Just before that it is checked whether the run is still the task's and still planned; otherwise the start is dropped, counted by reason and logged. A planned run that is stopped is cleared at once, without a stop to its worker. `task_started` says how long the start had waited. Tests: may_send gave way to reason_to_drop, which names the reason, and the test says which one it expects.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -56,6 +56,7 @@
         response_counters_[status] = &shared.metrics.make_counter(
             "galenaturn_job_answers_total", {{"status", wire::to_string(status)}});
     const std::string name = "galenaturn_task_runs_total";
+    counters_.add(name, {{"event", "planned"}}, counts_.planned);
     counters_.add(name, {{"event", "started"}}, counts_.starts);
     counters_.add(name, {{"event", "confirmed"}}, counts_.confirmed);
     counters_.add(name, {{"event", "refused"}}, counts_.refused);
@@ -71,6 +72,8 @@
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
     counters_.add(name, {{"event", "paced"}}, counts_.pace_changes);
     counters_.add(name, {{"event", "started_slowed"}}, counts_.slowed_starts);
+    counters_.add_reasons<schedule::drop_reason>("galenaturn_starts_dropped_total",
+                                                 counts_.dropped);
     counters_.add("galenaturn_worker_crashes_total", {}, counts_.worker_crashes);
     counters_.add("galenaturn_crash_suspects_total", {}, counts_.crash_suspects);
     counters_.add("galenaturn_job_passes_total", {}, counts_.passes);
@@ -280,8 +283,7 @@
         self->queue_start(std::move(command));
         co_return;
     }
-    schedule::on_start_result(self->scheduler_, command, schedule::command_result::not_sent,
-                              monotonic_now());
+    self->drop_start(command, schedule::drop_reason::not_recorded);
 }
 
 void job_service::pass()
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -56,8 +56,9 @@
     return command;
 }
 
-/** Logs a start command with its result. */
-void log_start(const schedule::start_command& command, term token, const command_reply& reply)
+/** Logs a start command with its result, and how long it had waited until it was sent. */
+void log_start(const schedule::start_command& command, term token, const command_reply& reply,
+               duration queued)
 {
     log_event(log_level::info, "task_started",
               {{"task", command.task},
@@ -65,7 +66,8 @@
                {"worker", command.worker},
                {"token", token},
                {"answer", schedule::to_string(reply.result)},
-               {"reason", reply.reason}});
+               {"reason", reply.reason},
+               {"queued_us", queued.count()}});
 }
 
 /** Logs each completion that is read for the first time. */
@@ -334,17 +336,19 @@
     header.lease_until = lease_for(connection);
     const auto requested_at = monotonic_now();
     header.reply_deadline = requested_at + command_timeout;
-    command_reply reply;
-    if (!header.lease_until || !hub_.leads() || !schedule::may_send(scheduler_, command)) {
-        reply.result = command_result::not_sent;
-    }
-    else {
-        schedule::extend_lease(scheduler_, worker, requested_at);
-        reply = co_await commands_->start(found->second.record, command, header);
-    }
+    auto obstacle = schedule::reason_to_drop(scheduler_, command);
+    if (!obstacle && !hub_.leads())
+        obstacle = schedule::drop_reason::not_leading;
+    if (!obstacle && !header.lease_until)
+        obstacle = schedule::drop_reason::no_lease;
+    if (obstacle)
+        co_return drop_start(command, *obstacle);
+    schedule::extend_lease(scheduler_, worker, requested_at);
+    schedule::on_start_sent(scheduler_, command, requested_at);
+    const auto reply = co_await commands_->start(found->second.record, command, header);
     if (!in_term(generation))
         co_return;
-    log_start(command, token_, reply);
+    log_start(command, token_, reply, requested_at - command.planned_at);
     schedule::on_start_result(scheduler_, command, reply.result, monotonic_now());
     if (reply.result == command_result::other_incarnation)
         co_return on_worker_crash(worker);
@@ -356,6 +360,20 @@
         schedule_pass();
 }
 
+void job_service::drop_start(const schedule::start_command& command, schedule::drop_reason reason)
+{
+    const auto now = monotonic_now();
+    log_event(log_level::info, "start_dropped",
+              {{"task", command.task},
+               {"run", command.run},
+               {"worker", command.worker},
+               {"token", token_},
+               {"reason", schedule::to_string(reason)},
+               {"queued_us", (now - command.planned_at).count()}});
+    schedule::drop_start(scheduler_, command, reason, now);
+    schedule_pass();
+}
+
 template <class Command>
 asio::awaitable<std::optional<command_reply>>
 job_service::send_command(worker_id worker, std::uint64_t generation, Command command,
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -103,9 +103,9 @@
     pass.state.counts.slowed_starts += is_slowed ? 1 : 0;
     job.unplaced_since.reset();
     begin_run(pass.state, ref, task, std::move(run));
-    ++pass.state.counts.starts;
-    pass.commands.push_back(
-        {ref, run_number, worker.record.id, job.spec.text, task.checkpoint, is_suspect(task)});
+    ++pass.state.counts.planned;
+    pass.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint,
+                             is_suspect(task), pass.now});
 }
 
 bool has_runs(const open_job& job)
@@ -408,11 +408,38 @@
     return commands;
 }
 
-bool may_send(const job_scheduler& state, const start_command& command)
+std::optional<drop_reason> reason_to_drop(const job_scheduler& state, const start_command& command)
 {
+    const auto* run = find_run(state, command.task, command.run, command.worker);
+    if (run == nullptr || run->phase != run_phase::planned)
+        return drop_reason::outdated;
     const auto worker = state.workers.find(command.worker);
-    return worker != state.workers.end() && !worker->second.lost &&
-           fits(worker->second.reserved, worker->second.record.capacity);
+    if (worker == state.workers.end() || worker->second.lost)
+        return drop_reason::worker_lost;
+    if (!fits(worker->second.reserved, worker->second.record.capacity))
+        return drop_reason::no_capacity;
+    return std::nullopt;
+}
+
+void drop_start(job_scheduler& state, const start_command& command, drop_reason reason,
+                time_point now)
+{
+    ++state.counts.dropped[static_cast<std::size_t>(reason)];
+    on_start_result(state, command, command_result::not_sent, now);
+}
+
+void on_start_sent(job_scheduler& state, const start_command& command, time_point now)
+{
+    auto& run = *find_task(state, command.task)->run;
+    GN_INVARIANT(run.phase == run_phase::planned && run.number == command.run,
+                 {"task", command.task}, {"run", command.run});
+    set_phase(run, run_phase::commanded, now);
+    run.commanded_at = now;
+    ++state.counts.starts;
+    auto& worker = state.workers.at(command.worker);
+    record_start(worker.starts, command.task.job, now);
+    if (command.suspect)
+        isolate(worker, command.task.job, now);
 }
 
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
@@ -420,29 +447,27 @@
 {
     if (outcome == command_result::accepted)
         mark_begun(state, command.task.job, now);
-    auto* task = find_task(state, command.task);
-    const bool is_current = task != nullptr && task->run && task->run->number == command.run &&
-                            task->run->worker == command.worker;
-    if (!is_current)
+    if (find_run(state, command.task, command.run, command.worker) == nullptr)
         return;
+    auto* task = find_task(state, command.task);
     const auto worker = state.workers.find(command.worker);
     auto& run = *task->run;
     if (outcome == command_result::accepted) {
         if (worker != state.workers.end())
             worker->second.alive_at = std::max(worker->second.alive_at, now);
         ++state.counts.confirmed;
-        if (run.phase == run_phase::commanded)
+        if (is_unconfirmed(run.phase))
             confirm_run(state, command.task, run, now);
         return;
     }
     if (outcome == command_result::none) {
         ++state.counts.unanswered;
-        if (run.phase == run_phase::commanded)
+        if (is_unconfirmed(run.phase))
             set_phase(run, run_phase::unknown, now);
         return;
     }
     // Every other result means that no run was started.
-    ++state.counts.refused;
+    state.counts.refused += outcome == command_result::not_sent ? 0 : 1;
     if (worker != state.workers.end()) {
         auto& avoid_until = worker->second.avoid_until;
         if (outcome == command_result::no_capacity)
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -75,6 +75,24 @@
     return position ? &job->tasks[*position] : nullptr;
 }
 
+const task_run* find_run(const job_scheduler& state, const wire::task_ref& ref,
+                         std::uint32_t number, const worker_id& worker)
+{
+    const auto job = state.jobs.find(ref.job);
+    if (job == state.jobs.end())
+        return nullptr;
+    const auto position = wire::position_of(job->second.spec, ref);
+    if (!position)
+        return nullptr;
+    const auto& run = job->second.tasks[*position].run;
+    return run && run->number == number && run->worker == worker ? &*run : nullptr;
+}
+
+bool is_unconfirmed(run_phase phase)
+{
+    return phase == run_phase::planned || phase == run_phase::commanded;
+}
+
 bool needs_run(const open_task& task)
 {
     return !task.succeeded && !task.run && !task.recording && !task.recording_crash;
@@ -183,6 +201,8 @@
 void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
               time_point now)
 {
+    if (task.run->phase == run_phase::planned)
+        return clear_run(state, ref, task);
     if (task.run->phase == run_phase::stopping || task.run->phase == run_phase::stopped)
         return;
     const auto worker = state.workers.find(task.run->worker);
@@ -259,6 +279,25 @@
     return "unknown";
 }
 
+const char* to_string(drop_reason reason)
+{
+    switch (reason) {
+    case drop_reason::outdated:
+        return "outdated";
+    case drop_reason::worker_lost:
+        return "worker_lost";
+    case drop_reason::no_capacity:
+        return "no_capacity";
+    case drop_reason::no_lease:
+        return "no_lease";
+    case drop_reason::not_leading:
+        return "not_leading";
+    case drop_reason::not_recorded:
+        return "not_recorded";
+    }
+    return "unknown";
+}
+
 const char* to_string(run_outcome outcome)
 {
     switch (outcome) {
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -13,6 +13,7 @@
     std::string checkpoint;
     /** The task may crash its worker: the ledger has to record the start before it is sent. */
     bool suspect{false};
+    time_point planned_at;
 };
 
 /** Command to stop a run. */
@@ -146,10 +147,15 @@
 std::vector<pace_command> plan_paces(job_scheduler& state, time_point now);
 
 /**
- * Returns whether a planned start may still be sent: its worker responds, and has not become
- * smaller than what is reserved on it.
+ * Returns why a planned start must not be sent any more, or nothing. To be asked just before the
+ * command is sent.
  */
-bool may_send(const job_scheduler& state, const start_command& command);
+std::optional<drop_reason> reason_to_drop(const job_scheduler& state, const start_command& command);
+/** Drops a planned start: its run has not begun. */
+void drop_start(job_scheduler& state, const start_command& command, drop_reason reason,
+                time_point now);
+/** Records that the start command is being sent. */
+void on_start_sent(job_scheduler& state, const start_command& command, time_point now);
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now);
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
@@ -206,6 +212,7 @@
 bool has_started(const job_scheduler& state, const submission_id& job);
 
 const char* to_string(stop_cause cause);
+const char* to_string(drop_reason reason);
 const char* to_string(command_result outcome);
 const char* to_string(run_outcome how);
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -6,6 +6,7 @@
 
 #include <galenaturn/messages.h>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,6 +19,8 @@
 
 /** Phase of a run, as far as the leader knows. */
 enum class run_phase : std::uint8_t {
+    /** The start command has not been sent: nothing has begun, and the run may be dropped. */
+    planned,
     /** The start command is in flight. */
     commanded,
     /** The worker has confirmed the run. */
@@ -66,9 +69,10 @@
     millicores finite_processors;
     duration tail_target{};
     std::string image;
-    run_phase phase{run_phase::commanded};
+    run_phase phase{run_phase::planned};
     /** When the phase began. */
     time_point phase_since;
+    /** When the start command was sent, or planned until then. */
     time_point commanded_at;
     /** When the worker first confirmed it. */
     std::optional<time_point> confirmed_at;
@@ -299,9 +303,30 @@
     duration waited{};
 };
 
+/** Why a planned start is dropped instead of sent. */
+enum class drop_reason : std::uint8_t {
+    /** The run was cleared or stopped meanwhile. */
+    outdated,
+    /** The worker does not respond or is gone. */
+    worker_lost,
+    /** The worker has become smaller than what is reserved on it. */
+    no_capacity,
+    /** The worker was silent for too long to get a lease. */
+    no_lease,
+    /** This process no longer leads. */
+    not_leading,
+    /** The ledger has not recorded the start of a suspect. */
+    not_recorded,
+};
+inline constexpr std::size_t drop_reason_count = 6;
+
 /** Event counts, for operators. */
 struct job_counts {
+    /** Starts that were planned, and those that were sent. */
+    std::uint64_t planned{0};
     std::uint64_t starts{0};
+    /** Planned starts that were not sent, by drop_reason. */
+    std::array<std::uint64_t, drop_reason_count> dropped{};
     std::uint64_t confirmed{0};
     std::uint64_t refused{0};
     std::uint64_t unanswered{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -77,7 +77,7 @@
     run.listed = true;
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
-    if (run.phase == run_phase::commanded || run.phase == run_phase::unknown)
+    if (is_unconfirmed(run.phase) || run.phase == run_phase::unknown)
         confirm_run(context.state, listed.task, run, context.now);
     if (listed.percent != run.progress_percent) {
         run.progress_percent = listed.percent;
--- a/tests/schedule/colocationsimulation.cpp
+++ b/tests/schedule/colocationsimulation.cpp
@@ -171,6 +171,11 @@
 void colocation_simulation::execute_commands()
 {
     for (const auto& command : plan_starts(state_, now_, wall_time{std::chrono::hours{500'000}})) {
+        if (const auto reason = reason_to_drop(state_, command)) {
+            drop_start(state_, command, *reason, now_);
+            continue;
+        }
+        on_start_sent(state_, command, now_);
         const auto& step = state_.jobs.at(command.task.job).spec.steps.front();
         auto& running = workers_.at(command.worker).running[command.task];
         running = {command.task,
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(job_whose_start_was_lost_with_its_worker_is_counted_as_waiting);
     CPPUNIT_TEST(job_of_which_a_run_was_listed_has_started);
     CPPUNIT_TEST(job_of_which_a_run_has_ended_has_started_for_the_next_leader);
+    CPPUNIT_TEST(start_of_a_run_that_was_cleared_is_not_sent);
+    CPPUNIT_TEST(start_of_a_cancelled_job_is_not_sent);
+    CPPUNIT_TEST(start_is_sent_once);
     CPPUNIT_TEST_SUITE_END();
 
     const submission_id job_id_{"0123456789abcdef"};
@@ -130,6 +133,47 @@
         state_ = take_over({{record.id, record}}, {}, state_.settings, now_, wall_);
         check_has_started("a failure is recorded");
     }
+    /** Otherwise the task runs twice: the start waits in a queue while the task starts elsewhere.
+     */
+    void start_of_a_run_that_was_cleared_is_not_sent()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        now_ += std::chrono::seconds{10};
+        expire_leases(state_, now_);
+        CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
+        add_worker("w2");
+        const auto next = plan_one();
+        on_start_sent(state_, next, now_);
+        on_start_result(state_, next, command_result::accepted, now_);
+        CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
+        drop_start(state_, command, drop_reason::outdated, now_);
+        check_has_started("the drop of the outdated start changes nothing");
+    }
+
+    void start_of_a_cancelled_job_is_not_sent()
+    {
+        add_worker("w1");
+        auto record = job();
+        add_job(state_, record, now_);
+        const auto command = plan_one();
+        record.phase = wire::job_phase::cancelled;
+        on_job_record(state_, record, now_);
+        CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        CPPUNIT_ASSERT(state_.jobs.empty());
+    }
+
+    void start_is_sent_once()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        CPPUNIT_ASSERT(!reason_to_drop(state_, command));
+        on_start_sent(state_, command, now_);
+        CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(starts_test);
