schedule: a start that was not sent is no suspect of a crash

Callers would see: work that is isolated and delayed, or after four such crashes given up, because it was planned on workers that crashed for other reasons. A run that was only planned, its start still in the queue of the connection, counted among the runs that may have crashed its worker, and as one that the next life of the worker might still begin. Change: planned runs are neither suspects nor continued in the next life; they are cleared, and the task can start elsewhere at once. Tests: two older tests said "unconfirmed" and meant a start in flight; they send it now.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -334,7 +334,7 @@
     std::uint64_t succeeded{0};
     std::uint64_t failed{0};
     std::uint64_t expired{0};
-    /** Runs that ended with their worker. */
+    /** Runs that ended with their worker, or starts that were planned there. */
     std::uint64_t lost{0};
     /** Runs that their worker no longer listed, without a known end. */
     std::uint64_t unlisted{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -188,9 +188,12 @@
     }
 }
 
-/** Returns whether the run has certainly begun in this life of the worker, and ended with it. */
+/** Returns whether the run has not begun, or has certainly begun in this life of the worker and
+ * ended with it. */
 bool has_ended_with(const job_worker& worker, const task_run& run)
 {
+    if (run.phase == run_phase::planned)
+        return true;
     if (incarnation_of(worker.record.id) == incarnation{})
         return false;
     return run.listed || (worker.lost && worker.lost->closed && run.confirmed_at &&
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -10,6 +10,9 @@
     CPPUNIT_TEST(only_tasks_that_have_just_started_are_suspected);
     CPPUNIT_TEST(workers_lost_together_blame_no_task);
     CPPUNIT_TEST(unconfirmed_run_is_not_blamed_alone);
+    CPPUNIT_TEST(start_that_was_not_sent_is_not_suspected);
+    CPPUNIT_TEST(start_that_was_not_sent_is_not_suspected_after_a_silence);
+    CPPUNIT_TEST(start_that_was_not_sent_does_not_continue_in_the_next_life);
     CPPUNIT_TEST(task_waits_until_the_crash_is_recorded);
     CPPUNIT_TEST(nothing_starts_beside_a_suspect);
     CPPUNIT_TEST(suspect_waits_until_other_starts_have_survived);
@@ -123,11 +126,47 @@
     {
         add_worker("w1");
         add_job(state_, job("j", 1), now_);
-        plan_starts(state_, now_, wall_);
+        on_start_sent(state_, plan_starts(state_, now_, wall_).front(), now_);
         now_ += moment;
         CPPUNIT_ASSERT(crash("w1").front().suspicion == wire::crash_suspicion::suspect);
     }
 
+    void start_that_was_not_sent_is_not_suspected()
+    {
+        add_worker("w1");
+        add_worker("w2");
+        add_job(state_, job("j", 1), now_);
+        const auto command = plan_starts(state_, now_, wall_).front();
+        now_ += moment;
+        CPPUNIT_ASSERT(crash(command.worker.value()).empty());
+        const auto next = start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT(!next.front().suspect);
+    }
+
+    void start_that_was_not_sent_is_not_suspected_after_a_silence()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        plan_starts(state_, now_, wall_);
+        now_ += std::chrono::seconds{10};
+        expire_leases(state_, now_);
+        add_worker("w2");
+        const auto next = start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT(!next.front().suspect);
+    }
+
+    void start_that_was_not_sent_does_not_continue_in_the_next_life()
+    {
+        add_worker(life(100));
+        add_job(state_, job("j", 1), now_);
+        plan_starts(state_, now_, wall_);
+        on_worker_crash(state_, worker_id{life(100)}, worker_id{life(200)}, now_);
+        add_worker("w2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
+
     void task_waits_until_the_crash_is_recorded()
     {
         add_worker("w1");
@@ -271,6 +310,7 @@
         add_worker(life(100));
         add_job(state_, job("j", 1), now_);
         auto command = plan_starts(state_, now_, wall_).front();
+        on_start_sent(state_, command, now_);
         if (confirmed)
             on_start_result(state_, command, command_result::accepted, now_);
         if (listed)
