schedule: only a stop that was carried out ends a run

Callers would see: a cancelled job that continues to run, or a task that runs twice, where a worker refuses a stop. Every response to a stop counted as its confirmation, also that of an unhealthy worker that has done nothing. Of a start without a response the task could then start elsewhere while the first start was still to be carried out. Change: a stop is confirmed by acceptance, or by a worker that has seen a higher run. Otherwise it is sent again.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -482,11 +482,13 @@
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
                     time_point now)
 {
-    auto* task = find_task(state, command.task);
-    const bool is_current = task != nullptr && task->run && task->run->number == command.run &&
-                            task->run->phase == run_phase::stopping;
-    if (!is_current || outcome == command_result::none)
+    // A worker that has seen a higher run of the task will not begin this one.
+    const bool confirmed =
+        outcome == command_result::accepted || outcome == command_result::stale_run;
+    const auto* run = find_run(state, command.task, command.run, command.worker);
+    if (!confirmed || run == nullptr || run->phase != run_phase::stopping)
         return;
+    auto* task = find_task(state, command.task);
     state.stops_due.erase(command.task);
     set_phase(*task->run, run_phase::stopped, now);
 }
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(start_of_a_run_that_was_cleared_is_not_sent);
     CPPUNIT_TEST(start_of_a_cancelled_job_is_not_sent);
     CPPUNIT_TEST(start_is_sent_once);
+    CPPUNIT_TEST(stop_that_was_refused_is_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
     const submission_id job_id_{"0123456789abcdef"};
@@ -174,6 +175,34 @@
         on_start_sent(state_, command, now_);
         CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
     }
+    /** Otherwise the run goes on, or begins late, beside the next one. */
+    void stop_that_was_refused_is_sent_again()
+    {
+        for (const auto result : {command_result::unhealthy, command_result::refused,
+                                  command_result::fenced, command_result::none}) {
+            state_ = {};
+            setUp();
+            add_worker("w1");
+            add_job(state_, job(), now_);
+            const auto command = plan_one();
+            on_start_sent(state_, command, now_);
+            on_start_result(state_, command, command_result::none, now_);
+            now_ += std::chrono::milliseconds{10};
+            report("w1", {});
+            const auto stop = plan_stops(state_, now_).at(0);
+            on_stop_result(state_, stop, result, now_);
+            now_ += std::chrono::milliseconds{700};
+            report("w1", {});
+            const std::string message = to_string(result);
+            CPPUNIT_ASSERT_MESSAGE(message, plan_starts(state_, now_, wall_).empty());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{1}, plan_stops(state_, now_).size());
+            on_stop_result(state_, stop, command_result::accepted, now_);
+            now_ += std::chrono::milliseconds{10};
+            report("w1", {});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{1},
+                                         plan_starts(state_, now_, wall_).size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(starts_test);
