schedule, controld: no new lease while a start that was cleared may still be carried out

Callers would see: a task that runs again after it has succeeded, where commands are carried out many seconds late. Cause: a start without a response was cleared when the lease of its worker expired, which is safe as long as the worker has no lease: it refuses the start as too late. Then the worker responded again and got its next lease, under which the late start began. Change: such starts are kept. The worker gets neither a lease nor tasks until each of them is confirmed as stopped, or is listed as running or ended. The next life of a worker inherits them.

--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -146,7 +146,8 @@
     const auto read_up_to = found->second.completions_read;
     command_header header;
     header.token = token_;
-    header.lease_until = lease_for(connections_[worker]);
+    if (schedule::may_extend_lease(scheduler_, worker))
+        header.lease_until = lease_for(connections_[worker]);
     const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
     header.reply_deadline = requested_at + wait + command_timeout;
     if (header.lease_until)
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -329,6 +329,18 @@
     return state.unread_workers.empty();
 }
 
+/** Plans the stops of the starts that the worker may still carry out. */
+void plan_doubtful_stops(job_worker& worker, time_point now, std::vector<stop_command>& commands)
+{
+    for (auto& doubtful : worker.doubtful_starts) {
+        if (doubtful.stop_sent_at && now - *doubtful.stop_sent_at < stop_resend_interval)
+            continue;
+        doubtful.stop_sent_at = now;
+        commands.push_back(
+            {doubtful.task, doubtful.run, worker.record.id, stop_cause::unconfirmed});
+    }
+}
+
 } // namespace
 
 void drain_leaving_workers(job_scheduler& state, time_point now)
@@ -391,6 +403,10 @@
     for (const auto& orphan : state.orphans)
         commands.push_back({orphan.task, orphan.run, orphan.worker, stop_cause::orphan});
     state.orphans.clear();
+    for (auto& [id, worker] : state.workers) {
+        if (!worker.lost)
+            plan_doubtful_stops(worker, now, commands);
+    }
     return commands;
 }
 
@@ -416,6 +432,8 @@
     const auto worker = state.workers.find(command.worker);
     if (worker == state.workers.end() || worker->second.lost)
         return drop_reason::worker_lost;
+    if (!worker->second.doubtful_starts.empty())
+        return drop_reason::no_lease;
     if (!fits(worker->second.reserved, worker->second.record.capacity))
         return drop_reason::no_capacity;
     return std::nullopt;
@@ -485,8 +503,13 @@
     // A worker that has seen a higher run of the task will not begin this one.
     const bool confirmed =
         outcome == command_result::accepted || outcome == command_result::stale_run;
+    if (!confirmed)
+        return;
+    const auto worker = state.workers.find(command.worker);
+    if (worker != state.workers.end())
+        settle_doubtful_start(state, worker->second, command.task, command.run);
     const auto* run = find_run(state, command.task, command.run, command.worker);
-    if (!confirmed || run == nullptr || run->phase != run_phase::stopping)
+    if (run == nullptr || run->phase != run_phase::stopping)
         return;
     auto* task = find_task(state, command.task);
     state.stops_due.erase(command.task);
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -243,7 +243,7 @@
 bool accepts_tasks(const job_scheduler& state, const job_worker& worker, time_point now)
 {
     if (!worker.admitted || !worker.report_read || worker.leaving || worker.lost ||
-        worker.has_orphans || now < worker.avoid_until)
+        worker.has_orphans || !worker.doubtful_starts.empty() || now < worker.avoid_until)
         return false;
     return now - worker.last_reply_at <= state.settings.lease - min_lease_left;
 }
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -214,6 +214,16 @@
     state.paces_due.erase(ref);
 }
 
+void settle_doubtful_start(job_scheduler& state, job_worker& worker, const wire::task_ref& ref,
+                           std::uint32_t run)
+{
+    const auto settled = std::erase_if(worker.doubtful_starts, [&](const auto& doubtful) {
+        return doubtful.task == ref && doubtful.run <= run;
+    });
+    if (settled > 0 && worker.doubtful_starts.empty())
+        mark_changed(state, worker);
+}
+
 void forget_if_ended(job_scheduler& state, const submission_id& id)
 {
     const auto job = state.jobs.find(id);
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -128,6 +128,11 @@
 void record_contact_loss(job_scheduler& state, const worker_id& worker, time_point now,
                          bool closed);
 
+/**
+ * Returns whether the worker may get a lease: none of the starts that were cleared when its last
+ * one expired can be carried out under the next one.
+ */
+bool may_extend_lease(const job_scheduler& state, const worker_id& worker);
 /** Extends the worker's lease, just before a command that grants it is sent. */
 void extend_lease(job_scheduler& state, const worker_id& worker, time_point now);
 /** Records that the worker replied to a request sent at `requested_at`. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -221,6 +221,14 @@
     time_point other_at;
 };
 
+/** A start that was sent and cleared, although it may still be carried out. */
+struct doubtful_start {
+    wire::task_ref task;
+    std::uint32_t run{0};
+    /** When a stop was last sent for it. */
+    std::optional<time_point> stop_sent_at;
+};
+
 /** State of a worker, as far as this leader knows. */
 struct job_worker {
     wire::worker_record record;
@@ -280,6 +288,8 @@
     time_point isolated_until;
     /** Runs that were cleared when its lease expired, until it is known whether it has crashed. */
     std::vector<wire::record_crash::item> unexplained;
+    /** Each has to be stopped before the worker gets a lease again. */
+    std::vector<doubtful_start> doubtful_starts;
     /** The last report listed runs that are not reserved here and are being stopped. */
     bool has_orphans{false};
     /** Failed runs since the last success. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -58,6 +58,7 @@
 
 void apply_running(report_context& context, const worker_report::running_task& listed)
 {
+    settle_doubtful_start(context.state, context.worker, listed.task, listed.run);
     auto* job = find_job(context.state, listed.task.job);
     auto* task = find_task(context.state, listed.task);
     const auto mark_orphan = [&] {
@@ -120,6 +121,7 @@
 
 void apply_ended(report_context& context, const worker_report::ended_run& ended)
 {
+    settle_doubtful_start(context.state, context.worker, ended.task, ended.run);
     count_outcome(context.state.counts, ended.outcome);
     update_failure_streak(context, ended.outcome);
     auto* job = find_job(context.state, ended.task.job);
@@ -214,6 +216,9 @@
         std::max(worker.lease_expires_at, now + certain_expiry(state.settings.lease));
     if (state.unread_workers.erase(earlier.record.id) > 0 && !worker.report_read)
         state.unread_workers.insert(next);
+    // A command names the worker only, so the next life may carry it out.
+    worker.doubtful_starts.insert(worker.doubtful_starts.end(), earlier.doubtful_starts.begin(),
+                                  earlier.doubtful_starts.end());
     const auto runs = earlier.runs;
     for (const auto& [ref, number] : runs) {
         auto* task = find_task(state, ref);
@@ -230,6 +235,16 @@
     }
 }
 
+/** Keeps the starts that the worker may still carry out once it has a lease again. */
+void keep_doubtful_starts(job_scheduler& state, job_worker& worker)
+{
+    for (const auto& [ref, number] : worker.runs) {
+        const auto& run = *find_task(state, ref)->run;
+        if (run.phase != run_phase::planned && run.phase != run_phase::stopped && !run.confirmed_at)
+            worker.doubtful_starts.push_back({ref, number, std::nullopt});
+    }
+}
+
 void end_all_runs(job_scheduler& state, job_worker& worker)
 {
     const auto runs = worker.runs;
@@ -324,6 +339,12 @@
     }
 }
 
+bool may_extend_lease(const job_scheduler& state, const worker_id& id)
+{
+    const auto worker = state.workers.find(id);
+    return worker != state.workers.end() && worker->second.doubtful_starts.empty();
+}
+
 void extend_lease(job_scheduler& state, const worker_id& id, time_point now)
 {
     const auto worker = state.workers.find(id);
@@ -396,6 +417,7 @@
             if (item.suspicion != wire::crash_suspicion::cleared)
                 find_task(state, item.task)->lost_in_silence = true;
         }
+        keep_doubtful_starts(state, worker);
         end_all_runs(state, worker);
     }
 }
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(start_of_a_cancelled_job_is_not_sent);
     CPPUNIT_TEST(start_is_sent_once);
     CPPUNIT_TEST(stop_that_was_refused_is_sent_again);
+    CPPUNIT_TEST(worker_gets_no_lease_while_a_cleared_start_may_still_begin);
+    CPPUNIT_TEST(confirmed_runs_that_expire_leave_no_start_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
     const submission_id job_id_{"0123456789abcdef"};
@@ -203,6 +205,43 @@
                                          plan_starts(state_, now_, wall_).size());
         }
     }
+    /** Otherwise the start is carried out late, under the new lease, beside the next run. */
+    void worker_gets_no_lease_while_a_cleared_start_may_still_begin()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        on_start_sent(state_, command, now_);
+        on_start_result(state_, command, command_result::none, now_);
+        now_ += std::chrono::seconds{10};
+        expire_leases(state_, now_);
+        report("w1", {});
+        CPPUNIT_ASSERT(!may_extend_lease(state_, command.worker));
+        CPPUNIT_ASSERT(plan_starts(state_, now_, wall_).empty());
+        const auto stop = plan_stops(state_, now_).at(0);
+        CPPUNIT_ASSERT_EQUAL(command.run, stop.run);
+        on_stop_result(state_, stop, command_result::none, now_);
+        CPPUNIT_ASSERT(!may_extend_lease(state_, command.worker));
+        now_ += std::chrono::milliseconds{700};
+        report("w1", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+        on_stop_result(state_, stop, command_result::accepted, now_);
+        CPPUNIT_ASSERT(may_extend_lease(state_, command.worker));
+        CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_starts(state_, now_, wall_).size());
+    }
+
+    void confirmed_runs_that_expire_leave_no_start_in_doubt()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        on_start_sent(state_, command, now_);
+        on_start_result(state_, command, command_result::accepted, now_);
+        now_ += std::chrono::seconds{10};
+        expire_leases(state_, now_);
+        CPPUNIT_ASSERT(may_extend_lease(state_, command.worker));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(starts_test);
