schedule: a planned run that is stopped is withdrawn, and frees its capacity with its start

Cause: a planned run that was stopped within a scheduling pass freed its capacity at once. Change: the run is `withdrawn` until its queued start is dropped, which is followed by another pass.

--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -246,7 +246,7 @@
         const auto job = scheduler_.jobs.find(ref.job);
         const auto position = wire::position_of(job->second.spec, ref);
         const auto& run = job->second.tasks[*position].run;
-        if (run->phase == schedule::run_phase::planned)
+        if (schedule::is_unsent(run->phase))
             continue;
         log_event(log_level::info, "run_lost",
                   {{"task", ref},
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -262,11 +262,6 @@
     return step.max_per_worker == 0 || count_siblings(worker, request.task) < step.max_per_worker;
 }
 
-bool is_being_stopped(const task_run& run)
-{
-    return run.phase == run_phase::stopping || run.phase == run_phase::stopped;
-}
-
 /** Returns the runs to stop on the worker until `wanted` fits, or nothing where it cannot fit. */
 std::optional<std::vector<wire::task_ref>>
 runs_to_preempt(job_scheduler& state, const job_worker& worker, const resources& wanted)
@@ -281,7 +276,7 @@
         if (task == nullptr || !task->run)
             continue;
         // Its capacity is being freed already.
-        if (is_being_stopped(*task->run))
+        if (is_being_stopped(task->run->phase))
             free += task->run->reserved;
         else if (task->run->best_effort_processors.value() > 0)
             candidates.emplace_back(task->run->reserved.memory, ref);
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -15,8 +15,7 @@
 /** Returns whether the run is being stopped, or could be preempted. */
 bool is_reclaimable(const task_run& run)
 {
-    return run.best_effort_processors.value() > 0 || run.phase == run_phase::stopping ||
-           run.phase == run_phase::stopped;
+    return run.best_effort_processors.value() > 0 || is_being_stopped(run.phase);
 }
 
 void release_best_effort(job_worker& worker, const task_run& run)
@@ -88,6 +87,17 @@
     return run && run->number == number && run->worker == worker ? &*run : nullptr;
 }
 
+bool is_unsent(run_phase phase)
+{
+    return phase == run_phase::planned || phase == run_phase::withdrawn;
+}
+
+bool is_being_stopped(run_phase phase)
+{
+    return phase == run_phase::withdrawn || phase == run_phase::stopping ||
+           phase == run_phase::stopped;
+}
+
 bool is_unconfirmed(run_phase phase)
 {
     return phase == run_phase::planned || phase == run_phase::commanded;
@@ -201,16 +211,16 @@
 void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
               time_point now)
 {
-    if (task.run->phase == run_phase::planned)
-        return clear_run(state, ref, task);
-    if (task.run->phase == run_phase::stopping || task.run->phase == run_phase::stopped)
+    if (is_being_stopped(task.run->phase))
         return;
+    const bool sent = task.run->phase != run_phase::planned;
     const auto worker = state.workers.find(task.run->worker);
     if (worker != state.workers.end() && !is_reclaimable(*task.run))
         worker->second.reclaimable += task.run->reserved;
-    set_phase(*task.run, run_phase::stopping, now);
+    set_phase(*task.run, sent ? run_phase::stopping : run_phase::withdrawn, now);
     task.run->cause = cause;
-    state.stops_due.insert(ref);
+    if (sent)
+        state.stops_due.insert(ref);
     state.paces_due.erase(ref);
 }
 
--- a/src/libschedule/jobruns.h
+++ b/src/libschedule/jobruns.h
@@ -32,6 +32,8 @@
 /** Returns this run of the task, or null where the task has another one or none. */
 const task_run* find_run(const job_scheduler& state, const wire::task_ref& ref,
                          std::uint32_t number, const worker_id& worker);
+/** Returns whether the run is to end, so that its capacity is being freed. */
+bool is_being_stopped(run_phase phase);
 /** Returns whether the start is planned or in flight. */
 bool is_unconfirmed(run_phase phase);
 /** Returns whether the task needs a run, regardless of the steps on which it depends. */
@@ -47,7 +49,7 @@
 void clear_run(job_scheduler& state, const wire::task_ref& ref, open_task& task);
 /** Updates the tail forecasts of the images on the worker. */
 void update_tail_forecasts(const job_scheduler& state, job_worker& worker);
-/** Requests that the run of a task be stopped. A planned run is cleared at once. */
+/** Requests that the run of a task be stopped. A planned run is withdrawn. */
 void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
               time_point now);
 /** Sets the phase of a run and when it began. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -156,6 +156,8 @@
  * command is sent.
  */
 std::optional<drop_reason> reason_to_drop(const job_scheduler& state, const start_command& command);
+/** Returns whether the start command has not been sent. */
+bool is_unsent(run_phase phase);
 /** Drops a planned start: its run has not begun. */
 void drop_start(job_scheduler& state, const start_command& command, drop_reason reason,
                 time_point now);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -19,8 +19,10 @@
 
 /** Phase of a run, as far as the leader knows. */
 enum class run_phase : std::uint8_t {
-    /** The start command has not been sent: nothing has begun, and the run may be dropped. */
+    /** The start command has not been sent. */
     planned,
+    /** The start command has not been sent, and will be dropped. */
+    withdrawn,
     /** The start command is in flight. */
     commanded,
     /** The worker has confirmed the run. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -78,8 +78,11 @@
     run.listed = true;
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
-    if (is_unconfirmed(run.phase) || run.phase == run_phase::unknown)
+    const bool withdrawn = run.phase == run_phase::withdrawn;
+    if (is_unconfirmed(run.phase) || run.phase == run_phase::unknown || withdrawn)
         confirm_run(context.state, listed.task, run, context.now);
+    if (withdrawn)
+        stop_run(context.state, listed.task, *task, run.cause, context.now);
     if (listed.percent != run.progress_percent) {
         run.progress_percent = listed.percent;
         run.progressed_at = context.now;
@@ -194,7 +197,7 @@
  * ended with it. */
 bool has_ended_with(const job_worker& worker, const task_run& run)
 {
-    if (run.phase == run_phase::planned)
+    if (is_unsent(run.phase))
         return true;
     if (incarnation_of(worker.record.id) == incarnation{})
         return false;
@@ -240,7 +243,7 @@
 {
     for (const auto& [ref, number] : worker.runs) {
         const auto& run = *find_task(state, ref)->run;
-        if (run.phase != run_phase::planned && run.phase != run_phase::stopped && !run.confirmed_at)
+        if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
             worker.doubtful_starts.push_back({ref, number, std::nullopt});
     }
 }
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -109,9 +109,8 @@
     for (const auto& [ref, number] : worker.runs) {
         const auto* task = find_task(state, ref);
         const auto& run = *task->run;
-        const bool never_arrived =
-            run.phase == run_phase::planned ||
-            (!run.confirmed_at && worker.lost && run.commanded_at > worker.lost->at);
+        const bool never_arrived = is_unsent(run.phase) || (!run.confirmed_at && worker.lost &&
+                                                            run.commanded_at > worker.lost->at);
         if (never_arrived)
             continue;
         const bool cleared = outlived_crash_window(run, worker.alive_at);
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -165,6 +165,7 @@
         on_job_record(state_, record, now_);
         CPPUNIT_ASSERT(reason_to_drop(state_, command) == drop_reason::outdated);
         CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
+        drop_start(state_, command, drop_reason::outdated, now_);
         CPPUNIT_ASSERT(state_.jobs.empty());
     }
 
