controld, schedule: stops and paces are checked before they are sent, and wait once

A stop or pace was sent although its run had ended, was no longer to be stopped or had another pace meanwhile; an orphan that was adopted was stopped. A stop is planned again every 0.6 s while its worker may take 0.8 s for each command, so the queue of a worker that does not respond grew. Change: stops and paces are checked like starts; one for the same run replaces the one that waits.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace galenaturn::controld {
 
 namespace asio = boost::asio;
@@ -251,6 +253,19 @@
                {"work_core_s", job->second.work}});
 }
 
+/** Adds the command, in place of an earlier one for the same run. */
+template <class Command>
+void add_or_replace(std::deque<Command>& queue, const Command& command)
+{
+    const auto earlier = std::find_if(queue.begin(), queue.end(), [&](const auto& waiting) {
+        return waiting.task == command.task && waiting.run == command.run;
+    });
+    if (earlier == queue.end())
+        queue.push_back(command);
+    else
+        *earlier = command;
+}
+
 template <class Command>
 void job_service::queue_commands(const std::vector<Command>& commands,
                                  std::deque<Command> worker_connection::*queue)
@@ -259,7 +274,7 @@
         const auto connection = connections_.find(command.worker);
         if (connection == connections_.end())
             continue;
-        (connection->second.*queue).push_back(command);
+        add_or_replace(connection->second.*queue, command);
         send_commands(command.worker);
     }
 }
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -397,6 +397,8 @@
 asio::awaitable<void> job_service::send_pace(worker_id worker, std::uint64_t generation)
 {
     const auto command = pop_first(connections_[worker].paces);
+    if (!schedule::is_due(scheduler_, command))
+        co_return;
     const auto reply = co_await send_command(worker, generation, command, &worker_commands::pace);
     if (!reply)
         co_return;
@@ -416,6 +418,8 @@
 asio::awaitable<void> job_service::send_stop(worker_id worker, std::uint64_t generation)
 {
     const auto command = pop_first(connections_[worker].stops);
+    if (!schedule::is_due(scheduler_, command))
+        co_return;
     const auto reply = co_await send_command(worker, generation, command, &worker_commands::stop);
     if (!reply)
         co_return;
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -460,6 +460,29 @@
         isolate(worker, command.task.job, now);
 }
 
+bool is_due(const job_scheduler& state, const stop_command& command)
+{
+    const auto worker = state.workers.find(command.worker);
+    if (worker == state.workers.end())
+        return false;
+    const auto& doubtful = worker->second.doubtful_starts;
+    if (std::any_of(doubtful.begin(), doubtful.end(), [&](const auto& start) {
+            return start.task == command.task && start.run == command.run;
+        }))
+        return true;
+    const auto* run = find_run(state, command.task, command.run, command.worker);
+    if (command.cause == stop_cause::orphan)
+        return run == nullptr;
+    return run != nullptr && run->phase == run_phase::stopping;
+}
+
+bool is_due(const job_scheduler& state, const pace_command& command)
+{
+    const auto* run = find_run(state, command.task, command.run, command.worker);
+    return run != nullptr && run->phase == run_phase::running &&
+           run->pace_percent == command.percent;
+}
+
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now)
 {
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -163,6 +163,9 @@
                 time_point now);
 /** Records that the start command is being sent. */
 void on_start_sent(job_scheduler& state, const start_command& command, time_point now);
+/** Returns whether the command still changes something, just before it is sent. */
+bool is_due(const job_scheduler& state, const stop_command& command);
+bool is_due(const job_scheduler& state, const pace_command& command);
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now);
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -721,6 +721,8 @@
         if (!queue.stops.empty()) {
             const auto command = queue.stops.front();
             queue.stops.pop_front();
+            if (!is_due(state_, command))
+                return;
             auto& worker = fleet_[index_of_.at(command.worker)];
             const bool reaches =
                 is_reachable(worker) && accepts_commands_to(worker, command.worker);
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(stop_that_was_refused_is_sent_again);
     CPPUNIT_TEST(worker_gets_no_lease_while_a_cleared_start_may_still_begin);
     CPPUNIT_TEST(confirmed_runs_that_expire_leave_no_start_in_doubt);
+    CPPUNIT_TEST(stop_of_a_run_that_has_ended_is_not_sent);
+    CPPUNIT_TEST(pace_of_a_run_that_is_being_stopped_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
     const submission_id job_id_{"0123456789abcdef"};
@@ -243,6 +245,45 @@
         expire_leases(state_, now_);
         CPPUNIT_ASSERT(may_extend_lease(state_, command.worker));
     }
+    start_command start_one()
+    {
+        auto command = plan_one();
+        on_start_sent(state_, command, now_);
+        on_start_result(state_, command, command_result::accepted, now_);
+        now_ += std::chrono::milliseconds{10};
+        return command;
+    }
+
+    void stop_of_a_run_that_has_ended_is_not_sent()
+    {
+        add_worker("w1");
+        auto record = job();
+        add_job(state_, record, now_);
+        const auto command = start_one();
+        record.phase = wire::job_phase::cancelled;
+        on_job_record(state_, record, now_);
+        const auto stop = plan_stops(state_, now_).at(0);
+        CPPUNIT_ASSERT(is_due(state_, stop));
+        worker_report reported;
+        reported.ended.push_back({1, command.task, command.run, run_outcome::succeeded, ""});
+        report("w1", reported);
+        CPPUNIT_ASSERT(!is_due(state_, stop));
+    }
+
+    void pace_of_a_run_that_is_being_stopped_is_not_sent()
+    {
+        add_worker("w1");
+        auto record = job();
+        add_job(state_, record, now_);
+        const auto command = start_one();
+        const pace_command pace{command.task, command.run, command.worker, 100};
+        CPPUNIT_ASSERT(is_due(state_, pace));
+        const pace_command earlier{command.task, command.run, command.worker, 40};
+        CPPUNIT_ASSERT(!is_due(state_, earlier));
+        record.phase = wire::job_phase::cancelled;
+        on_job_record(state_, record, now_);
+        CPPUNIT_ASSERT(!is_due(state_, pace));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(starts_test);
