controld: starts that wait behind an unanswered command are returned

Cause: commands to a worker go out one at a time. A worker that answers none held each start behind it for 0.8 s a command, although other workers could run them. Change: when a command gets no response, the starts that wait for this worker are dropped (reason unanswered) and planned anew.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -107,6 +107,9 @@
     static boost::asio::awaitable<void> send_queued_commands(job_service* self, worker_id worker,
                                                              std::uint64_t generation);
     boost::asio::awaitable<void> send_start(worker_id worker, std::uint64_t generation);
+    /** Drops the starts that wait for a worker that does not answer, so that others can run them.
+     */
+    void drop_queued_starts(const worker_id& worker);
     void drop_start(const schedule::start_command& command, schedule::drop_reason reason);
     boost::asio::awaitable<void> send_stop(worker_id worker, std::uint64_t generation);
     /** Member function that sends a command that does not extend the lease. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -358,11 +358,22 @@
     const auto current_connection = connections_.find(worker);
     if (current_connection != connections_.end())
         update_clock(current_connection->second, reply);
+    if (reply.result == command_result::none)
+        drop_queued_starts(worker);
     // A run that starts slowed gets its pace in the next pass.
     if (reply.result != command_result::accepted || !scheduler_.paces_due.empty())
         schedule_pass();
 }
 
+void job_service::drop_queued_starts(const worker_id& worker)
+{
+    const auto connection = connections_.find(worker);
+    if (connection == connections_.end())
+        return;
+    for (const auto& command : std::exchange(connection->second.starts, {}))
+        drop_start(command, schedule::drop_reason::unanswered);
+}
+
 void job_service::drop_start(const schedule::start_command& command, schedule::drop_reason reason)
 {
     const auto now = monotonic_now();
@@ -432,6 +443,8 @@
                {"answer", schedule::to_string(reply->result)},
                {"reason", reply->reason}});
     schedule::on_stop_result(scheduler_, command, reply->result, monotonic_now());
+    if (reply->result == command_result::none)
+        drop_queued_starts(worker);
     if (reply->result == command_result::other_incarnation)
         on_worker_crash(worker);
 }
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -314,6 +314,8 @@
         return "not_leading";
     case drop_reason::not_recorded:
         return "not_recorded";
+    case drop_reason::unanswered:
+        return "unanswered";
     }
     return "unknown";
 }
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -329,8 +329,10 @@
     not_leading,
     /** The ledger has not recorded the start of a suspect. */
     not_recorded,
+    /** The worker did not answer the command before it. */
+    unanswered,
 };
-inline constexpr std::size_t drop_reason_count = 6;
+inline constexpr std::size_t drop_reason_count = 7;
 
 /** Event counts, for operators. */
 struct job_counts {
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -709,8 +709,11 @@
         for (auto& [id, queue] : queues_) {
             if (now_ < queue.busy_until)
                 continue;
-            if (const auto on_timeout = std::exchange(queue.on_timeout, nullptr))
+            if (const auto on_timeout = std::exchange(queue.on_timeout, nullptr)) {
                 on_timeout();
+                for (const auto& command : std::exchange(queue.starts, {}))
+                    drop_start(state_, command, drop_reason::unanswered, now_);
+            }
             while (now_ >= queue.busy_until && !(queue.stops.empty() && queue.starts.empty()))
                 send_first(queue);
         }
