schedule: only a pace that was carried out counts as confirmed

A pace that an unhealthy worker refused was taken for confirmed: a run stayed slow, or worked at full speed beside services. Change: only acceptance confirms; otherwise the pace is sent again. Result: pace_that_was_refused_is_sent_again fails before and passes now.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -544,7 +544,7 @@
     auto* task = find_task(state, command.task);
     const bool is_current = task != nullptr && task->run && task->run->number == command.run &&
                             task->run->worker == command.worker;
-    if (!is_current || outcome == command_result::none)
+    if (!is_current || outcome != command_result::accepted)
         return;
     task->run->pace_sent_at.reset();
     // The pace may have changed again while the command was in flight.
