schedule: a new leader skips more run numbers than an earlier one can have used

Cause: a new leader begins without what the old one knew. Starts that were planned and dropped, stops and lapses use run numbers that the ledger does not record; the next leader skipped only 4, so a run of it could have a lower number than one that was still out. Change: it skips 100,000; a number has 32 bits. Result: next_leader_assigns_higher_run_numbers_after_dropped_starts fails before (run 9, then 5) and passes now.

--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 /**
- * A new leader skips this many run numbers of each task, because an earlier leader may have
- * assigned some that the ledger never recorded.
+ * A new leader skips this many run numbers of each task. An earlier leader may have assigned that
+ * many without a record in the ledger: planned starts that were dropped have numbers too.
  */
-constexpr std::uint32_t max_unrecorded_runs = 4;
+constexpr std::uint32_t max_unrecorded_runs = 100'000;
 /** A job is no longer useful to its caller beyond this multiple of its objective. */
 constexpr int usefulness_factor = 3;
 
