ledger: a success is recorded although a later run has failed

Cause: an end of a run was ignored when the end of a higher one was recorded. The success of an earlier run that is read late was lost, and the task ran again (TWICE). Change: only a failure may be a duplicate; the success of a task that has not succeeded always counts.

--- a/src/libledger/applyjobs.cpp
+++ b/src/libledger/applyjobs.cpp
@@ -50,10 +50,11 @@
     const auto& step = job.spec.steps[item.task.step];
     // A gang fails and succeeds as a whole; its runs and failures are counted at its first member.
     auto& task = job.tasks[step.gang ? *position - item.task.index : *position];
-    // This run or a later one was recorded already: the report is a duplicate.
-    if (item.run <= task.last_run || task.succeeded)
+    // This run or a later one was recorded already: a failure may be a duplicate.
+    const bool may_be_duplicate = item.run <= task.last_run && !item.succeeded;
+    if (may_be_duplicate || task.succeeded)
         return;
-    task.last_run = item.run;
+    task.last_run = std::max(task.last_run, item.run);
     if (!item.checkpoint.empty())
         task.checkpoint = item.checkpoint;
     const bool long_running = step.long_running;
