schedule: a worker that may get no lease, or does not answer, is not chosen again at once

Cause: a start that was dropped for want of a lease was planned again in the next pass, on the same worker as the cheapest one, every 10 ms until a poll timed out. Change: such a worker is used again after 0.3 s. One test dropped starts in a loop on its only worker; it lets that time pass now.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -16,6 +16,8 @@
  * end there at any moment.
  */
 constexpr duration no_capacity_pause = std::chrono::milliseconds{300};
+/** Pause before a worker that did not answer, or may get no lease, is used again. */
+constexpr duration unresponsive_pause = std::chrono::milliseconds{300};
 /** Pause before a worker that reported itself unhealthy is used again. */
 constexpr duration unhealthy_pause = std::chrono::seconds{2};
 /** Minimum time between preemptions for a job: what was stopped before has to end first. */
@@ -443,6 +445,10 @@
                 time_point now)
 {
     ++state.counts.dropped[static_cast<std::size_t>(reason)];
+    const auto worker = state.workers.find(command.worker);
+    const bool avoid = reason == drop_reason::no_lease || reason == drop_reason::unanswered;
+    if (worker != state.workers.end() && avoid)
+        worker->second.avoid_until = std::max(worker->second.avoid_until, now + unresponsive_pause);
     on_start_result(state, command, command_result::not_sent, now);
 }
 
--- a/tests/schedule/startsreviewtest.cpp
+++ b/tests/schedule/startsreviewtest.cpp
@@ -319,6 +319,8 @@
         auto first = plan_one();
         for (int dropped = 0; dropped < 8; ++dropped) {
             drop_start(state_, first, drop_reason::no_lease, now_);
+            now_ += std::chrono::milliseconds{500};
+            report("w1", {});
             first = plan_one();
         }
         start(first);
