schedule: a task waits until all its ends are recorded

Cause: that an end is being recorded was a flag. With the ends of two runs in flight, the first record cleared it, and the task started again although the other end was its success (TWICE). Change: the ends in flight are counted. Result: task_waits_until_all_its_ends_are_recorded fails before and passes now.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -113,7 +113,7 @@
 bool has_runs(const open_job& job)
 {
     return std::any_of(job.tasks.begin(), job.tasks.end(),
-                       [](const auto& task) { return task.run || task.recording; });
+                       [](const auto& task) { return task.run || task.recording > 0; });
 }
 
 /**
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -105,7 +105,7 @@
 
 bool needs_run(const open_task& task)
 {
-    return !task.succeeded && !task.run && !task.recording && !task.recording_crash;
+    return !task.succeeded && !task.run && task.recording == 0 && !task.recording_crash;
 }
 
 millicores claimed_processors(const task_run& run)
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -107,10 +107,10 @@
     std::string checkpoint;
     std::optional<task_run> run;
     /**
-     * A completion is being recorded in the ledger; the task is neither started nor stopped until
-     * then.
+     * Number of completions that are being recorded in the ledger; the task is neither started nor
+     * stopped until then.
      */
-    bool recording{false};
+    std::uint32_t recording{0};
     /** A crash under it is being recorded; it is not started until then. */
     bool recording_crash{false};
     /** Workers where the task failed: the next attempt avoids them if it can. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -69,7 +69,7 @@
     if (task == nullptr || task->succeeded)
         return mark_orphan();
     task->last_run = std::max(task->last_run, listed.run);
-    if (!task->run && !job->ending && !task->recording)
+    if (!task->run && !job->ending && task->recording == 0)
         adopt(context, listed, *task);
     if (!task->run || task->run->worker != context.worker.record.id ||
         task->run->number != listed.run)
@@ -151,7 +151,7 @@
     // Another run of the task may be in flight elsewhere; the task is done nevertheless.
     if (task->run && ended.outcome == run_outcome::succeeded)
         stop_run(context.state, ended.task, *task, stop_cause::task_succeeded, context.now);
-    task->recording = true;
+    ++task->recording;
     context.to_record.push_back(
         {ended.task, ended.run, ended.outcome == run_outcome::succeeded, ended.checkpoint});
 }
@@ -396,8 +396,9 @@
                              const std::vector<wire::record_completions::item>& items)
 {
     for (const auto& item : items) {
-        if (auto* task = find_task(state, item.task))
-            task->recording = false;
+        auto* task = find_task(state, item.task);
+        if (task != nullptr && task->recording > 0)
+            --task->recording;
     }
 }
 
