schedule: a run that is being stopped is also stopped in the next life of its worker

Cause: a start without an answer may be carried out by the next life of its worker, so its run continues there as unknown, also one that was being stopped; if the next life listed it, nothing stopped it again (UNASKED). Change: the stop is planned for the next life. Result: run_of_a_cancelled_job_is_stopped_in_the_next_life_of_its_worker fails before and passes now.

--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -233,8 +233,12 @@
         run.stop_sent = false;
         run.listed = false;
         run.confirmed_at.reset();
+        const bool stops = is_being_stopped(run.phase);
+        const auto cause = run.cause;
         set_phase(run, run_phase::unknown, now);
         begin_run(state, ref, *task, std::move(run));
+        if (stops)
+            stop_run(state, ref, *task, cause, now);
     }
 }
 
