schedule: a start is not sent to a worker that has announced it leaves

Cause: a planned start was not checked against an announcement that came while it waited (DRAIN). Change: it is dropped with the reason worker_leaving. Result: start_is_not_sent_to_a_worker_that_leaves fails before and passes now.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -434,6 +434,8 @@
     const auto worker = state.workers.find(command.worker);
     if (worker == state.workers.end() || worker->second.lost)
         return drop_reason::worker_lost;
+    if (worker->second.leaving)
+        return drop_reason::worker_leaving;
     if (!worker->second.doubtful_starts.empty())
         return drop_reason::no_lease;
     if (!fits(worker->second.reserved, worker->second.record.capacity))
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -306,6 +306,8 @@
         return "outdated";
     case drop_reason::worker_lost:
         return "worker_lost";
+    case drop_reason::worker_leaving:
+        return "worker_leaving";
     case drop_reason::no_capacity:
         return "no_capacity";
     case drop_reason::no_lease:
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -321,6 +321,7 @@
     outdated,
     /** The worker does not respond or is gone. */
     worker_lost,
+    worker_leaving,
     /** The worker has become smaller than what is reserved on it. */
     no_capacity,
     /** The worker was silent for too long to get a lease. */
@@ -332,7 +333,7 @@
     /** The worker did not answer the command before it. */
     unanswered,
 };
-inline constexpr std::size_t drop_reason_count = 7;
+inline constexpr std::size_t drop_reason_count = 8;
 
 /** Event counts, for operators. */
 struct job_counts {
