schedule: dropping a queued start clears only a run that was not sent

Cause: dropping an outdated start cleared the run of its number, whatever its phase. Change: only a planned or withdrawn run is cleared. Result: listed_run_is_kept_when_its_queued_start_is_dropped fails before and passes now.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -451,7 +451,9 @@
     const bool avoid = reason == drop_reason::no_lease || reason == drop_reason::unanswered;
     if (worker != state.workers.end() && avoid)
         worker->second.avoid_until = std::max(worker->second.avoid_until, now + unresponsive_pause);
-    on_start_result(state, command, command_result::not_sent, now);
+    const auto* run = find_run(state, command.task, command.run, command.worker);
+    if (run != nullptr && is_unsent(run->phase))
+        on_start_result(state, command, command_result::not_sent, now);
 }
 
 void on_start_sent(job_scheduler& state, const start_command& command, time_point now)
