schedule: a gang of which a member was not started is stopped

Cause: the members of a gang wait in different queues. When one was withdrawn, dropped or refused, the others were still sent, or ran on alone until the platform ended them (GANG). Change: a member is not sent unless all others are still planned or sent, and the others are stopped when one was not started. The placement simulation checks each start just before it is sent, as the daemon does.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -343,6 +343,37 @@
     }
 }
 
+/** Stops the other members of a gang of which this member was not started. */
+void stop_gang(job_scheduler& state, const start_command& command, time_point now)
+{
+    auto& job = *find_job(state, command.task.job);
+    const auto& step = job.spec.steps[command.task.step];
+    if (!step.gang)
+        return;
+    auto member = command.task;
+    for (member.index = 0; member.index < step.count; ++member.index) {
+        auto& task = *find_task(state, member);
+        if (task.run && task.run->number == command.run)
+            stop_run(state, member, task, stop_cause::gang_incomplete, now);
+    }
+}
+
+/** Returns whether no member of the gang, if it is one, was cleared or is being stopped. */
+bool is_gang_complete(const job_scheduler& state, const start_command& command)
+{
+    const auto& job = state.jobs.at(command.task.job);
+    const auto& step = job.spec.steps[command.task.step];
+    if (!step.gang)
+        return true;
+    auto member = command.task;
+    for (member.index = 0; member.index < step.count; ++member.index) {
+        const auto& run = job.tasks[*wire::position_of(job.spec, member)].run;
+        if (!run || run->number != command.run || is_being_stopped(run->phase))
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 void drain_leaving_workers(job_scheduler& state, time_point now)
@@ -431,6 +462,8 @@
     const auto* run = find_run(state, command.task, command.run, command.worker);
     if (run == nullptr || run->phase != run_phase::planned)
         return drop_reason::outdated;
+    if (!is_gang_complete(state, command))
+        return drop_reason::outdated;
     const auto worker = state.workers.find(command.worker);
     if (worker == state.workers.end() || worker->second.lost)
         return drop_reason::worker_lost;
@@ -527,6 +560,7 @@
             avoid_until = now + unhealthy_pause;
     }
     clear_run(state, command.task, *task);
+    stop_gang(state, command, now);
     forget_if_ended(state, command.task.job);
 }
 
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -291,6 +291,8 @@
         return "task_succeeded";
     case stop_cause::worker_leaving:
         return "worker_leaving";
+    case stop_cause::gang_incomplete:
+        return "gang_incomplete";
     case stop_cause::unconfirmed:
         return "unconfirmed";
     case stop_cause::orphan:
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -50,6 +50,8 @@
     task_succeeded,
     /** The worker leaves, and the task can run elsewhere. */
     worker_leaving,
+    /** Another member of its gang was not started. */
+    gang_incomplete,
     /** The start command got no reply and no report lists the run. */
     unconfirmed,
     /** The worker runs it, but this leader neither started nor adopted it. */
--- a/tests/schedule/placementsimulation.cpp
+++ b/tests/schedule/placementsimulation.cpp
@@ -264,10 +264,13 @@
                }) > 0;
     }
 
-    void send_starts(std::vector<start_command> commands)
+    void send_starts(const std::vector<start_command>& commands)
     {
-        drop_outdated(commands);
         for (const auto& command : commands) {
+            if (const auto reason = reason_to_drop(state_, command)) {
+                drop_start(state_, command, *reason, now_);
+                continue;
+            }
             ++counts_.starts;
             on_start_sent(state_, command, now_);
             const auto outcome = chance(5)   ? command_result::no_capacity
