schedule: a suspect is not sent once another job has started beside it

Cause: a worker is kept for a suspect for 1 s from the plan of its start, but the ledger may take longer to record it. Another job could start in between, and the crash would make a suspect of it too. Change: such a start is dropped with the reason not_isolated.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -469,6 +469,9 @@
         return drop_reason::worker_lost;
     if (worker->second.leaving)
         return drop_reason::worker_leaving;
+    if (command.suspect &&
+        last_start_of_others(worker->second.starts, command.task.job) > command.planned_at)
+        return drop_reason::not_isolated;
     if (!worker->second.doubtful_starts.empty())
         return drop_reason::no_lease;
     if (!fits(worker->second.reserved, worker->second.record.capacity))
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -320,6 +320,8 @@
         return "not_recorded";
     case drop_reason::unanswered:
         return "unanswered";
+    case drop_reason::not_isolated:
+        return "not_isolated";
     }
     return "unknown";
 }
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -334,8 +334,10 @@
     not_recorded,
     /** The worker did not answer the command before it. */
     unanswered,
+    /** It is a suspect, and another job has started on the worker since it was planned. */
+    not_isolated,
 };
-inline constexpr std::size_t drop_reason_count = 8;
+inline constexpr std::size_t drop_reason_count = 9;
 
 /** Event counts, for operators. */
 struct job_counts {
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -49,9 +49,8 @@
 {
     if (now < worker.isolated_until)
         return request.suspect && worker.isolated_for == request.job->id;
-    const auto& starts = worker.starts;
-    const auto other_at = starts.last_job == request.job->id ? starts.other_at : starts.last_at;
-    return !request.suspect || now - other_at >= crash_window;
+    return !request.suspect ||
+           now - last_start_of_others(worker.starts, request.job->id) >= crash_window;
 }
 
 bool may_risk_worker(const job_scheduler& state, time_point now)
@@ -62,6 +61,11 @@
     return isolated < std::max<std::size_t>(1, state.workers.size() * max_isolated_percent / 100);
 }
 
+time_point last_start_of_others(const recent_starts& starts, const submission_id& job)
+{
+    return starts.last_job == job ? starts.other_at : starts.last_at;
+}
+
 void record_start(recent_starts& starts, const submission_id& job, time_point now)
 {
     if (starts.last_job != job)
--- a/src/libschedule/workercrashes.h
+++ b/src/libschedule/workercrashes.h
@@ -17,6 +17,8 @@
 bool allows_start(const job_worker& worker, const placement_request& request, time_point now);
 /** Returns whether another worker may be risked for a suspect. */
 bool may_risk_worker(const job_scheduler& state, time_point now);
+/** Returns when a task of another job was last started or planned on the worker. */
+time_point last_start_of_others(const recent_starts& starts, const submission_id& job);
 /** Records a start on the worker. */
 void record_start(recent_starts& starts, const submission_id& job, time_point now);
 /** Keeps other jobs from starting on the worker within the crash window. */
