ledger: a voter whose own removal is not committed campaigns, so that it can be committed or overwritten

Change: a voter of the set before an uncommitted change campaigns. The latest set in its log elects it and commits, without its own vote; it steps down once the removal is committed. One whose removal is known to be committed does not campaign, nor does a removed learner. Safe as every other election: one change at a time, so a majority of the set before and one of the set after share a voter, which has one vote in a term and withholds it during a lease; the pre-vote and the check of the quorum count the same set. A disk that was lost comes back as another voter, which is in no set.

--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -103,7 +103,7 @@
     }
     if (now >= self.election_due) {
         reset_election_timer(context);
-        if (is_voter(self, self.self))
+        if (may_campaign(self))
             raise_event(context, "election_due");
         else
             self.leader = voter_id{};
@@ -228,6 +228,15 @@
     return self.log.voters().voters.contains(voter);
 }
 
+bool may_campaign(const replica& self)
+{
+    const auto changed = self.log.voters_index();
+    if (is_voter(self, self.self) || changed <= self.committed)
+        return is_voter(self, self.self);
+    const log_index before{changed.value() - 1};
+    return self.log.voters_at(before).voters.contains(self.self);
+}
+
 bool is_member(const replica& self, const voter_id& voter)
 {
     return is_voter(self, voter) || self.log.voters().learners.contains(voter);
--- a/src/libledger/replicasteps.h
+++ b/src/libledger/replicasteps.h
@@ -52,5 +52,12 @@
 /** Queues a message that is sent when all writes so far are synced. */
 void send_after_sync(step_context& context, const voter_id& to, message_body body);
 bool is_voter(const replica& self, const voter_id& voter);
+/**
+ * Returns whether this replica takes part in elections as a candidate. One whose own removal is not
+ * known to be committed does: the other voters may need its vote, which it refuses to shorter logs.
+ * It is elected by the voters in force, without its own vote, and leads until the removal is
+ * committed.
+ */
+bool may_campaign(const replica& self);
 
 } // namespace galenaturn::ledger
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -12,6 +12,10 @@
     CPPUNIT_TEST(a_previous_leader_that_has_just_voted_counts_as_reachable);
     CPPUNIT_TEST(a_leader_of_long_ago_is_not_silent_since_then);
     CPPUNIT_TEST(a_replica_that_returns_from_isolation_does_not_depose_the_leader);
+    CPPUNIT_TEST(a_voter_whose_own_removal_is_not_committed_is_elected_by_the_others);
+    CPPUNIT_TEST(a_voter_whose_own_removal_is_overwritten_is_a_voter_again);
+    CPPUNIT_TEST(a_voter_whose_own_removal_is_committed_does_not_campaign);
+    CPPUNIT_TEST(a_learner_whose_removal_is_not_committed_does_not_campaign);
     CPPUNIT_TEST(a_refused_voter_change_gives_its_reason);
     CPPUNIT_TEST(only_the_lowest_process_forms_a_ledger_and_only_when_no_process_has_a_log);
     CPPUNIT_TEST_SUITE_END();
@@ -168,6 +172,106 @@
         CPPUNIT_ASSERT_EQUAL(term{2}, leader.hard.current_term);
     }
 
+    /** Makes replica a with the entries of `sets` after the initial one, all of term 1. */
+    replica make_with_voter_sets(const std::vector<voter_set>& sets)
+    {
+        auto self = make("a");
+        for (const auto& set : sets)
+            self.log.append(
+                {term{1}, self.log.last_index().next(), entry_kind::voters, wire::encode(set)});
+        return self;
+    }
+
+    /** Returns the voter set after the removal of a. */
+    [[nodiscard]] voter_set without_a() const
+    {
+        auto set = voters_;
+        set.voters.erase(voter_id{"a"});
+        return set;
+    }
+
+    /** b and c lack the removal, which a wrote as leader before all lost power. */
+    void a_voter_whose_own_removal_is_not_committed_is_elected_by_the_others()
+    {
+        auto removed = make_with_voter_sets({without_a()});
+        now_ += std::chrono::seconds{3};
+        const auto asked = tick(removed, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, removed.role);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked.after_sync.size());
+        // Two of b and c are needed: its own vote does not count.
+        from(removed, "b", term{1}, vote_response{true, term{2}, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, removed.role);
+        from(removed, "c", term{1}, vote_response{true, term{2}, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"candidate"}, removed.role);
+        from(removed, "a", term{2}, vote_response{false, term{2}, true});
+        from(removed, "b", term{2}, vote_response{false, term{2}, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"candidate"}, removed.role);
+        from(removed, "c", term{2}, vote_response{false, term{2}, true});
+        CPPUNIT_ASSERT(removed.leads);
+        acknowledge(removed, "a", 3);
+        acknowledge(removed, "b", 3);
+        CPPUNIT_ASSERT(removed.leads && !may_read(removed, now_));
+        CPPUNIT_ASSERT_EQUAL(log_index{0}, removed.committed);
+        acknowledge(removed, "c", 3);
+        CPPUNIT_ASSERT_EQUAL(log_index{3}, removed.committed);
+        CPPUNIT_ASSERT(!removed.leads);
+        assert_does_not_campaign(removed);
+    }
+
+    void assert_does_not_campaign(replica& self)
+    {
+        for (int round = 0; round < 5; ++round) {
+            now_ += std::chrono::seconds{3};
+            const auto done = tick(self, now_);
+            CPPUNIT_ASSERT(done.messages.empty() && done.after_sync.empty());
+            CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, self.role);
+        }
+    }
+
+    void a_voter_whose_own_removal_is_overwritten_is_a_voter_again()
+    {
+        auto removed = make_with_voter_sets({without_a()});
+        now_ += std::chrono::seconds{3};
+        tick(removed, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, removed.role);
+        from(
+            removed, "b", term{2},
+            append_request{
+                log_index{1}, term{1}, {}, 1, 0, {{term{2}, log_index{2}, entry_kind::empty, {}}}});
+        CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, removed.role);
+        CPPUNIT_ASSERT(is_member(removed, removed.self));
+        // Its own vote counts again: that of b suffices.
+        now_ += std::chrono::seconds{3};
+        tick(removed, now_);
+        from(removed, "b", term{2}, vote_response{true, term{3}, true});
+        CPPUNIT_ASSERT_EQUAL(std::string{"candidate"}, removed.role);
+    }
+
+    void a_voter_whose_own_removal_is_committed_does_not_campaign()
+    {
+        auto told = make_with_voter_sets({without_a()});
+        from(told, "b", term{1}, append_request{log_index{2}, term{1}, log_index{2}, 1, 0, {}});
+        CPPUNIT_ASSERT_EQUAL(log_index{2}, told.committed);
+        assert_does_not_campaign(told);
+        auto compacted = make("a");
+        compacted.log = replica_log{log_index{2}, term{1}, without_a()};
+        compacted.committed = log_index{2};
+        assert_does_not_campaign(compacted);
+        // The set after the removal shows that the removal was committed.
+        auto later = without_a();
+        later.learners.emplace(voter_id{"d"}, process_id{"d"});
+        auto followed = make_with_voter_sets({without_a(), later});
+        assert_does_not_campaign(followed);
+    }
+
+    void a_learner_whose_removal_is_not_committed_does_not_campaign()
+    {
+        auto learning = without_a();
+        learning.learners.emplace(voter_id{"a"}, process_id{"a"});
+        auto learner = make_with_voter_sets({learning, without_a()});
+        assert_does_not_campaign(learner);
+    }
+
     void a_refused_voter_change_gives_its_reason()
     {
         auto leader = make("a");
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(invariants_hold_under_every_kind_of_failure);
     CPPUNIT_TEST(nothing_acknowledged_is_lost_when_all_power_is_lost_with_a_disk);
     CPPUNIT_TEST(a_leader_is_elected_after_all_power_was_lost_with_disks);
+    CPPUNIT_TEST(a_leader_is_elected_after_the_last_one_crashed_while_it_removed_itself);
     CPPUNIT_TEST(a_delayed_append_does_not_mark_a_restarted_voter_as_caught_up);
     CPPUNIT_TEST(voting_twice_is_detected);
     CPPUNIT_TEST(acknowledging_before_the_sync_is_detected);
@@ -70,6 +71,14 @@
         CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
     }
 
+    void a_leader_is_elected_after_the_last_one_crashed_while_it_removed_itself()
+    {
+        auto options = options_for_seed(213);
+        options.steps = 40'000;
+        const auto result = run_simulation(options);
+        CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+    }
+
     void a_delayed_append_does_not_mark_a_restarted_voter_as_caught_up()
     {
         auto options = options_for_seed(7);
--- a/tests/ledger/soak/soakledger.cpp
+++ b/tests/ledger/soak/soakledger.cpp
@@ -8,6 +8,7 @@
 DEFINE_uint64(seed, 1, "Seed of the first run; each later run uses the next one");
 DEFINE_uint64(steps, 40000, "Steps per run");
 DEFINE_uint64(fault, 0, "Number of the injected bug, 0 for none");
+DEFINE_bool(power_lost_with_disks, false, "All power is lost whenever a disk is lost");
 
 namespace {
 
@@ -50,6 +51,7 @@
         auto options = ledger::options_for_seed(seed);
         options.steps = FLAGS_steps;
         options.faults = fault_of(FLAGS_fault);
+        options.power_lost_with_disks = FLAGS_power_lost_with_disks;
         const auto result = ledger::run_simulation(options);
         if (!result.violation.empty()) {
             print_failure(options, result);
@@ -62,6 +64,7 @@
         sum.snapshots_installed += result.snapshots_installed;
         sum.voter_changes += result.voter_changes;
         sum.disks_lost += result.disks_lost;
+        sum.power_losses += result.power_losses;
         sum.fresh_reads += result.fresh_reads;
         sum.write_races_won += result.write_races_won;
     }
@@ -69,6 +72,7 @@
               << " elections=" << sum.elections << " crashes=" << sum.crashes
               << " images_installed=" << sum.snapshots_installed
               << " voter_changes=" << sum.voter_changes << " disks_lost=" << sum.disks_lost
-              << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.write_races_won << '\n';
+              << " power_losses=" << sum.power_losses << " fresh_reads=" << sum.fresh_reads
+              << " races_won=" << sum.write_races_won << '\n';
     return 0;
 }
