ledger: a leader whose disk writes nothing for 3 s steps down

Callers would see: no command is committed after the disk of the leader hung without an error and, seconds later, another voter was lost. Cause: a leader counted itself as alive at each heartbeat, in the check of the quorum and in the plan of the voters, and is never removed. It commits by the disks of the others and sends heartbeats without its own. When a follower is lost at 8 s, one of two acknowledgements is left: the learner is added at index 995 or later, which is never committed, so neither voter is replaced. Change: the leader's own `last_contact` is when its disk had last completed a write or had none to do. If entries wait and that was 3 s ago, it steps down by the new event disk_hangs, in the same way as without a quorum. As a follower it acknowledges nothing and is replaced. Requests for votes already wait for the sync, so it does not campaign. The daemon logs ledger_disk_hangs. Safety: it only adds a way to cease to lead, which clears the lease; no rule of voting, committing or leases is changed.

--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -365,7 +365,12 @@
     tick_timer_.async_wait([this](const boost::system::error_code& error) {
         if (error || failed_)
             return;
-        process_effects(ledger::tick(*replica_, monotonic_now()));
+        const auto now = monotonic_now();
+        if (ledger::disk_hangs(*replica_, now))
+            log_event(log_level::error, "ledger_disk_hangs",
+                      {{"folder", shared_.settings.data_folder},
+                       {"advice", "another voter leads; see docs/operators/state.md"}});
+        process_effects(ledger::tick(*replica_, now));
         schedule_tick();
     });
 }
--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -94,6 +94,8 @@
     step_context context{self, now, out};
     if (self.leads) {
         check_quorum(context);
+        if (disk_hangs(self, now))
+            raise_event(context, "disk_hangs");
         if (self.leads && now >= self.heartbeat_due) {
             begin_round(context);
             for (const auto& [member, process] : all_members(self.log.voters()))
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -24,6 +24,11 @@
     duration heartbeat_interval{std::chrono::milliseconds{250}};
     /** Shorter than election_timeout: expires before a follower with a faster clock may vote. */
     duration lease{std::chrono::milliseconds{900}};
+    /**
+     * A leader whose own log waits this long for its disk steps down; as a follower it is silent
+     * and is replaced. Longer than stalls of a second or two, which should cost no election.
+     */
+    duration max_own_sync_time{std::chrono::milliseconds{3000}};
     /** Maximum payload of one append message. */
     std::size_t max_batch_bytes{std::size_t{256} << 10};
     /** Maximum payload in flight to one follower. */
@@ -56,6 +61,7 @@
     log_index matched;
     /** Index of the next entry to send. */
     log_index next;
+    /** For the leader itself: when its disk had last completed a write, or had none to do. */
     time_point last_contact;
     std::uint64_t acknowledged_round{0};
     std::uint64_t incarnation{0};
@@ -202,6 +208,8 @@
 bool is_member(const replica& self, const voter_id& voter);
 /** Returns whether proposals are accepted: this replica leads and its backlog has space. */
 bool may_propose(const replica& self);
+/** Returns whether this replica leads, and its disk has not written its log for too long. */
+bool disk_hangs(const replica& self, time_point now);
 /** Returns when tick has to be called next. */
 time_point next_tick(const replica& self);
 
--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -53,8 +53,10 @@
     self.heartbeat_due = context.now + self.options.heartbeat_interval;
     while (self.rounds.front().sent + self.options.election_timeout < context.now)
         self.rounds.pop_front();
-    self.progress[self.self].acknowledged_round = self.last_round;
-    self.progress[self.self].last_contact = context.now;
+    auto& own = self.progress[self.self];
+    own.acknowledged_round = self.last_round;
+    if (own.matched == self.log.last_index())
+        own.last_contact = context.now;
     renew_lease(context);
 }
 
@@ -109,4 +111,13 @@
         raise_event(context, "quorum_lost");
 }
 
+bool disk_hangs(const replica& self, time_point now)
+{
+    if (!self.leads)
+        return false;
+    const auto& own = self.progress.at(self.self);
+    return own.matched < self.log.last_index() &&
+           now - own.last_contact >= self.options.max_own_sync_time;
+}
+
 } // namespace galenaturn::ledger
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
+    CPPUNIT_TEST(a_leader_whose_disk_writes_nothing_steps_down);
+    CPPUNIT_TEST(a_leader_with_a_slow_disk_or_nothing_to_write_stays);
     CPPUNIT_TEST(a_previous_leader_that_has_just_voted_counts_as_reachable);
     CPPUNIT_TEST(a_leader_of_long_ago_is_not_silent_since_then);
     CPPUNIT_TEST(a_replica_that_returns_from_isolation_does_not_depose_the_leader);
@@ -99,6 +101,56 @@
         CPPUNIT_ASSERT(done.role_changed && !leader.leads);
     }
 
+    /** Lets time pass while b responds to heartbeats; a syncs nothing. */
+    void run_without_own_sync(replica& leader, duration span)
+    {
+        for (const auto until = now_ + span; now_ < until;) {
+            now_ += std::chrono::milliseconds{50};
+            tick(leader, now_);
+            acknowledge(leader, "b", leader.log.last_index().value());
+        }
+    }
+
+    void a_leader_whose_disk_writes_nothing_steps_down()
+    {
+        auto leader = make("a");
+        elect(leader);
+        acknowledge(leader, "a", 2);
+        std::vector<log_index> indexes;
+        propose(leader, now_, {"command"}, indexes);
+        run_without_own_sync(leader,
+                             leader.options.max_own_sync_time - std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT(leader.leads && may_read(leader, now_));
+        run_without_own_sync(leader, std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT(!leader.leads && !may_read(leader, now_));
+        // It is no candidate before its disk has written its log: the requests wait for that.
+        now_ += std::chrono::seconds{2};
+        const auto done = tick(leader, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, leader.role);
+        CPPUNIT_ASSERT(done.messages.empty() && !done.after_sync.empty());
+    }
+
+    void a_leader_with_a_slow_disk_or_nothing_to_write_stays()
+    {
+        auto leader = make("a");
+        elect(leader);
+        std::vector<log_index> indexes;
+        for (int write = 0; write < 10; ++write) {
+            // The sync that ends covers the entries before this one, so some entry always waits.
+            const auto synced = leader.log.last_index().value();
+            propose(leader, now_, {"command"}, indexes);
+            run_without_own_sync(leader, std::chrono::milliseconds{2500});
+            CPPUNIT_ASSERT(leader.leads);
+            acknowledge(leader, "a", synced);
+        }
+        acknowledge(leader, "a", leader.log.last_index().value());
+        run_without_own_sync(leader, std::chrono::minutes{1});
+        CPPUNIT_ASSERT(leader.leads);
+        propose(leader, now_, {"command"}, indexes);
+        run_without_own_sync(leader, std::chrono::milliseconds{2500});
+        CPPUNIT_ASSERT(leader.leads);
+    }
+
     void follow_for_a_moment(replica& self, const std::string& leader)
     {
         from(self, leader, self.hard.current_term,
--- a/tests/ledger/simulation/simulation.cpp
+++ b/tests/ledger/simulation/simulation.cpp
@@ -12,6 +12,7 @@
 constexpr duration fault_interval = std::chrono::milliseconds{400};
 constexpr duration min_sync_time = std::chrono::microseconds{500};
 constexpr std::uint64_t max_extra_sync_us = 12'000;
+constexpr std::uint64_t max_stall_us = 8'000'000;
 constexpr duration min_latency = std::chrono::microseconds{700};
 constexpr std::uint64_t max_new_leader_lifetime_us = 40'000;
 constexpr unsigned retransmitted_by_cut_link_thousandths = 800;
@@ -174,7 +175,10 @@
         node.disk.end_sync();
         return send_after_sync(next.node);
     }
+    const bool led = node.core->leads;
+    const bool disk_hung = disk_hangs(*node.core, local_time(node));
     process_effects(next.node, tick(*node.core, local_time(node)));
+    result_.leaders_with_hung_disk += led && disk_hung && !node.core->leads ? 1 : 0;
     schedule(event_kind::tick, next.node, std::chrono::milliseconds{40});
 }
 
@@ -241,7 +245,10 @@
     }
     node.messages_of_current_sync = std::move(ready);
     node.disk.begin_sync();
-    schedule(event_kind::synced, node_index, min_sync_time + duration{pick(max_extra_sync_us)});
+    auto sync_time = min_sync_time + duration{pick(max_extra_sync_us)};
+    if (options_.stalled > 0 && !healed_ && chance(options_.stalled))
+        sync_time += duration{pick(max_stall_us)};
+    schedule(event_kind::synced, node_index, sync_time);
 }
 
 void simulation::send_after_sync(std::size_t node_index)
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -26,6 +26,8 @@
     unsigned lost{20};
     unsigned duplicated{20};
     unsigned delayed{40};
+    /** Share of syncs that take up to max_stall_us, in thousandths. */
+    unsigned stalled{0};
     bool crashes{true};
     bool partitions{true};
     bool voter_changes{true};
@@ -46,6 +48,8 @@
     std::uint64_t voter_changes{0};
     std::uint64_t disks_lost{0};
     std::uint64_t power_losses{0};
+    /** How often a leader has ceased to lead since its disk completed no write. */
+    std::uint64_t leaders_with_hung_disk{0};
     std::uint64_t fresh_reads{0};
     std::uint64_t write_races_won{0};
 };
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(invariants_hold_under_every_kind_of_failure);
     CPPUNIT_TEST(nothing_acknowledged_is_lost_when_all_power_is_lost_with_a_disk);
     CPPUNIT_TEST(a_leader_is_elected_after_all_power_was_lost_with_disks);
+    CPPUNIT_TEST(invariants_hold_when_disks_stall);
     CPPUNIT_TEST(a_delayed_append_does_not_mark_a_restarted_voter_as_caught_up);
     CPPUNIT_TEST(voting_twice_is_detected);
     CPPUNIT_TEST(acknowledging_before_the_sync_is_detected);
@@ -62,6 +63,21 @@
         CPPUNIT_ASSERT(power_losses > 5);
     }
 
+    void invariants_hold_when_disks_stall()
+    {
+        simulation_result sum;
+        for (std::uint64_t seed = 401; seed < 431; ++seed) {
+            auto options = options_for_seed(seed);
+            options.stalled = 20;
+            const auto result = run_simulation(options);
+            CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+            sum.commits += result.commits;
+            sum.leaders_with_hung_disk += result.leaders_with_hung_disk;
+        }
+        CPPUNIT_ASSERT(sum.commits > 1'000);
+        CPPUNIT_ASSERT(sum.leaders_with_hung_disk > 5);
+    }
+
     void a_leader_is_elected_after_all_power_was_lost_with_disks()
     {
         auto options = options_for_seed(329);
--- a/tests/ledger/soak/soakledger.cpp
+++ b/tests/ledger/soak/soakledger.cpp
@@ -7,6 +7,7 @@
 DEFINE_int64(seconds, 60, "How long to run");
 DEFINE_uint64(seed, 1, "Seed of the first run; each later run uses the next one");
 DEFINE_uint64(steps, 40000, "Steps per run");
+DEFINE_uint32(stalled, 0, "Share of syncs that take seconds, in thousandths");
 DEFINE_uint64(fault, 0, "Number of the injected bug, 0 for none");
 
 namespace {
@@ -49,6 +50,7 @@
     for (auto seed = FLAGS_seed; monotonic_now() < deadline; ++seed, ++runs) {
         auto options = ledger::options_for_seed(seed);
         options.steps = FLAGS_steps;
+        options.stalled = FLAGS_stalled;
         options.faults = fault_of(FLAGS_fault);
         const auto result = ledger::run_simulation(options);
         if (!result.violation.empty()) {
@@ -62,6 +64,7 @@
         sum.snapshots_installed += result.snapshots_installed;
         sum.voter_changes += result.voter_changes;
         sum.disks_lost += result.disks_lost;
+        sum.leaders_with_hung_disk += result.leaders_with_hung_disk;
         sum.fresh_reads += result.fresh_reads;
         sum.write_races_won += result.write_races_won;
     }
@@ -69,6 +72,7 @@
               << " elections=" << sum.elections << " crashes=" << sum.crashes
               << " images_installed=" << sum.snapshots_installed
               << " voter_changes=" << sum.voter_changes << " disks_lost=" << sum.disks_lost
+              << " leaders_with_hung_disk=" << sum.leaders_with_hung_disk
               << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.write_races_won << '\n';
     return 0;
 }
--- a/tests/ledger/voterexchangetest.cpp
+++ b/tests/ledger/voterexchangetest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(commands_continue_after_the_disk_of_the_leader_hangs_and_a_voter_is_replaced);
     CPPUNIT_TEST(a_short_stop_of_the_leader_with_one_voter_down_costs_one_election);
     CPPUNIT_TEST(a_leader_whose_disk_hangs_gives_its_place_up);
+    CPPUNIT_TEST(a_slow_disk_of_the_leader_costs_no_election);
+    CPPUNIT_TEST(a_leader_whose_disk_recovers_costs_one_election);
     CPPUNIT_TEST(a_short_freeze_exchanges_nothing);
     CPPUNIT_TEST(a_voter_replaced_during_a_freeze_becomes_a_candidate_again);
     CPPUNIT_TEST(a_replacement_in_another_domain_moves_back_when_a_candidate_appears);
@@ -370,6 +372,51 @@
             CPPUNIT_ASSERT_MESSAGE("still a voter after 20 s", process != hung);
     }
 
+    void a_slow_disk_of_the_leader_costs_no_election()
+    {
+        std::string changed;
+        for (const int sync : {9, 50, 200, 500, 1000, 2000}) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                auto options = options_for(seed);
+                options.lost = 0;
+                voter_group group{options};
+                const auto slow = group.leader();
+                const auto before = group.elected();
+                group.slow_disk(slow, std::chrono::milliseconds{sync});
+                group.add_process(group.domain_of(slow));
+                group.run_for(std::chrono::seconds{20});
+                if (group.elected() != before || group.leader() != slow)
+                    changed += " " + std::to_string(sync) + "/" + std::to_string(seed);
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("sync/seed" + changed, changed.empty());
+    }
+
+    /** One sync takes 6 s; no other process is there to replace the voter. */
+    void a_leader_whose_disk_recovers_costs_one_election()
+    {
+        std::string wrong;
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            auto options = options_for(seed);
+            options.lost = 0;
+            voter_group group{options};
+            const auto hung = group.leader();
+            const auto before = group.elected();
+            const auto voters = group.voters().voters;
+            group.slow_disk(hung, std::chrono::seconds{6});
+            group.run_for(std::chrono::milliseconds{100});
+            group.slow_disk(hung, std::chrono::milliseconds{9});
+            group.run_for(std::chrono::seconds{20});
+            const bool as_expected = group.elected() == before + 1 && !group.leader().empty() &&
+                                     group.leader() != hung && group.voters().voters == voters &&
+                                     group.tolerates_next_loss();
+            if (!as_expected || group.held_commands() < group.acknowledged_commands())
+                wrong +=
+                    " " + std::to_string(seed) + ":" + std::to_string(group.elected() - before);
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed:elections" + wrong, wrong.empty());
+    }
+
     void a_short_freeze_exchanges_nothing()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
