schedule: tell when a stop was decided, planned and sent, and the time between passes

A task of a cancelled job ran on for 5.5 s, and no log line said whether its stop was decided, planned or sent late, or sent several times. task_stopped has waited_us, queued_us and attempt; leader_load has longest_interval_us and longest_stop_delay_us; galenaturn_job_pass_interval_seconds and galenaturn_job_stop_delay_seconds give both by quantile. No decision changes.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -52,6 +52,8 @@
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
       pass_latency_{shared.metrics.make_latency("galenaturn_job_pass_seconds")},
+      pass_interval_{shared.metrics.make_latency("galenaturn_job_pass_interval_seconds")},
+      stop_delay_{shared.metrics.make_latency("galenaturn_job_stop_delay_seconds")},
       tick_delay_{shared.metrics.make_latency("galenaturn_job_tick_delay_seconds")}
 {
     for (const auto status : wire::all_job_responses)
@@ -147,6 +149,7 @@
     connections_.clear();
     const auto now = monotonic_now();
     term_began_at_ = now;
+    last_pass_ = now;
     scheduler_ =
         schedule::take_over(state.jobs, state.workers, shared_.settings.jobs, now, wall_now());
     scheduler_.interference = last_model_;
@@ -230,6 +233,9 @@
     pass_latency_.record(ended - began);
     load_.passing += ended - began;
     load_.longest_pass = std::max(load_.longest_pass, ended - began);
+    pass_interval_.record(ended - last_pass_);
+    load_.longest_interval = std::max(load_.longest_interval, ended - last_pass_);
+    last_pass_ = ended;
 }
 
 void job_service::log_begun_jobs()
@@ -395,6 +401,8 @@
                {"candidates", counts.candidates - load_.candidates},
                {"passing_us", load_.passing.count()},
                {"longest_pass_us", load_.longest_pass.count()},
+               {"longest_interval_us", load_.longest_interval.count()},
+               {"longest_stop_delay_us", load_.longest_stop_delay.count()},
                {"longest_accept_us", load_.longest_accept.count()},
                {"longest_record_us", load_.longest_record.count()},
                {"longest_tick_delay_us", load_.longest_tick_delay.count()}});
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -59,6 +59,9 @@
         std::uint64_t candidates{0};
         duration passing{};
         duration longest_pass{};
+        /** From the end of one pass to the end of the next. */
+        duration longest_interval{};
+        duration longest_stop_delay{};
         duration longest_accept{};
         duration longest_record{};
         duration longest_tick_delay{};
@@ -175,6 +178,8 @@
     bool pass_due_{false};
     /** Earliest start of the next pass. */
     time_point next_pass_;
+    /** End of the last pass in this term, or start of the term. */
+    time_point last_pass_;
     time_point next_capacity_log_;
     time_point next_model_share_;
     /**
@@ -191,6 +196,9 @@
     latency_summary& accept_latency_;
     latency_summary& record_latency_;
     latency_summary& pass_latency_;
+    latency_summary& pass_interval_;
+    /** From the decision to stop a run until its first stop is sent. */
+    latency_summary& stop_delay_;
     latency_summary& tick_delay_;
     /** When the tick timer is due; its delay shows how busy this process is. */
     time_point tick_due_;
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -431,6 +431,12 @@
     const auto command = pop_first(connections_[worker].stops);
     if (!schedule::is_due(scheduler_, command))
         co_return;
+    const auto sent_at = monotonic_now();
+    if (command.attempt == 1) {
+        stop_delay_.record(sent_at - command.requested_at);
+        load_.longest_stop_delay =
+            std::max(load_.longest_stop_delay, sent_at - command.requested_at);
+    }
     const auto reply = co_await send_command(worker, generation, command, &worker_commands::stop);
     if (!reply)
         co_return;
@@ -439,6 +445,9 @@
                {"run", command.run},
                {"worker", command.worker},
                {"cause", schedule::to_string(command.cause)},
+               {"attempt", command.attempt},
+               {"waited_us", (sent_at - command.requested_at).count()},
+               {"queued_us", (sent_at - command.planned_at).count()},
                {"token", token_},
                {"answer", schedule::to_string(reply->result)},
                {"reason", reply->reason}});
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -338,8 +338,8 @@
         if (doubtful.stop_sent_at && now - *doubtful.stop_sent_at < stop_resend_interval)
             continue;
         doubtful.stop_sent_at = now;
-        commands.push_back(
-            {doubtful.task, doubtful.run, worker.record.id, stop_cause::unconfirmed});
+        commands.push_back({doubtful.task, doubtful.run, worker.record.id, stop_cause::unconfirmed,
+                            doubtful.since, now, ++doubtful.stops_sent});
     }
 }
 
@@ -425,16 +425,17 @@
     for (const auto& ref : state.stops_due) {
         auto& run = *find_task(state, ref)->run;
         // The first stop is sent at once; from then on `phase_since` is when the last one was sent.
-        const bool first = run.phase == run_phase::stopping && !run.stop_sent;
+        const bool first = run.phase == run_phase::stopping && run.stops_sent == 0;
         if (!first && now - run.phase_since < stop_resend_interval)
             continue;
-        run.stop_sent = true;
         run.phase_since = now;
         ++state.counts.stops;
-        commands.push_back({ref, run.number, run.worker, run.cause});
+        commands.push_back(
+            {ref, run.number, run.worker, run.cause, run.stop_requested_at, now, ++run.stops_sent});
     }
     for (const auto& orphan : state.orphans)
-        commands.push_back({orphan.task, orphan.run, orphan.worker, stop_cause::orphan});
+        commands.push_back(
+            {orphan.task, orphan.run, orphan.worker, stop_cause::orphan, orphan.listed_at, now, 1});
     state.orphans.clear();
     for (auto& [id, worker] : state.workers) {
         if (!worker.lost)
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -219,6 +219,7 @@
         worker->second.reclaimable += task.run->reserved;
     set_phase(*task.run, sent ? run_phase::stopping : run_phase::withdrawn, now);
     task.run->cause = cause;
+    task.run->stop_requested_at = now;
     if (sent)
         state.stops_due.insert(ref);
     state.paces_due.erase(ref);
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -22,6 +22,11 @@
     std::uint32_t run{0};
     worker_id worker;
     stop_cause cause{stop_cause::none};
+    /** When it was decided to stop the run, and when this command was planned. */
+    time_point requested_at;
+    time_point planned_at;
+    /** Number of this command among those for the run, from 1 on. */
+    std::uint32_t attempt{1};
 };
 
 /** Command to continue at a pace: the share of full speed that a run may use, in percent. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -82,7 +82,9 @@
     std::optional<time_point> confirmed_at;
     /** A report of the worker has listed it. */
     bool listed{false};
-    bool stop_sent{false};
+    /** When it was decided to stop it, and the number of stops sent since. */
+    time_point stop_requested_at;
+    std::uint32_t stops_sent{0};
     stop_cause cause{stop_cause::none};
     /** Share of full speed that the run may use, in percent. */
     std::uint32_t pace_percent{full_pace_percent};
@@ -229,8 +231,11 @@
 struct doubtful_start {
     wire::task_ref task;
     std::uint32_t run{0};
+    /** When it was cleared. */
+    time_point since;
     /** When a stop was last sent for it. */
     std::optional<time_point> stop_sent_at;
+    std::uint32_t stops_sent{0};
 };
 
 /** State of a worker, as far as this leader knows. */
@@ -308,6 +313,8 @@
     wire::task_ref task;
     std::uint32_t run{0};
     worker_id worker;
+    /** When the report that lists it was read. */
+    time_point listed_at;
 };
 
 /** A job of which the first run has begun. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -64,7 +64,8 @@
     const auto mark_orphan = [&] {
         ++context.state.counts.orphans;
         context.worker.has_orphans = true;
-        context.state.orphans.push_back({listed.task, listed.run, context.worker.record.id});
+        context.state.orphans.push_back(
+            {listed.task, listed.run, context.worker.record.id, context.now});
     };
     if (task == nullptr || task->succeeded)
         return mark_orphan();
@@ -230,7 +231,7 @@
         auto run = *task->run;
         clear_run(state, ref, *task);
         run.worker = next;
-        run.stop_sent = false;
+        run.stops_sent = 0;
         run.listed = false;
         run.confirmed_at.reset();
         const bool stops = is_being_stopped(run.phase);
@@ -243,12 +244,12 @@
 }
 
 /** Keeps the starts that the worker may still carry out once it has a lease again. */
-void keep_doubtful_starts(job_scheduler& state, job_worker& worker)
+void keep_doubtful_starts(job_scheduler& state, job_worker& worker, time_point now)
 {
     for (const auto& [ref, number] : worker.runs) {
         const auto& run = *find_task(state, ref)->run;
         if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
-            worker.doubtful_starts.push_back({ref, number, std::nullopt});
+            worker.doubtful_starts.push_back({ref, number, now, std::nullopt, 0});
     }
 }
 
@@ -425,7 +426,7 @@
             if (item.suspicion != wire::crash_suspicion::cleared)
                 find_task(state, item.task)->lost_in_silence = true;
         }
-        keep_doubtful_starts(state, worker);
+        keep_doubtful_starts(state, worker, now);
         end_all_runs(state, worker);
     }
 }
