tests: stops that wait for passes, orphans that are stopped once, passes that examine all workers for each job

Seen by callers as UNASKED (a task of a cancelled job ran on for 5.5 s) and SHORT (tag-check served too rarely).

--- /dev/null
+++ b/tests/control/testleader.cpp
@@ -0,0 +1,175 @@
+#include "testleader.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace galenaturn::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** A worker replies to a poll after this time; none of its runs ends by itself. */
+constexpr duration poll_span = std::chrono::milliseconds{20};
+
+process_settings leader_settings()
+{
+    process_settings settings;
+    settings.self.id = process_id{"control-a"};
+    settings.self.role = process_role::control;
+    settings.self.domain = failure_domain_id{"hall-a"};
+    settings.members = {settings.self};
+    settings.charts_folder = GALENATURN_SOURCE_DIR "/charts";
+    settings.jobs.lease = std::chrono::seconds{5};
+    return settings;
+}
+
+} // namespace
+
+class test_leader::workers_in_process : public worker_commands {
+public:
+    explicit workers_in_process(test_leader& leader) : leader_{leader} {}
+
+    asio::awaitable<command_reply> start(wire::worker_record worker,
+                                         schedule::start_command command,
+                                         command_header /*header*/) override
+    {
+        leader_.runs_[worker.id][command.task] = command.run;
+        co_return accepted();
+    }
+
+    asio::awaitable<command_reply> stop(wire::worker_record worker, schedule::stop_command command,
+                                        command_header /*header*/) override
+    {
+        // A pass that sends the command has ended before it arrives.
+        co_await asio::post(leader_.shared_.io, asio::use_awaitable);
+        leader_.stops_.push_back({command, leader_.passes()});
+        leader_.runs_[worker.id].erase(command.task);
+        co_return accepted();
+    }
+
+    asio::awaitable<command_reply> pace(wire::worker_record /*worker*/,
+                                        schedule::pace_command /*command*/,
+                                        command_header /*header*/) override
+    {
+        co_return accepted();
+    }
+
+    asio::awaitable<poll_reply> poll(wire::worker_record worker,
+                                     std::uint64_t /*acknowledged_completions*/,
+                                     std::chrono::milliseconds wait,
+                                     command_header /*header*/) override
+    {
+        asio::steady_timer timer{leader_.shared_.io, wait.count() == 0 ? duration{} : poll_span};
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        poll_reply polled;
+        polled.reply = accepted();
+        for (const auto& [task, run] : leader_.runs_[worker.id])
+            polled.report.running.push_back({task, run, "", 50, 0});
+        co_return polled;
+    }
+
+private:
+    static command_reply accepted()
+    {
+        command_reply reply;
+        reply.result = schedule::command_result::accepted;
+        reply.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+            monotonic_now().time_since_epoch());
+        return reply;
+    }
+
+    test_leader& leader_;
+};
+
+test_leader::test_leader(std::size_t workers) : shared_{leader_settings()}, roster_{shared_}
+{
+    hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
+    hub_.leads = [] { return true; };
+    hub_.current_term = [] { return term{1}; };
+    hub_.leader = [] { return process_id{"control-a"}; };
+    hub_.submit = [this](wire::command command,
+                         time_point) -> asio::awaitable<wire::command_response> {
+        apply(std::move(command));
+        wire::command_response response;
+        response.status = wire::command_status::accepted;
+        co_return response;
+    };
+    wire::record_workers fleet;
+    for (std::size_t number = 0; number < workers; ++number) {
+        auto& worker = fleet.admitted.emplace_back();
+        worker.id = worker_id{"w" + std::to_string(number)};
+        worker.service = service_id{"desk"};
+        worker.address = {"127.0.0.1", 1};
+        worker.capacity = {millicores{64'000}, bytes{std::int64_t{256} << 30}, {}};
+    }
+    apply(std::move(fleet));
+    service_ = std::make_unique<job_service>(shared_, hub_, roster_,
+                                             std::make_unique<workers_in_process>(*this),
+                                             [](const std::string&) { return queue_table{}; });
+    GN_INVARIANT(service_->start().has_value(), {"workers", workers});
+}
+
+test_leader::~test_leader() = default;
+
+void test_leader::submit(const std::string& name)
+{
+    wire::submit_job body;
+    body.id = submission_id{name};
+    body.queue.name = "desk";
+    body.queue.service = service_id{"desk"};
+    body.submitted = wall_now();
+    auto& step = body.spec.steps.emplace_back();
+    step.demand.processors = millicores{1000};
+    step.long_running = true;
+    apply(std::move(body));
+}
+
+void test_leader::cancel(const std::string& name)
+{
+    apply(wire::cancel_job{submission_id{name}, wall_now()});
+}
+
+bool test_leader::run_until(const std::function<bool()>& condition, duration limit)
+{
+    const auto deadline = monotonic_now() + limit;
+    while (!condition()) {
+        if (monotonic_now() >= deadline)
+            return false;
+        shared_.io.run_one_for(std::chrono::milliseconds{100});
+    }
+    return true;
+}
+
+bool test_leader::run_until_pass()
+{
+    const auto before = passes();
+    return run_until([&] { return passes() > before; });
+}
+
+std::uint64_t test_leader::passes()
+{
+    return shared_.metrics.make_latency("galenaturn_job_pass_seconds").count();
+}
+
+std::size_t test_leader::running() const
+{
+    std::size_t count = 0;
+    for (const auto& [worker, runs] : runs_)
+        count += runs.size();
+    return count;
+}
+
+void test_leader::apply(wire::command body)
+{
+    ledger::applied_change change;
+    const wire::command_request request{request_id{"r" + std::to_string(++index_)},
+                                        std::move(body)};
+    ledger::apply_command(state_, request, log_index{index_}, change);
+    for (const auto& listener : hub_.applied)
+        listener(change);
+}
+
+} // namespace galenaturn::controld
--- /dev/null
+++ b/tests/control/testleader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "controld/jobservice.h"
+
+#include <galenaturn/daemon.h>
+#include <galenaturn/ledger.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace galenaturn::controld {
+
+/** A stop command as a worker received it. */
+struct received_stop {
+    schedule::stop_command command;
+    /** Number of scheduling passes that the leader had completed by then. */
+    std::uint64_t passes{0};
+};
+
+/**
+ * The job service of a leader, with a ledger that applies commands immediately and workers in the
+ * same process that carry out every command.
+ */
+class test_leader {
+public:
+    explicit test_leader(std::size_t workers);
+    ~test_leader();
+    test_leader(const test_leader&) = delete;
+    test_leader& operator=(const test_leader&) = delete;
+
+    /** Accepts a job with one long-running task. */
+    void submit(const std::string& name);
+    void cancel(const std::string& name);
+    /** Runs the event loop until the condition holds. Returns false after `limit`. */
+    bool run_until(const std::function<bool()>& condition,
+                   duration limit = std::chrono::seconds{10});
+    /** Runs the event loop until a scheduling pass has ended. */
+    bool run_until_pass();
+    [[nodiscard]] std::uint64_t passes();
+
+    /** Tasks that run on any worker. */
+    [[nodiscard]] std::size_t running() const;
+    [[nodiscard]] const std::vector<received_stop>& stops() const { return stops_; }
+
+private:
+    class workers_in_process;
+
+    void apply(wire::command body);
+
+    daemon::context shared_;
+    control_hub hub_;
+    daemon::roster_service roster_;
+    ledger::ledger_state state_;
+    std::uint64_t index_{0};
+    std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
+    std::vector<received_stop> stops_;
+    std::unique_ptr<job_service> service_;
+};
+
+} // namespace galenaturn::controld
--- a/tests/schedule/schedulingpasstest.cpp
+++ b/tests/schedule/schedulingpasstest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(scheduling_pass_test);
     CPPUNIT_TEST(pass_without_changes_examines_no_worker);
     CPPUNIT_TEST(pass_examines_only_changed_workers);
+    CPPUNIT_TEST(pass_examines_a_worker_once_for_each_kind_of_task);
     CPPUNIT_TEST(waiting_task_starts_in_the_next_pass_after_capacity_is_freed);
     CPPUNIT_TEST(waiting_task_starts_once_the_pause_of_its_worker_is_over);
     CPPUNIT_TEST(spread_task_starts_once_its_sibling_has_ended);
@@ -178,6 +179,35 @@
         CPPUNIT_ASSERT(examined <= jobs + starts);
     }
 
+    /**
+     * Guards against passes that compare each waiting job with each worker whose report was read
+     * since the last pass, although the report has freed nothing: with 700 jobs and 490 workers
+     * passes of half a second followed each other.
+     */
+    void pass_examines_a_worker_once_for_each_kind_of_task()
+    {
+        constexpr std::size_t images = 18;
+        const auto serving = fill_workers();
+        for (std::size_t number = 0; number < 700; ++number) {
+            auto waiting = step(20, 5000 + static_cast<std::int64_t>(number * 31 % 700) * 10);
+            waiting.demand.memory =
+                bytes{(std::int64_t{257} << 30) + static_cast<std::int64_t>(number * 17 % 700)};
+            waiting.best_effort = true;
+            waiting.image = "image-" + std::to_string(number % images);
+            add({waiting});
+        }
+        pass();
+        for (std::size_t number = 0; number < workers; ++number) {
+            worker_report unchanged;
+            for (const auto& command : serving) {
+                if (command.worker == name(number))
+                    unchanged.running.push_back({command.task, command.run, "", 50, 10});
+            }
+            report(number, unchanged);
+        }
+        CPPUNIT_ASSERT(examined_in_pass() <= workers * images);
+    }
+
     void waiting_task_starts_in_the_next_pass_after_capacity_is_freed()
     {
         const auto serving = fill_workers();
