schedule: an orphan is stopped again until no report lists it

Seen as UNASKED: runs that a new leader neither started nor adopted, such as those of a job that was cancelled before its term, went on for up to 10 s. Cause: the stop of an orphan was planned once and forgotten; without a reply it waited for the next report and the next pass. Orphans are now kept while reports list them, and stopped again every 600 ms.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -22,13 +22,6 @@
 constexpr duration unhealthy_pause = std::chrono::seconds{2};
 /** Minimum time between preemptions for a job: what was stopped before has to end first. */
 constexpr duration preemption_interval = std::chrono::milliseconds{100};
-/** A stop without a reply is sent again after this time. */
-constexpr duration stop_resend_interval = std::chrono::milliseconds{600};
-/**
- * A pace change without a reply is sent again after this time. Shorter than for a stop, because a
- * tail stays over its target meanwhile.
- */
-constexpr duration pace_resend_interval = std::chrono::milliseconds{300};
 
 /**
  * A job of which nothing has run for this time may start slowed where its service has idle
@@ -331,18 +324,6 @@
     return state.unread_workers.empty();
 }
 
-/** Plans the stops of the starts that the worker may still carry out. */
-void plan_doubtful_stops(job_worker& worker, time_point now, std::vector<stop_command>& commands)
-{
-    for (auto& doubtful : worker.doubtful_starts) {
-        if (doubtful.stop_sent_at && now - *doubtful.stop_sent_at < stop_resend_interval)
-            continue;
-        doubtful.stop_sent_at = now;
-        commands.push_back({doubtful.task, doubtful.run, worker.record.id, stop_cause::unconfirmed,
-                            doubtful.since, now, ++doubtful.stops_sent});
-    }
-}
-
 /** Stops the other members of a gang of which this member was not started. */
 void stop_gang(job_scheduler& state, const start_command& command, time_point now)
 {
@@ -419,45 +400,6 @@
     return std::move(pass.commands);
 }
 
-std::vector<stop_command> plan_stops(job_scheduler& state, time_point now)
-{
-    std::vector<stop_command> commands;
-    for (const auto& ref : state.stops_due) {
-        auto& run = *find_task(state, ref)->run;
-        // The first stop is sent at once; from then on `phase_since` is when the last one was sent.
-        const bool first = run.phase == run_phase::stopping && run.stops_sent == 0;
-        if (!first && now - run.phase_since < stop_resend_interval)
-            continue;
-        run.phase_since = now;
-        ++state.counts.stops;
-        commands.push_back(
-            {ref, run.number, run.worker, run.cause, run.stop_requested_at, now, ++run.stops_sent});
-    }
-    for (const auto& orphan : state.orphans)
-        commands.push_back(
-            {orphan.task, orphan.run, orphan.worker, stop_cause::orphan, orphan.listed_at, now, 1});
-    state.orphans.clear();
-    for (auto& [id, worker] : state.workers) {
-        if (!worker.lost)
-            plan_doubtful_stops(worker, now, commands);
-    }
-    return commands;
-}
-
-std::vector<pace_command> plan_paces(job_scheduler& state, time_point now)
-{
-    std::vector<pace_command> commands;
-    for (const auto& ref : state.paces_due) {
-        auto& run = *find_task(state, ref)->run;
-        if (run.pace_sent_at && now - *run.pace_sent_at < pace_resend_interval)
-            continue;
-        run.pace_sent_at = now;
-        ++state.counts.pace_changes;
-        commands.push_back({ref, run.number, run.worker, run.pace_percent});
-    }
-    return commands;
-}
-
 std::optional<drop_reason> reason_to_drop(const job_scheduler& state, const start_command& command)
 {
     const auto* run = find_run(state, command.task, command.run, command.worker);
@@ -517,9 +459,9 @@
             return start.task == command.task && start.run == command.run;
         }))
         return true;
-    const auto* run = find_run(state, command.task, command.run, command.worker);
     if (command.cause == stop_cause::orphan)
-        return run == nullptr;
+        return state.orphans.contains({command.worker, command.task, command.run});
+    const auto* run = find_run(state, command.task, command.run, command.worker);
     return run != nullptr && run->phase == run_phase::stopping;
 }
 
@@ -594,7 +536,6 @@
                             task->run->worker == command.worker;
     if (!is_current || outcome != command_result::accepted)
         return;
-    task->run->pace_sent_at.reset();
     // The pace may have changed again while the command was in flight.
     if (task->run->pace_percent == command.percent)
         state.paces_due.erase(command.task);
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -147,6 +147,7 @@
     update_tail_forecasts(state, worker);
     record_start(worker.starts, ref.job, run.commanded_at);
     worker.runs[ref] = run.number;
+    state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
     task.last_run = std::max(task.last_run, run.number);
     task.run = std::move(run);
 }
@@ -205,7 +206,7 @@
     mark_begun(state, ref.job, now);
     // Workers start every run at full speed.
     if (run.pace_percent < full_pace_percent)
-        state.paces_due.insert(ref);
+        state.paces_due.set(ref, now);
 }
 
 void stop_run(job_scheduler& state, const wire::task_ref& ref, open_task& task, stop_cause cause,
@@ -221,7 +222,7 @@
     task.run->cause = cause;
     task.run->stop_requested_at = now;
     if (sent)
-        state.stops_due.insert(ref);
+        state.stops_due.set(ref, now);
     state.paces_due.erase(ref);
 }
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "deadlinequeue.h"
 #include "failedplacements.h"
 #include "queuesizes.h"
 #include "tailmodel.h"
@@ -93,8 +94,6 @@
      * started slowed claims no more than its highest pace so far.
      */
     std::uint32_t claimed_percent{full_pace_percent};
-    /** When the pace was last sent, until the worker confirms it. */
-    std::optional<time_point> pace_sent_at;
     /** Since when the reported tail has been an outlier. */
     std::optional<time_point> outlier_since;
     /** Progress last reported by the worker, in percent, and when it last changed. */
@@ -310,11 +309,18 @@
 
 /** A run that this leader neither started nor adopted, to be stopped. */
 struct orphan_run {
+    worker_id worker;
     wire::task_ref task;
     std::uint32_t run{0};
-    worker_id worker;
-    /** When the report that lists it was read. */
-    time_point listed_at;
+
+    auto operator<=>(const orphan_run&) const = default;
+};
+
+/** Stops of an orphan. */
+struct orphan_stops {
+    time_point first_listed_at;
+    time_point last_listed_at;
+    std::uint32_t sent{0};
 };
 
 /** A job of which the first run has begun. */
@@ -399,12 +405,18 @@
     failed_placements failed;
     /** Pauses of workers that ended by then have been recorded as changes. */
     time_point pauses_checked_at;
-    /** Tasks whose runs are to be stopped, until the worker confirms. */
-    std::set<wire::task_ref> stops_due;
-    /** Tasks whose runs are to change pace, until the worker confirms. */
-    std::set<wire::task_ref> paces_due;
-    /** Runs on workers that belong to no open task, such as those of ended jobs. */
-    std::vector<orphan_run> orphans;
+    /** Tasks whose runs are to be stopped, by the time of the next stop, until one is confirmed. */
+    deadline_queue<wire::task_ref> stops_due;
+    /** Tasks whose runs are to change pace, by the time of the next command, until confirmed. */
+    deadline_queue<wire::task_ref> paces_due;
+    /** Runs that belong to no open task, such as those of ended jobs, while reports list them. */
+    std::map<orphan_run, orphan_stops> orphans;
+    /** The same, by the time of the next stop. */
+    deadline_queue<orphan_run> orphan_stops_due;
+    /** All workers with doubtful starts, and some that had any. */
+    std::set<worker_id> workers_in_doubt;
+    /** No lease of a worker with runs expires before this time. */
+    time_point next_lease_expiry{time_point::max()};
     /** Workers that may run what an earlier leader started, until their reports were read. */
     std::set<worker_id> unread_workers;
     /** All leases granted by an earlier leader have expired by then. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -51,30 +51,51 @@
     }
     begin_run(context.state, listed.task, task, std::move(run));
     if (is_throttled)
-        context.state.paces_due.insert(listed.task);
+        context.state.paces_due.set(listed.task, context.now);
     find_job(context.state, listed.task.job)->begun = true;
     ++context.state.counts.adopted;
 }
 
+void mark_orphan(report_context& context, const worker_report::running_task& listed)
+{
+    ++context.state.counts.orphans;
+    context.worker.has_orphans = true;
+    const orphan_run orphan{context.worker.record.id, listed.task, listed.run};
+    const auto [stops, added] = context.state.orphans.try_emplace(orphan);
+    if (added) {
+        stops->second.first_listed_at = context.now;
+        context.state.orphan_stops_due.set(orphan, context.now);
+    }
+    stops->second.last_listed_at = context.now;
+}
+
+/** Forgets the orphans of the worker that were not listed since `listed_since`. */
+void forget_orphans(job_scheduler& state, const worker_id& worker, time_point listed_since)
+{
+    auto orphan = state.orphans.lower_bound({worker, {}, 0});
+    while (orphan != state.orphans.end() && orphan->first.worker == worker) {
+        if (orphan->second.last_listed_at >= listed_since) {
+            ++orphan;
+            continue;
+        }
+        state.orphan_stops_due.erase(orphan->first);
+        orphan = state.orphans.erase(orphan);
+    }
+}
+
 void apply_running(report_context& context, const worker_report::running_task& listed)
 {
     settle_doubtful_start(context.state, context.worker, listed.task, listed.run);
     auto* job = find_job(context.state, listed.task.job);
     auto* task = find_task(context.state, listed.task);
-    const auto mark_orphan = [&] {
-        ++context.state.counts.orphans;
-        context.worker.has_orphans = true;
-        context.state.orphans.push_back(
-            {listed.task, listed.run, context.worker.record.id, context.now});
-    };
     if (task == nullptr || task->succeeded)
-        return mark_orphan();
+        return mark_orphan(context, listed);
     task->last_run = std::max(task->last_run, listed.run);
     if (!task->run && !job->ending && task->recording == 0)
         adopt(context, listed, *task);
     if (!task->run || task->run->worker != context.worker.record.id ||
         task->run->number != listed.run)
-        return mark_orphan();
+        return mark_orphan(context, listed);
     auto& run = *task->run;
     run.listed = true;
     if (!listed.checkpoint.empty())
@@ -223,6 +244,8 @@
     // A command names the worker only, so the next life may carry it out.
     worker.doubtful_starts.insert(worker.doubtful_starts.end(), earlier.doubtful_starts.begin(),
                                   earlier.doubtful_starts.end());
+    if (!worker.doubtful_starts.empty())
+        state.workers_in_doubt.insert(next);
     const auto runs = earlier.runs;
     for (const auto& [ref, number] : runs) {
         auto* task = find_task(state, ref);
@@ -251,6 +274,8 @@
         if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
             worker.doubtful_starts.push_back({ref, number, now, std::nullopt, 0});
     }
+    if (!worker.doubtful_starts.empty())
+        state.workers_in_doubt.insert(worker.record.id);
 }
 
 void end_all_runs(job_scheduler& state, job_worker& worker)
@@ -287,6 +312,7 @@
 void remove_worker(job_scheduler& state, const worker_id& id)
 {
     state.unread_workers.erase(id);
+    forget_orphans(state, id, time_point::max());
     const auto worker = state.workers.find(id);
     if (worker == state.workers.end())
         return;
@@ -387,6 +413,7 @@
     }
     for (const auto& running : report.running)
         apply_running(context, running);
+    forget_orphans(state, id, now);
     clear_unlisted(context, report);
     control_tail_latency(state, worker->second, report, now);
     mark_changed(state, worker->second);
@@ -416,9 +443,16 @@
 
 void expire_leases(job_scheduler& state, time_point now)
 {
+    if (now <= state.next_lease_expiry)
+        return;
+    state.next_lease_expiry = time_point::max();
     for (auto& [id, worker] : state.workers) {
-        if (now <= worker.lease_expires_at || worker.runs.empty())
+        if (worker.runs.empty())
+            continue;
+        if (now <= worker.lease_expires_at) {
+            state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
             continue;
+        }
         state.counts.expired += worker.runs.size();
         // The worker may have crashed or be partitioned; its next response tells.
         worker.unexplained = crash_items(state, worker);
--- a/src/libschedule/tailcontrol.cpp
+++ b/src/libschedule/tailcontrol.cpp
@@ -252,7 +252,7 @@
     if (new_pace_percent == interfering.task->run->pace_percent)
         return;
     interfering.task->run->pace_percent = new_pace_percent;
-    state.paces_due.insert(interfering.ref);
+    state.paces_due.set(interfering.ref, now);
     worker.pace_changed_at = now;
 }
 
--- a/tests/schedule/startsreviewtest.cpp
+++ b/tests/schedule/startsreviewtest.cpp
@@ -103,7 +103,7 @@
             const auto command = plan_one();
             start(command);
             state_.jobs.at(job_id_).tasks[0].run->pace_percent = 20;
-            state_.paces_due.insert(command.task);
+            state_.paces_due.set(command.task, now_);
             const auto pace = plan_paces(state_, now_).at(0);
             on_pace_result(state_, pace, result);
             now_ += std::chrono::milliseconds{400};
