controld: stops, paces and lapsed leases do not wait for a scheduling pass

Cause: stops were planned in passes only, and a pass is followed by a pause of four times its duration, so that a stop waited for as long as the whole interval. Stops and paces that are due are now sent after each applied change, each report and each reply, and with the tick; leases that have expired are found with them. stop_of_a_cancelled_job_does_not_wait_for_a_pass failed before: each of 20 stops came after the next pass.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -208,8 +208,11 @@
             open_connection(id);
         }
     }
-    if (!change.jobs.empty())
-        schedule_pass();
+    if (change.jobs.empty())
+        return;
+    // The ledger may still be applying further changes.
+    schedule_due_commands();
+    schedule_pass();
 }
 
 // Scheduling passes.
@@ -313,10 +316,7 @@
         return;
     const auto now = monotonic_now();
     log_begun_jobs();
-    schedule::expire_leases(scheduler_, now);
     schedule::drain_leaving_workers(scheduler_, now);
-    queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
-    queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
     for (auto& command : schedule::plan_starts(scheduler_, now, wall_now())) {
         if (command.suspect)
             asio::co_spawn(shared_.io, start_suspect(this, std::move(command), generation_),
@@ -324,9 +324,30 @@
         else
             queue_start(std::move(command));
     }
+    send_due_commands();
     set_next_pass(now);
 }
 
+void job_service::send_due_commands()
+{
+    if (!term_active_ || !hub_.leads())
+        return;
+    const auto now = monotonic_now();
+    schedule::expire_leases(scheduler_, now);
+    queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
+    queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
+}
+
+void job_service::schedule_due_commands()
+{
+    if (std::exchange(due_commands_posted_, true))
+        return;
+    asio::post(shared_.io, [this] {
+        due_commands_posted_ = false;
+        send_due_commands();
+    });
+}
+
 void job_service::schedule_tick()
 {
     tick_due_ = monotonic_now() + tick_interval;
@@ -338,6 +359,7 @@
         tick_delay_.record(delay);
         load_.longest_tick_delay = std::max(load_.longest_tick_delay, delay);
         begin_term_if_leading();
+        send_due_commands();
         schedule_pass();
         log_capacity();
         schedule::forget_silent_workers(announcements_, monotonic_now());
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -129,6 +129,13 @@
     // Scheduling passes.
     void schedule_pass();
     void pass();
+    /**
+     * Sends the stops and paces that are due and ends the runs whose leases have expired. Separate
+     * from passes, which take longer the more work waits.
+     */
+    void send_due_commands();
+    /** The same, once the event that is being handled has ended. */
+    void schedule_due_commands();
     /** Queues commands for their workers, skipping workers that are gone. */
     template <class Command>
     void queue_commands(const std::vector<Command>& commands,
@@ -176,6 +183,7 @@
     counter_mirror counters_;
     std::map<worker_id, worker_connection> connections_;
     bool pass_due_{false};
+    bool due_commands_posted_{false};
     /** Earliest start of the next pass. */
     time_point next_pass_;
     /** End of the last pass in this term, or start of the term. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -176,6 +176,7 @@
     schedule::record_reply(scheduler_, worker, requested_at);
     log_completions(worker, read_up_to, polled.report, token_);
     auto items = schedule::on_worker_report(scheduler_, worker, polled.report, requested_at, now);
+    send_due_commands();
     if (!items.empty()) {
         co_await this->record_completions(std::move(items), generation);
         if (!in_term(generation))
@@ -293,6 +294,7 @@
     if (found != announcements_.end())
         found->second.presence.left = true;
     update_ledger_workers({}, {worker});
+    schedule_due_commands();
     schedule_pass();
 }
 
@@ -360,8 +362,9 @@
         update_clock(current_connection->second, reply);
     if (reply.result == command_result::none)
         drop_queued_starts(worker);
-    // A run that starts slowed gets its pace in the next pass.
-    if (reply.result != command_result::accepted || !scheduler_.paces_due.empty())
+    // A run that starts slowed gets its pace now.
+    send_due_commands();
+    if (reply.result != command_result::accepted)
         schedule_pass();
 }
 
