bench/route: count the allocations of decisions before the report is made

The allocation was the name of the figure: arguments are evaluated in any order, and the count was read among them.

--- a/bench/route/decisioncost.cpp
+++ b/bench/route/decisioncost.cpp
@@ -141,8 +141,10 @@
     large.run(warm_up_decisions);
     const auto before = allocations;
     large.run(decisions_per_run);
-    report.add("allocations_per_decision",
-               static_cast<double>(allocations - before) / decisions_per_run, "count", at_most(0));
+    // Read before the call, whose arguments allocate and may be evaluated in any order.
+    const auto allocated = allocations - before;
+    report.add("allocations_per_decision", static_cast<double>(allocated) / decisions_per_run,
+               "count", at_most(0));
     if (quick)
         return;
     const double small_cost = decision_cost_ns(small);
