controld: a worker is polled while its completions are being recorded

After a report with completions the next poll, which extends the lease, waited until the ledger had recorded them, and without a quorum all runs of the worker lapsed. Completions are now recorded beside the polls; until then the worker is polled every 500 ms, since it replies at once while it may not forget completions. It may forget them once those of all its reports are recorded. lease_is_extended_while_the_ledger_does_not_record_a_completion failed before: no poll within 10 s.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -51,6 +51,10 @@
         std::deque<schedule::stop_command> stops;
         std::deque<schedule::pace_command> paces;
         bool sending{false};
+        /** Number of reports of which completions are being recorded. */
+        std::size_t recording{0};
+        /** Runs while the next poll waits for that. */
+        std::shared_ptr<boost::asio::steady_timer> recording_timer;
     };
 
     /** Work and delays since the last `leader_load` event. */
@@ -95,8 +99,12 @@
                                                        std::uint64_t generation);
     static boost::asio::awaitable<void> record_crash(job_service* self, wire::record_crash crash,
                                                      std::uint64_t generation);
-    boost::asio::awaitable<void>
-    record_completions(std::vector<wire::record_completions::item> items, std::uint64_t generation);
+    static boost::asio::awaitable<void>
+    record_completions(job_service* self, worker_id worker,
+                       std::vector<wire::record_completions::item> items, std::uint64_t read_up_to,
+                       std::uint64_t generation);
+    /** Waits until the completions of the worker are recorded, but not for long. */
+    boost::asio::awaitable<void> await_recording(worker_id worker, std::uint64_t generation);
     /** Logs the runs that end with the worker. */
     void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -31,6 +31,11 @@
 constexpr duration poll_retry_pause = std::chrono::milliseconds{200};
 /** A worker that was silent for longer gets no new lease until it replies. */
 constexpr duration max_silence = std::chrono::milliseconds{2500};
+/**
+ * A worker that may not forget its completions replies to a poll at once. It is polled at this
+ * interval until they are recorded, to extend its lease.
+ */
+constexpr duration recording_poll_interval = std::chrono::milliseconds{500};
 /** Pause before completions that the ledger did not accept are submitted again. */
 constexpr duration record_retry_pause = std::chrono::milliseconds{50};
 constexpr duration record_timeout = std::chrono::seconds{3};
@@ -178,13 +183,15 @@
     auto items = schedule::on_worker_report(scheduler_, worker, polled.report, requested_at, now);
     send_due_commands();
     if (!items.empty()) {
-        co_await this->record_completions(std::move(items), generation);
-        if (!in_term(generation))
-            co_return false;
-        schedule::acknowledge_completions(scheduler_, worker);
+        ++connection->second.recording;
+        const auto read = scheduler_.workers.at(worker).completions_read;
+        asio::co_spawn(shared_.io,
+                       record_completions(this, worker, std::move(items), read, generation),
+                       asio::detached);
     }
     schedule_pass();
-    co_return true;
+    co_await await_recording(worker, generation);
+    co_return in_term(generation);
 }
 
 /** Submits the command to the ledger until it is recorded or the term is over. */
@@ -208,16 +215,36 @@
 }
 
 asio::awaitable<void>
-job_service::record_completions(std::vector<wire::record_completions::item> items,
-                                std::uint64_t generation)
+job_service::record_completions(job_service* self, worker_id worker,
+                                std::vector<wire::record_completions::item> items,
+                                std::uint64_t read_up_to, std::uint64_t generation)
 {
     wire::record_completions completions;
     completions.items = items;
     completions.now = wall_now();
     wire::command body{std::move(completions)};
-    co_await submit_until_recorded(std::move(body), items.size(), generation);
-    if (in_term(generation))
-        schedule::on_completions_recorded(scheduler_, items);
+    co_await self->submit_until_recorded(std::move(body), items.size(), generation);
+    if (!self->in_term(generation))
+        co_return;
+    schedule::on_completions_recorded(self->scheduler_, items);
+    schedule::acknowledge_completions(self->scheduler_, worker, read_up_to);
+    self->schedule_pass();
+    const auto connection = self->connections_.find(worker);
+    if (connection == self->connections_.end() || connection->second.recording == 0)
+        co_return;
+    if (--connection->second.recording == 0 && connection->second.recording_timer)
+        connection->second.recording_timer->cancel();
+}
+
+asio::awaitable<void> job_service::await_recording(worker_id worker, std::uint64_t generation)
+{
+    const auto connection = connections_.find(worker);
+    if (!in_term(generation) || connection == connections_.end() ||
+        connection->second.recording == 0)
+        co_return;
+    const auto timer = std::make_shared<asio::steady_timer>(shared_.io, recording_poll_interval);
+    connection->second.recording_timer = timer;
+    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 asio::awaitable<void> job_service::record_crash(job_service* self, wire::record_crash crash,
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -179,7 +179,7 @@
 
 /**
  * Applies the report of a worker that was polled at `requested_at`. Returns the completions that
- * the ledger has to record before the worker may forget them.
+ * the ledger has to record before the worker may forget them; acknowledge_completions says so.
  */
 std::vector<wire::record_completions::item>
 on_worker_report(job_scheduler& state, const worker_id& worker, const worker_report& report,
@@ -187,8 +187,12 @@
 /** Marks these completions as recorded by the ledger. */
 void on_completions_recorded(job_scheduler& state,
                              const std::vector<wire::record_completions::item>& items);
-/** Marks all completions read from the worker as recorded, so that the worker may forget them. */
-void acknowledge_completions(job_scheduler& state, const worker_id& worker);
+/**
+ * Marks the completions of one report, of which `read_up_to` is the last, as recorded. Once those
+ * of all reports are, the worker may forget what was read.
+ */
+void acknowledge_completions(job_scheduler& state, const worker_id& worker,
+                             std::uint64_t read_up_to);
 /** Ends the runs on workers whose leases have expired. */
 void expire_leases(job_scheduler& state, time_point now);
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -302,6 +302,8 @@
     bool has_orphans{false};
     /** Failed runs since the last success. */
     std::uint32_t failure_streak{0};
+    /** The last completion of each report of which completions are being recorded. */
+    std::set<std::uint64_t> recording;
     /** The highest completion number read, and the highest that the worker may forget. */
     std::uint64_t completions_read{0};
     std::uint64_t completions_acknowledged{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -419,7 +419,9 @@
     mark_changed(state, worker->second);
     worker->second.report_read = true;
     state.unread_workers.erase(id);
-    if (context.to_record.empty())
+    if (!context.to_record.empty())
+        worker->second.recording.insert(worker->second.completions_read);
+    if (worker->second.recording.empty())
         worker->second.completions_acknowledged = worker->second.completions_read;
     return std::move(context.to_record);
 }
@@ -434,10 +436,12 @@
     }
 }
 
-void acknowledge_completions(job_scheduler& state, const worker_id& id)
+void acknowledge_completions(job_scheduler& state, const worker_id& id, std::uint64_t read_up_to)
 {
     const auto worker = state.workers.find(id);
-    if (worker != state.workers.end())
+    if (worker == state.workers.end() || worker->second.recording.erase(read_up_to) == 0)
+        return;
+    if (worker->second.recording.empty())
         worker->second.completions_acknowledged = worker->second.completions_read;
 }
 
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -10,6 +10,9 @@
 class job_service_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(job_service_test);
     CPPUNIT_TEST(stop_of_a_cancelled_job_does_not_wait_for_a_pass);
+    CPPUNIT_TEST(lease_is_extended_while_the_ledger_does_not_record_a_completion);
+    CPPUNIT_TEST(worker_is_not_polled_continuously_while_a_completion_is_recorded);
+    CPPUNIT_TEST(completion_is_acknowledged_once_it_is_recorded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
@@ -33,6 +36,44 @@
         // A pass that is due anyway may come first.
         CPPUNIT_ASSERT(sent_without_pass > jobs / 2);
     }
+
+    /** A worker was not polled until the ledger had answered, and all its runs lapsed. */
+    void lease_is_extended_while_the_ledger_does_not_record_a_completion()
+    {
+        test_leader leader{1};
+        start_and_end_a_run(leader);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.leases_since_end() >= 3; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leader.acknowledged());
+    }
+
+    /** A worker with completions that it may not forget replies at once. */
+    void worker_is_not_polled_continuously_while_a_completion_is_recorded()
+    {
+        test_leader leader{1};
+        start_and_end_a_run(leader);
+        leader.run_until([] { return false; }, std::chrono::seconds{1});
+        CPPUNIT_ASSERT(leader.polls_since_end() < 10);
+    }
+
+    void completion_is_acknowledged_once_it_is_recorded()
+    {
+        test_leader leader{1};
+        start_and_end_a_run(leader);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.polls_since_end() >= 2; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leader.acknowledged());
+        leader.resume_completions();
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.acknowledged() == 1; }));
+    }
+
+private:
+    /** A run ends while the ledger records nothing. */
+    static void start_and_end_a_run(test_leader& leader)
+    {
+        leader.submit("a", false);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 1; }));
+        leader.stall_completions();
+        leader.end_a_run();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_service_test);
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace galenaturn::controld {
 
 namespace asio = boost::asio;
@@ -58,14 +60,24 @@
     }
 
     asio::awaitable<poll_reply> poll(wire::worker_record worker,
-                                     std::uint64_t /*acknowledged_completions*/,
-                                     std::chrono::milliseconds wait,
-                                     command_header /*header*/) override
+                                     std::uint64_t acknowledged_completions,
+                                     std::chrono::milliseconds wait, command_header header) override
     {
-        asio::steady_timer timer{leader_.shared_.io, wait.count() == 0 ? duration{} : poll_span};
+        auto& ended = leader_.ended_[worker.id];
+        std::erase_if(ended,
+                      [&](const auto& run) { return run.number <= acknowledged_completions; });
+        if (worker.id == leader_.ended_on_) {
+            ++leader_.polls_since_end_;
+            leader_.leases_since_end_ += header.lease_until ? 1 : 0;
+            leader_.acknowledged_ = acknowledged_completions;
+        }
+        // The reply is delayed until a run has ended.
+        const bool replies_at_once = wait.count() == 0 || !ended.empty();
+        asio::steady_timer timer{leader_.shared_.io, replies_at_once ? duration{} : poll_span};
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         poll_reply polled;
         polled.reply = accepted();
+        polled.report.ended = leader_.ended_[worker.id];
         for (const auto& [task, run] : leader_.runs_[worker.id])
             polled.report.running.push_back({task, run, "", 50, 0});
         co_return polled;
@@ -92,6 +104,11 @@
     hub_.leader = [] { return process_id{"control-a"}; };
     hub_.submit = [this](wire::command command,
                          time_point) -> asio::awaitable<wire::command_response> {
+        const bool records_completions = std::holds_alternative<wire::record_completions>(command);
+        while (records_completions && completions_stalled_) {
+            asio::steady_timer timer{shared_.io, std::chrono::milliseconds{10}};
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         apply(std::move(command));
         wire::command_response response;
         response.status = wire::command_status::accepted;
@@ -114,7 +131,7 @@
 
 test_leader::~test_leader() = default;
 
-void test_leader::submit(const std::string& name)
+void test_leader::submit(const std::string& name, bool long_running)
 {
     wire::submit_job body;
     body.id = submission_id{name};
@@ -123,7 +140,7 @@
     body.submitted = wall_now();
     auto& step = body.spec.steps.emplace_back();
     step.demand.processors = millicores{1000};
-    step.long_running = true;
+    step.long_running = long_running;
     apply(std::move(body));
 }
 
@@ -132,6 +149,19 @@
     apply(wire::cancel_job{submission_id{name}, wall_now()});
 }
 
+void test_leader::end_a_run()
+{
+    const auto busy = std::find_if(runs_.begin(), runs_.end(),
+                                   [](const auto& worker) { return !worker.second.empty(); });
+    const auto run = busy->second.begin();
+    ended_[busy->first].push_back(
+        {++last_completion_, run->first, run->second, schedule::run_outcome::succeeded, ""});
+    busy->second.erase(run);
+    ended_on_ = busy->first;
+    leases_since_end_ = 0;
+    polls_since_end_ = 0;
+}
+
 bool test_leader::run_until(const std::function<bool()>& condition, duration limit)
 {
     const auto deadline = monotonic_now() + limit;
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -30,9 +30,14 @@
     test_leader(const test_leader&) = delete;
     test_leader& operator=(const test_leader&) = delete;
 
-    /** Accepts a job with one long-running task. */
-    void submit(const std::string& name);
+    /** Accepts a job with one task. */
+    void submit(const std::string& name, bool long_running = true);
     void cancel(const std::string& name);
+    /** Lets a run on any worker succeed. */
+    void end_a_run();
+    /** From now on the ledger does not answer commands that record completions. */
+    void stall_completions() { completions_stalled_ = true; }
+    void resume_completions() { completions_stalled_ = false; }
     /** Runs the event loop until the condition holds. Returns false after `limit`. */
     bool run_until(const std::function<bool()>& condition,
                    duration limit = std::chrono::seconds{10});
@@ -43,6 +48,12 @@
     /** Tasks that run on any worker. */
     [[nodiscard]] std::size_t running() const;
     [[nodiscard]] const std::vector<received_stop>& stops() const { return stops_; }
+    /** Leases that the worker of the last ended run has received in polls since then. */
+    [[nodiscard]] std::size_t leases_since_end() const { return leases_since_end_; }
+    /** Polls of that worker since then. */
+    [[nodiscard]] std::size_t polls_since_end() const { return polls_since_end_; }
+    /** The highest completion number that this worker may forget. */
+    [[nodiscard]] std::uint64_t acknowledged() const { return acknowledged_; }
 
 private:
     class workers_in_process;
@@ -55,7 +66,14 @@
     ledger::ledger_state state_;
     std::uint64_t index_{0};
     std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
+    std::map<worker_id, std::vector<schedule::worker_report::ended_run>> ended_;
     std::vector<received_stop> stops_;
+    bool completions_stalled_{false};
+    std::uint64_t last_completion_{0};
+    worker_id ended_on_;
+    std::size_t leases_since_end_{0};
+    std::size_t polls_since_end_{0};
+    std::uint64_t acknowledged_{0};
     std::unique_ptr<job_service> service_;
 };
 
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -636,10 +636,11 @@
         wire::record_completions completions;
         completions.items = items;
         completions.now = wall_;
-        submit_command(std::move(completions), [this, id, items] {
+        const auto read = state_.workers.at(id).completions_read;
+        submit_command(std::move(completions), [this, id, items, read] {
             recording_.erase(id);
             on_completions_recorded(state_, items);
-            acknowledge_completions(state_, id);
+            acknowledge_completions(state_, id, read);
         });
     }
 
