schedule: a pass compares tasks only with workers that have room

Cause: each report marks its worker as changed, so each job whose demand is not covered by a remembered failure was compared with each changed worker: 700 jobs times 490 workers in a pass.

Change: a pass keeps, for each kind of request, an upper bound of what each worker has room for (free capacity, idle processors, what tail forecasts or a trial allow) in a tree of maxima. A task is compared with the workers whose bounds it fits in; a comparison that fails lowers the bound, and a start of a gang that is taken back restores it. Bounds are made when a search first needs them, for the workers that have changed only. `candidates` counts the workers for which a bound is made as well; `bounds` counts the comparisons with nodes of the tree.

--- a/src/libschedule/colocationtrial.cpp
+++ b/src/libschedule/colocationtrial.cpp
@@ -14,8 +14,6 @@
 /** No second trial starts on a worker within this time, so that the same tasks are not harmed twice
  * in a row. */
 constexpr duration trial_rest = std::chrono::seconds{5};
-/** A trial starts only where tails are expected below this share of their targets. */
-constexpr double max_tail_share_for_trial = 0.75;
 
 std::size_t count_tasks(const std::map<submission_id, std::uint32_t>& jobs)
 {
@@ -68,6 +66,14 @@
     return harmed / static_cast<double>(tasks);
 }
 
+bool are_trials_exhausted(const job_scheduler& state)
+{
+    const auto& trials = state.trials;
+    return trials.running > 0 &&
+           (trials.harm > max_harmed_share * static_cast<double>(state.serving_workers) ||
+            (trials.running + 1) * workers_per_trial > state.serving_workers);
+}
+
 bool may_start_trial(const job_scheduler& state, const job_worker& worker,
                      const wire::job_step& step, double harm)
 {
--- a/src/libschedule/colocationtrial.h
+++ b/src/libschedule/colocationtrial.h
@@ -4,6 +4,9 @@
 
 namespace galenaturn::schedule {
 
+/** A trial starts only where tails are expected below this share of their targets. */
+inline constexpr double max_tail_share_for_trial = 0.75;
+
 /**
  * Returns the share of the worker's latency-critical tasks that is expected to exceed its tail
  * target if a run of the step is tried there. Nothing if no trial may start: the worker rests, runs
@@ -11,6 +14,8 @@
  */
 std::optional<double> expected_trial_harm(const job_scheduler& state, const job_worker& worker,
                                           const wire::job_step& step, time_point now);
+/** Returns whether no further trial may run, however little harm is expected of it. */
+bool are_trials_exhausted(const job_scheduler& state);
 /**
  * Returns whether another trial may run. All trials together may harm a fixed share of the fleet's
  * latency-critical tasks, so their number follows the size of the fleet and what is known of the
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -43,7 +43,7 @@
     job_scheduler& state;
     time_point now;
     wall_time wall;
-    std::vector<placement_candidate> candidates;
+    placement_index candidates;
     std::vector<start_command> commands;
     /** The job being placed is starving, and none of its tasks has been placed in this pass. */
     bool starving{false};
@@ -214,7 +214,9 @@
             clear_run(pass.state, ref, job.tasks[position + placed]);
         }
         while (!starts_before.empty()) {
-            starts_before.back().first->starts = starts_before.back().second;
+            auto& worker_before = *starts_before.back().first;
+            worker_before.starts = starts_before.back().second;
+            restore_bounds(pass.state, pass.candidates, step, worker_before, pass.now);
             starts_before.pop_back();
         }
         pass.commands.resize(commands_before);
@@ -365,7 +367,7 @@
     if (std::none_of(state.workers.begin(), state.workers.end(), is_leaving))
         return;
     mark_ended_pauses(state, now);
-    const auto candidates = placement_candidates(state, now);
+    auto candidates = placement_candidates(state, now);
     for (auto& [id, worker] : state.workers) {
         if (!worker.leaving)
             continue;
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -5,6 +5,7 @@
 #include "workercrashes.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace galenaturn::schedule {
 
@@ -39,6 +40,8 @@
 /** No run starts at a lower pace, at which it would hold its memory and get next to nothing done.
  */
 constexpr double min_starting_pace_percent = 2;
+constexpr double millis = 1000;
+constexpr millicores unlimited_processors{std::numeric_limits<std::int64_t>::max()};
 
 std::uint32_t count_siblings(const job_worker& worker, const wire::task_ref& task)
 {
@@ -54,7 +57,7 @@
     return count;
 }
 
-bool has_label(const job_worker& worker, const std::string& label)
+bool has_label(const job_worker& worker, std::string_view label)
 {
     const auto& labels = worker.record.labels;
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -100,13 +103,17 @@
     return longest_ms / target.count();
 }
 
+/** Returns the processors by which a worker may be oversubscribed. */
+millicores oversubscription_of(const job_worker& worker)
+{
+    return millicores{worker.record.capacity.processors.value() * oversubscription_percent / 100};
+}
+
 /** Returns the processors that a best-effort task may use if it oversubscribes the worker. */
 millicores oversubscribed_processors(const job_worker& worker)
 {
-    const auto added = worker.serving_images.empty() ? worker.record.capacity.processors.value() *
-                                                           oversubscription_percent / 100
-                                                     : 0;
-    return idle_processors(worker) + millicores{added};
+    const auto added = worker.serving_images.empty() ? oversubscription_of(worker) : millicores{};
+    return idle_processors(worker) + added;
 }
 
 /** Returns whether the worker may get best-effort tasks now. */
@@ -294,18 +301,15 @@
     return preempted;
 }
 
-bool can_run(const job_scheduler& state, const job_worker& worker, const placement_request& request,
-             slope_cache& slopes, time_point now)
+/** Returns whether the task fits on the worker, apart from the tails of other tasks there. */
+bool has_room(const job_worker& worker, const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
     if (!fits(reservation_of(step), free_capacity(worker)) || !is_suitable(worker, request, now))
         return false;
-    if (!step.best_effort)
-        return true;
     const auto available =
         request.oversubscribes ? oversubscribed_processors(worker) : idle_processors(worker);
-    return available >= step.demand.processors &&
-           tolerates_best_effort(state, worker, step, slopes, now);
+    return !step.best_effort || available >= step.demand.processors;
 }
 
 } // namespace
@@ -349,55 +353,235 @@
     state.pauses_checked_at = now;
 }
 
-std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now)
+placement_index placement_candidates(job_scheduler& state, time_point now)
 {
-    std::vector<placement_candidate> candidates;
-    candidates.reserve(state.workers.size());
+    placement_index index;
+    auto& workers = index.workers;
+    workers.reserve(state.workers.size());
     for (auto& [id, worker] : state.workers) {
-        if (!accepts_tasks(state, worker, now))
-            continue;
-        auto& candidate = candidates.emplace_back();
-        candidate.worker = &worker;
-        candidate.change = worker.change;
-        candidate.free = free_capacity(worker);
-        if (accepts_best_effort(worker, now)) {
-            candidate.best_effort_processors = idle_processors(worker);
-            candidate.oversubscribed_processors = oversubscribed_processors(worker);
-        }
+        if (accepts_tasks(state, worker, now))
+            workers.push_back({&worker, worker.change});
     }
-    std::sort(candidates.begin(), candidates.end(),
+    std::sort(workers.begin(), workers.end(),
               [](const auto& left, const auto& right) { return left.change > right.change; });
-    return candidates;
+    return index;
 }
 
-job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
-                          const placement_request& request, time_point now)
+namespace {
+
+/** Returns what decides about the room for the request on a worker. */
+placement_kind_view room_kind_of(const placement_request& request)
 {
     const auto& step = *request.step;
-    const auto demand = reservation_of(step);
-    const auto best_effort = best_effort_demand_of(step);
+    return {request.job->queue.service.value(),
+            step.best_effort ? std::string_view{step.image} : std::string_view{},
+            step.required_label,
+            step.best_effort,
+            false,
+            step.best_effort && request.oversubscribes,
+            step.best_effort && request.slowed};
+}
+
+const cautious_slope& slope_of(room_tree& tree, const placement_kind& kind,
+                               const tail_estimate* estimate)
+{
+    const auto known = std::find_if(tree.slopes.begin(), tree.slopes.end(),
+                                    [&](const auto& entry) { return entry.first == estimate; });
+    if (known != tree.slopes.end())
+        return known->second;
+    return tree.slopes.emplace_back(estimate, cautious_slope_of(estimate, kind.image)).second;
+}
+
+/** Allows for rounding, because a bound may be too high but not too low. */
+constexpr double bound_slack = 1e-9;
+
+/**
+ * Returns an upper bound of the processors that the image of the kind may get on the worker
+ * according to the tail forecasts.
+ */
+double tail_room(const job_worker& worker, const placement_kind& kind, room_tree& tree)
+{
+    const auto target = std::chrono::duration<double, std::milli>{worker.tail_target}.count();
+    auto room = std::numeric_limits<double>::infinity();
+    for (const auto& [image, forecast] : worker.tail_forecasts) {
+        const auto spare = target * (max_tail_share + bound_slack) - forecast.expected;
+        const auto added = forecast.baseline * slope_of(tree, kind, forecast.estimate).slope;
+        if (added > 0)
+            room = std::min(room, spare / added);
+        else if (spare < 0 && !kind.slowed)
+            return -1;
+    }
+    return room;
+}
+
+/** Returns an upper bound of the processors that the image of the kind may get in a trial. */
+double trial_room(const job_scheduler& state, const job_worker& worker, const placement_kind& kind,
+                  room_tree& tree, time_point now)
+{
+    if (worker.best_effort_processors.value() > 0 || now < worker.next_trial_at ||
+        are_trials_exhausted(state))
+        return -1;
+    const auto target = std::chrono::duration<double, std::milli>{worker.tail_target}.count();
+    auto room = std::numeric_limits<double>::infinity();
+    bool unknown = false;
+    for (const auto& [image, forecast] : worker.tail_forecasts) {
+        const auto& slope = slope_of(tree, kind, forecast.estimate);
+        const auto spare = target * (max_tail_share_for_trial + bound_slack) - forecast.baseline;
+        const auto added = slope.trusted ? forecast.baseline * slope.slope : 0;
+        unknown = unknown || !slope.trusted;
+        if (added > 0)
+            room = std::min(room, spare / added);
+        else if (spare < 0)
+            return -1;
+    }
+    return unknown ? room : -1;
+}
+
+/** Returns an upper bound of what a request of the kind may get on the worker. */
+resources room_on(const job_scheduler& state, const job_worker& worker, const placement_kind& kind,
+                  room_tree& tree, time_point now)
+{
+    if (worker.record.service.value() != kind.service || !has_label(worker, kind.label))
+        return no_room;
+    auto room = free_capacity(worker);
+    if (!kind.best_effort)
+        return room;
+    if (!accepts_best_effort(worker, now))
+        return no_room;
+    room.processors = idle_processors(worker);
+    if (kind.oversubscribes)
+        room.processors = kind.slowed ? room.processors + oversubscription_of(worker)
+                                      : oversubscribed_processors(worker);
+    if (worker.serving_images.empty())
+        return room;
+    auto tolerated = tail_room(worker, kind, tree);
+    const auto available = static_cast<double>(room.processors.value());
+    if (!kind.slowed && tolerated * millis < available)
+        tolerated = std::max(tolerated, trial_room(state, worker, kind, tree, now));
+    if (tolerated * millis < available)
+        room.processors =
+            millicores{static_cast<std::int64_t>(std::max(-1.0, tolerated * millis + 1))};
+    return room;
+}
+
+/** Search for a worker in an index, for one request. */
+struct room_search {
+    job_scheduler& state;
+    placement_index& index;
+    const placement_request& request;
+    time_point now;
+    /** Number of the workers that have changed since the request failed. */
+    std::size_t limit{0};
+};
+
+/** Computes the bounds of the first workers of the index, as many as the search covers. */
+std::pair<const placement_kind, room_tree>& bounds_of(const room_search& search)
+{
+    auto& kinds = search.index.kinds;
+    const auto view = room_kind_of(search.request);
+    auto found = kinds.find(view);
+    if (found == kinds.end())
+        found = kinds.emplace(placement_kind{view}, room_tree{}).first;
+    auto& tree = found->second;
+    reserve_leaves(tree, search.limit);
+    for (; tree.size < search.limit; ++tree.size) {
+        ++search.state.counts.candidates;
+        const auto& worker = *search.index.workers[tree.size].worker;
+        set_room(tree, tree.size, room_on(search.state, worker, found->first, tree, search.now));
+    }
+    return *found;
+}
+
+/**
+ * Calls `examine` with each worker that may have room for the demand. It returns nothing where the
+ * worker can run the task, otherwise the least processors that are known not to be available there.
+ */
+template <class Examine>
+void examine_workers(const room_search& search, const resources& demand, const Examine& examine)
+{
+    auto& counts = search.state.counts;
+    const auto& workers = search.index.workers;
+    if (search.state.examines_all_workers) {
+        counts.candidates += search.limit;
+        for (std::size_t position = 0; position < search.limit; ++position)
+            examine(*workers[position].worker);
+        return;
+    }
+    if (search.limit == 0)
+        return;
+    auto& bounds = bounds_of(search);
+    const auto& kind = bounds.first;
+    auto& tree = bounds.second;
+    visit_room(tree, search.limit, demand, counts.bounds, [&](std::size_t position) {
+        ++counts.candidates;
+        auto& worker = *workers[position].worker;
+        const auto lacks_from = examine(worker);
+        if (!lacks_from)
+            return;
+        auto room = room_on(search.state, worker, kind, tree, search.now);
+        room.processors = std::min(room.processors, *lacks_from - millicores{1});
+        set_room(tree, position, room);
+    });
+}
+
+/** Returns the number of workers that have changed since the request failed. */
+std::size_t count_changed(const job_scheduler& state, const placement_index& index,
+                          const placement_request& request)
+{
     // A suspect finds a worker once others have not started tasks there for a while.
     const auto failed_at = request.suspect ? 0 : last_failure(state.failed, request);
+    if (failed_at == 0)
+        return index.workers.size();
+    const auto unchanged =
+        std::partition_point(index.workers.begin(), index.workers.end(),
+                             [&](const auto& entry) { return entry.change > failed_at; });
+    return static_cast<std::size_t>(unchanged - index.workers.begin());
+}
+
+} // namespace
+
+void restore_bounds(job_scheduler& state, placement_index& candidates, const wire::job_step& step,
+                    const job_worker& worker, time_point now)
+{
+    // A trial that was taken back allows others elsewhere.
+    if (step.best_effort)
+        return candidates.kinds.clear();
+    const auto& workers = candidates.workers;
+    const auto entry = std::find_if(workers.begin(), workers.end(), [&](const auto& candidate) {
+        return candidate.worker == &worker;
+    });
+    const auto position = static_cast<std::size_t>(entry - workers.begin());
+    for (auto& [kind, tree] : candidates.kinds) {
+        if (position >= tree.size)
+            continue;
+        ++state.counts.candidates;
+        set_room(tree, position, room_on(state, worker, kind, tree, now));
+    }
+}
+
+job_worker* choose_worker(job_scheduler& state, placement_index& candidates,
+                          const placement_request& request, time_point now)
+{
+    const auto& step = *request.step;
     const bool many_non_serving = step.tail_target.count() > 0 && has_many_non_serving(state);
     slope_cache slopes{step};
     job_worker* best = nullptr;
     std::int64_t best_cost = 0;
-    for (const auto& candidate : candidates) {
-        if (failed_at != 0 && candidate.change <= failed_at)
-            break;
-        ++state.counts.candidates;
-        const auto available = request.oversubscribes ? candidate.oversubscribed_processors
-                                                      : candidate.best_effort_processors;
-        if (!fits(demand, candidate.free) || (step.best_effort && available < best_effort) ||
-            !can_run(state, *candidate.worker, request, slopes, now))
-            continue;
-        const auto cost =
-            placement_cost(state, *candidate.worker, request, slopes, many_non_serving, now);
-        if (best != nullptr && cost >= best_cost)
-            continue;
-        best = candidate.worker;
-        best_cost = cost;
-    }
+    const room_search search{state, candidates, request, now,
+                             count_changed(state, candidates, request)};
+    examine_workers(search, step.demand, [&](job_worker& worker) -> std::optional<millicores> {
+        if (!has_room(worker, request, now))
+            return unlimited_processors;
+        // More processors would not be tolerated either.
+        if (step.best_effort && !tolerates_best_effort(state, worker, step, slopes, now))
+            return step.demand.processors;
+        const auto cost = placement_cost(state, worker, request, slopes, many_non_serving, now);
+        if (best == nullptr || cost < best_cost) {
+            best = &worker;
+            best_cost = cost;
+        }
+        return std::nullopt;
+    });
     // A member of a gang fails beside the others, which give their capacity back.
     if (best == nullptr && !step.gang && !request.suspect)
         record_failure(state.failed, request, state.last_change);
@@ -427,34 +611,35 @@
 
 } // namespace
 
-slowed_placement choose_worker_for_slowed_run(job_scheduler& state,
-                                              const std::vector<placement_candidate>& candidates,
+slowed_placement choose_worker_for_slowed_run(job_scheduler& state, placement_index& candidates,
                                               const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
     const auto demand = reservation_of(step);
-    const auto failed_at = request.suspect ? 0 : last_failure(state.failed, request);
+    auto least = step.demand;
+    least.processors =
+        millicores{static_cast<std::int64_t>(static_cast<double>(step.demand.processors.value()) *
+                                             min_starting_pace_percent / full_pace_percent)};
     slope_cache slopes{step};
     slowed_placement best;
     double best_pace = 0;
-    for (const auto& candidate : candidates) {
-        if (failed_at != 0 && candidate.change <= failed_at)
-            break;
-        auto& worker = *candidate.worker;
-        ++state.counts.candidates;
-        if (!fits(demand, candidate.free) || !fits(demand, free_capacity(worker)) ||
-            !accepts_best_effort(worker, now) || !is_suitable(worker, request, now))
-            continue;
-        const auto added = request.oversubscribes ? worker.record.capacity.processors.value() *
-                                                        oversubscription_percent / 100
-                                                  : 0;
-        const auto pace = tolerated_pace_percent(
-            worker, step, idle_processors(worker) + millicores{added}, slopes);
-        if (pace < min_starting_pace_percent || pace <= best_pace)
-            continue;
-        best = {&worker, static_cast<std::uint32_t>(pace)};
-        best_pace = pace;
-    }
+    const room_search search{state, candidates, request, now,
+                             count_changed(state, candidates, request)};
+    examine_workers(search, least, [&](job_worker& worker) -> std::optional<millicores> {
+        if (!fits(demand, free_capacity(worker)) || !accepts_best_effort(worker, now) ||
+            !is_suitable(worker, request, now))
+            return unlimited_processors;
+        const auto added = request.oversubscribes ? oversubscription_of(worker) : millicores{};
+        const auto pace =
+            tolerated_pace_percent(worker, step, idle_processors(worker) + added, slopes);
+        if (pace < min_starting_pace_percent)
+            return unlimited_processors;
+        if (pace > best_pace) {
+            best = {&worker, static_cast<std::uint32_t>(pace)};
+            best_pace = pace;
+        }
+        return std::nullopt;
+    });
     if (best.worker == nullptr && !request.suspect)
         record_failure(state.failed, request, state.last_change);
     return best;
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "jobstate.h"
-
-#include <vector>
+#include "placementindex.h"
 
 namespace galenaturn::schedule {
 
@@ -48,27 +46,17 @@
  * needs the fewest preemptions; does nothing where no worker would suffice.
  */
 void preempt_best_effort(job_scheduler& state, const placement_request& request, time_point now);
-/**
- * A worker that accepts tasks, with upper bounds of what it can run. During a pass its free
- * capacity only shrinks, so what exceeds the bounds does not fit until the worker changes.
- */
-struct placement_candidate {
-    job_worker* worker{nullptr};
-    std::uint64_t change{0};
-    resources free;
-    millicores best_effort_processors;
-    /** The same for a request that may oversubscribe the worker. */
-    millicores oversubscribed_processors;
-};
-
 /** Returns the workers that accept tasks, the most recently changed first. */
-std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now);
+placement_index placement_candidates(job_scheduler& state, time_point now);
+/** Updates the bounds of the workers that a start was taken back from. */
+void restore_bounds(job_scheduler& state, placement_index& candidates, const wire::job_step& step,
+                    const job_worker& worker, time_point now);
 /**
  * Returns the worker with the lowest placement cost, or null where none can run the task now.
  * Failures are remembered: a request that failed before is compared only with the workers that have
  * changed since.
  */
-job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
+job_worker* choose_worker(job_scheduler& state, placement_index& candidates,
                           const placement_request& request, time_point now);
 
 /** A worker on which a best-effort run may start at a lower pace. */
@@ -82,8 +70,7 @@
  * latency-critical tasks stay within their tail targets beside a slowed run, and a run uses no more
  * processors than its pace allows. Returns no worker where the pace would be too low everywhere.
  */
-slowed_placement choose_worker_for_slowed_run(job_scheduler& state,
-                                              const std::vector<placement_candidate>& candidates,
+slowed_placement choose_worker_for_slowed_run(job_scheduler& state, placement_index& candidates,
                                               const placement_request& request, time_point now);
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -382,8 +382,10 @@
     /** Runs that started at a lower pace. */
     std::uint64_t slowed_starts{0};
     std::uint64_t passes{0};
-    /** Workers examined to place a task. */
+    /** Workers examined to place a task, or to know what they have room for. */
     std::uint64_t candidates{0};
+    /** Comparisons of a task with the room of a worker, or of several. */
+    std::uint64_t bounds{0};
 };
 
 /**
@@ -403,6 +405,8 @@
     /** The newest change that the tail forecasts take into account. */
     std::uint64_t last_forecast_change{0};
     failed_placements failed;
+    /** Each task is compared with each worker: a reference for tests of the search. */
+    bool examines_all_workers{false};
     /** Pauses of workers that ended by then have been recorded as changes. */
     time_point pauses_checked_at;
     /** Tasks whose runs are to be stopped, by the time of the next stop, until one is confirmed. */
--- a/tests/schedule/placementsimulation.cpp
+++ b/tests/schedule/placementsimulation.cpp
@@ -15,6 +15,7 @@
         start_command command;
         time_point ends_at;
         resources demand;
+        wire::job_step step;
         bool is_gang_member{false};
     };
     wire::worker_presence announcement;
@@ -29,8 +30,11 @@
 
 class placement_simulation {
 public:
-    explicit placement_simulation(std::uint64_t seed) : random_{seed}
+    explicit placement_simulation(std::uint64_t seed, placement_decisions* decisions = nullptr,
+                                  bool examine_all = false)
+        : random_{seed}, decisions_{decisions}
     {
+        state_.examines_all_workers = examine_all;
         state_.settings.lease = std::chrono::seconds{3};
         for (int number = 0; number < 12; ++number)
             add_worker();
@@ -47,10 +51,16 @@
             expire_leases(state_, now_);
             drain_leaving_workers(state_, now_);
             send_stops();
+            change_paces();
             const auto starts = plan_all_starts();
-            check_nothing_was_missed();
+            // What is learned of tails changes what fits, and is noticed with the next report only.
+            if (decisions_ == nullptr)
+                check_nothing_was_missed();
             send_starts(starts);
         }
+        counts_.trials = state_.counts.trials;
+        counts_.slowed_starts = state_.counts.slowed_starts;
+        counts_.examined = state_.counts.candidates;
         return counts_;
     }
 
@@ -114,6 +124,56 @@
         return step;
     }
 
+    /** Returns a step that is latency-critical, or best effort, more often than not. */
+    wire::job_step random_step_with_tails()
+    {
+        auto step = random_step();
+        if (chance(20)) {
+            step.best_effort = false;
+            step.gang = false;
+            step.long_running = true;
+            step.tail_target = std::chrono::milliseconds{draw(15, 30)};
+            step.image = "serving-" + std::to_string(draw(0, 3));
+        }
+        else if (chance(75)) {
+            step.best_effort = true;
+            step.long_running = false;
+            step.image = "batch-" + std::to_string(draw(0, 5));
+        }
+        return step;
+    }
+
+    wire::job_step any_step()
+    {
+        return decisions_ == nullptr ? random_step() : random_step_with_tails();
+    }
+
+    /** Returns the tail in milliseconds, or the processors in use, that the worker measures. */
+    std::int64_t measure(const simulated_worker& worker,
+                         const simulated_worker::running_task& measured)
+    {
+        const auto& step = measured.step;
+        if (step.tail_target.count() == 0)
+            return step.demand.processors.value();
+        double ratio = 1;
+        for (const auto& running : worker.running) {
+            const auto& other = running.step;
+            if (!other.best_effort)
+                continue;
+            // Some pairs of images interfere.
+            const auto interferes = (other.image.back() + step.image.back()) % 3 == 0;
+            ratio += (interferes ? 0.3 : 0.01) *
+                     static_cast<double>(other.demand.processors.value()) / 1000;
+        }
+        return static_cast<std::int64_t>(static_cast<double>(draw(8, 10)) * ratio);
+    }
+
+    void change_paces()
+    {
+        for (const auto& command : plan_paces(state_, now_))
+            on_pace_result(state_, command, command_result::accepted);
+    }
+
     void change_jobs()
     {
         while (state_.jobs.size() < 40 && chance(60)) {
@@ -124,9 +184,9 @@
             record.queue.priority = static_cast<std::uint32_t>(draw(0, 2));
             record.queue.max_attempts = 100;
             record.queue.latency = std::chrono::milliseconds{draw(100, 2000)};
-            record.spec.steps.push_back(random_step());
+            record.spec.steps.push_back(any_step());
             if (chance(30)) {
-                record.spec.steps.push_back(random_step());
+                record.spec.steps.push_back(any_step());
                 record.spec.steps.back().after = {0};
             }
             record.tasks.resize(wire::tasks_of_occurrence(record.spec));
@@ -173,7 +233,8 @@
         record_reply(state_, id, now_);
         worker_report report;
         for (const auto& running : worker.running)
-            report.running.push_back({running.command.task, running.command.run, "", 50});
+            report.running.push_back({running.command.task, running.command.run, "", 50,
+                                      decisions_ == nullptr ? 0 : measure(worker, running)});
         report.ended = std::exchange(worker.ended, {});
         record(on_worker_report(state_, id, report, now_, now_));
     }
@@ -249,10 +310,24 @@
         do {
             const auto added = plan_starts(state_, now_, wall_);
             planned.insert(planned.end(), added.begin(), added.end());
+            note(added);
         } while (drop_outdated(planned));
         return planned;
     }
 
+    void note(const std::vector<start_command>& starts)
+    {
+        if (decisions_ == nullptr)
+            return;
+        for (const auto& start : starts) {
+            const auto& ref = start.task;
+            decisions_->push_back(std::to_string((now_ - time_point{}).count()) + " " +
+                                  ref.job.value() + "/" + std::to_string(ref.step) + "/" +
+                                  std::to_string(ref.index) + " run " + std::to_string(start.run) +
+                                  " on " + start.worker.value());
+        }
+    }
+
     /** Returns whether a start was dropped, because its run was preempted before it was sent. */
     bool drop_outdated(std::vector<start_command>& commands)
     {
@@ -299,7 +374,7 @@
         counts_.oversized_starts += fits(demand, free) ? 0 : 1;
         const auto length = step.long_running ? std::chrono::milliseconds{draw(2000, 20'000)}
                                               : std::chrono::milliseconds{draw(50, 1500)};
-        worker.running.push_back({command, now_ + length, demand, step.gang});
+        worker.running.push_back({command, now_ + length, demand, step, step.gang});
     }
 
     void check_nothing_was_missed()
@@ -315,6 +390,7 @@
     }
 
     std::mt19937_64 random_;
+    placement_decisions* decisions_;
     job_scheduler state_;
     time_point now_{std::chrono::hours{1}};
     wall_time wall_{std::chrono::hours{500'000}};
@@ -327,6 +403,12 @@
 
 } // namespace
 
+placement_counts run_tail_simulation(std::uint64_t seed, int steps, bool examine_all,
+                                     placement_decisions& decisions)
+{
+    return placement_simulation{seed, &decisions, examine_all}.run(steps);
+}
+
 placement_counts run_placement_simulation(std::uint64_t seed, int steps)
 {
     return placement_simulation{seed}.run(steps);
--- a/tests/schedule/schedulingpasstest.cpp
+++ b/tests/schedule/schedulingpasstest.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace galenaturn::schedule {
 
 /** Tests scheduling passes on a full fleet of workers with many waiting tasks. */
@@ -18,6 +20,7 @@
     CPPUNIT_TEST(leaving_worker_is_drained_to_a_worker_with_freed_capacity);
     CPPUNIT_TEST(incomplete_gang_hides_no_capacity_from_later_jobs);
     CPPUNIT_TEST(remembered_failures_hide_no_capacity);
+    CPPUNIT_TEST(search_by_bounds_decides_as_a_search_of_all_workers);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 450;
@@ -314,6 +317,32 @@
         CPPUNIT_ASSERT(sum.silences > 100);
         CPPUNIT_ASSERT(sum.cancellations > 100);
     }
+
+    /** Guards against bounds that hide a worker, or that are outdated within a pass. */
+    void search_by_bounds_decides_as_a_search_of_all_workers()
+    {
+        placement_counts sum;
+        std::uint64_t examined_by_all = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            placement_decisions by_bounds;
+            placement_decisions by_all;
+            const auto counts = run_tail_simulation(seed, 600, false, by_bounds);
+            examined_by_all += run_tail_simulation(seed, 600, true, by_all).examined;
+            const auto message = "seed " + std::to_string(seed);
+            for (std::size_t start = 0; start < std::min(by_bounds.size(), by_all.size()); ++start)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, by_all[start], by_bounds[start]);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, by_all.size(), by_bounds.size());
+            sum.starts += counts.starts;
+            sum.trials += counts.trials;
+            sum.slowed_starts += counts.slowed_starts;
+            sum.examined += counts.examined;
+        }
+        // The runs must have exercised what bounds the room, and have skipped workers.
+        CPPUNIT_ASSERT(sum.starts > 10'000);
+        CPPUNIT_ASSERT(sum.trials > 100);
+        CPPUNIT_ASSERT(sum.slowed_starts > 100);
+        CPPUNIT_ASSERT(sum.examined < examined_by_all);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(scheduling_pass_test);
