controld: queued commands outlast a lapse of the lease, and stops do not wait for each other

A stop or pace that was queued while the lease of the leader had lapsed for a moment was forgotten until its resend, and counted as sent; a start was dropped. Stops to one worker went out one by one, each after the reply or the timeout of 0.8 s of the one before.

What is queued now stays queued until the process leads again or its term ends; a stop counts once it is sent. Up to four stops to a worker are in flight together, none twice. Starts stay one at a time and after the stops; a stop waits for the reply to the start of its run. The reason not_leading of dropped starts is gone, as none is dropped for it.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -147,6 +147,7 @@
     term_active_ = true;
     token_ = hub_.current_term();
     connections_.clear();
+    held_workers_.clear();
     const auto now = monotonic_now();
     term_began_at_ = now;
     last_pass_ = now;
@@ -174,6 +175,7 @@
     term_active_ = false;
     log_event(log_level::info, "term_ended", {{"token", token_}, {"cause", cause}});
     connections_.clear();
+    held_workers_.clear();
     scheduler_ = {};
 }
 
@@ -332,6 +334,7 @@
 {
     if (!term_active_ || !hub_.leads())
         return;
+    send_held_commands();
     const auto now = monotonic_now();
     schedule::expire_leases(scheduler_, now);
     queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -15,6 +15,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace galenaturn::controld {
 
@@ -42,6 +45,9 @@
     boost::asio::awaitable<wire::job_response> handle_request(wire::job_request request);
 
 private:
+    /** Task and number of a run. */
+    using run_key = std::pair<wire::task_ref, std::uint32_t>;
+
     /** Connection state of one worker in the current term. */
     struct worker_connection {
         std::optional<std::chrono::milliseconds> clock;
@@ -50,7 +56,12 @@
         std::deque<schedule::start_command> starts;
         std::deque<schedule::stop_command> stops;
         std::deque<schedule::pace_command> paces;
+        /** Paces and starts are being sent, one at a time. */
         bool sending{false};
+        /** The start in flight, whose stop waits for its reply. */
+        std::optional<run_key> starting;
+        /** Runs with a stop in flight. */
+        std::set<run_key> stopping;
     };
 
     /** Work and delays since the last `leader_load` event. */
@@ -106,7 +117,15 @@
     void update_clock(worker_connection& connection, const command_reply& reply);
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     lease_for(const worker_connection& connection) const;
+    /**
+     * Sends what is queued for the worker. While the lease of this leader has lapsed, it stays
+     * queued.
+     */
     void send_commands(const worker_id& worker);
+    /** Sends the commands that were held because the lease of this leader had lapsed. */
+    void send_held_commands();
+    /** Takes the stops to send now out of the queue. */
+    std::vector<schedule::stop_command> take_stops(worker_connection& connection);
     static boost::asio::awaitable<void> send_queued_commands(job_service* self, worker_id worker,
                                                              std::uint64_t generation);
     boost::asio::awaitable<void> send_start(worker_id worker, std::uint64_t generation);
@@ -114,7 +133,8 @@
      */
     void drop_queued_starts(const worker_id& worker);
     void drop_start(const schedule::start_command& command, schedule::drop_reason reason);
-    boost::asio::awaitable<void> send_stop(worker_id worker, std::uint64_t generation);
+    static boost::asio::awaitable<void> send_stop(job_service* self, schedule::stop_command command,
+                                                  std::uint64_t generation);
     /** Member function that sends a command that does not extend the lease. */
     template <class Command>
     using command_call = boost::asio::awaitable<command_reply> (worker_commands::*)(
@@ -182,6 +202,8 @@
     schedule::job_counts counts_;
     counter_mirror counters_;
     std::map<worker_id, worker_connection> connections_;
+    /** Workers with commands that are held while the lease of this leader has lapsed. */
+    std::set<worker_id> held_workers_;
     bool pass_due_{false};
     bool due_commands_posted_{false};
     /** Earliest start of the next pass. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -19,6 +19,11 @@
  * expected.
  */
 constexpr duration command_timeout = std::chrono::milliseconds{800};
+/**
+ * Stops to one worker that may be in flight at the same time, so that a lost reply delays few
+ * others.
+ */
+constexpr std::size_t max_stops_in_flight = 4;
 /** Maximum time that a worker delays its reply to a poll while no run ends. */
 constexpr std::chrono::milliseconds max_poll_wait{2000};
 /**
@@ -300,32 +305,66 @@
 
 void job_service::send_commands(const worker_id& worker)
 {
-    auto& connection = connections_[worker];
-    if (std::exchange(connection.sending, true))
+    if (!hub_.leads()) {
+        held_workers_.insert(worker);
         return;
-    asio::co_spawn(shared_.io, send_queued_commands(this, worker, generation_), asio::detached);
+    }
+    for (auto& stop : take_stops(connections_[worker]))
+        asio::co_spawn(shared_.io, send_stop(this, std::move(stop), generation_), asio::detached);
+    // A reply that was there at once may have ended the connection.
+    const auto connection = connections_.find(worker);
+    if (connection != connections_.end() && !std::exchange(connection->second.sending, true))
+        asio::co_spawn(shared_.io, send_queued_commands(this, worker, generation_), asio::detached);
+}
+
+void job_service::send_held_commands()
+{
+    for (const auto& worker : std::exchange(held_workers_, {})) {
+        if (connections_.contains(worker))
+            send_commands(worker);
+    }
+}
+
+std::vector<schedule::stop_command> job_service::take_stops(worker_connection& connection)
+{
+    std::vector<schedule::stop_command> taken;
+    std::deque<schedule::stop_command> waiting;
+    for (auto& stop : connection.stops) {
+        const run_key run{stop.task, stop.run};
+        if (!schedule::is_due(scheduler_, stop))
+            continue;
+        if (connection.stopping.size() == max_stops_in_flight || connection.starting == run ||
+            !connection.stopping.insert(run).second) {
+            waiting.push_back(std::move(stop));
+            continue;
+        }
+        taken.push_back(std::move(stop));
+    }
+    connection.stops = std::move(waiting);
+    return taken;
 }
 
 asio::awaitable<void> job_service::send_queued_commands(job_service* self, worker_id worker,
                                                         std::uint64_t generation)
 {
     while (self->in_term(generation)) {
-        const auto connection = self->connections_.find(worker);
-        if (connection == self->connections_.end())
+        const auto found = self->connections_.find(worker);
+        if (found == self->connections_.end())
             co_return;
-        if (!connection->second.stops.empty()) {
-            co_await self->send_stop(worker, generation);
-            continue;
-        }
-        if (!connection->second.paces.empty()) {
-            co_await self->send_pace(worker, generation);
-            continue;
-        }
-        if (connection->second.starts.empty()) {
-            connection->second.sending = false;
+        auto& connection = found->second;
+        // A start may need the capacity that a stop frees.
+        const bool may_start = connection.stops.empty() && connection.stopping.empty();
+        const bool is_idle = connection.paces.empty() && (connection.starts.empty() || !may_start);
+        if (is_idle || !self->hub_.leads()) {
+            connection.sending = false;
+            if (!is_idle)
+                self->held_workers_.insert(worker);
             co_return;
         }
-        co_await self->send_start(worker, generation);
+        if (!connection.paces.empty())
+            co_await self->send_pace(worker, generation);
+        else
+            co_await self->send_start(worker, generation);
     }
 }
 
@@ -342,24 +381,27 @@
     const auto requested_at = monotonic_now();
     header.reply_deadline = requested_at + command_timeout;
     auto obstacle = schedule::reason_to_drop(scheduler_, command);
-    if (!obstacle && !hub_.leads())
-        obstacle = schedule::drop_reason::not_leading;
     if (!obstacle && !header.lease_until)
         obstacle = schedule::drop_reason::no_lease;
     if (obstacle)
         co_return drop_start(command, *obstacle);
     schedule::extend_lease(scheduler_, worker, requested_at);
     schedule::on_start_sent(scheduler_, command, requested_at);
+    connection.starting = run_key{command.task, command.run};
     const auto reply = co_await commands_->start(found->second.record, command, header);
     if (!in_term(generation))
         co_return;
+    const auto current_connection = connections_.find(worker);
+    if (current_connection != connections_.end())
+        current_connection->second.starting.reset();
     log_start(command, token_, reply, requested_at - command.planned_at);
     schedule::on_start_result(scheduler_, command, reply.result, monotonic_now());
     if (reply.result == command_result::other_incarnation)
         co_return on_worker_crash(worker);
-    const auto current_connection = connections_.find(worker);
-    if (current_connection != connections_.end())
+    if (current_connection != connections_.end()) {
         update_clock(current_connection->second, reply);
+        send_commands(worker);
+    }
     if (reply.result == command_result::none)
         drop_queued_starts(worker);
     // A run that starts slowed gets its pace now.
@@ -397,7 +439,7 @@
                           command_call<Command> method)
 {
     const auto found = scheduler_.workers.find(worker);
-    if (found == scheduler_.workers.end() || !hub_.leads())
+    if (found == scheduler_.workers.end())
         co_return std::nullopt;
     command_header header;
     header.token = token_;
@@ -429,18 +471,19 @@
         on_worker_crash(worker);
 }
 
-asio::awaitable<void> job_service::send_stop(worker_id worker, std::uint64_t generation)
+asio::awaitable<void> job_service::send_stop(job_service* self, schedule::stop_command command,
+                                             std::uint64_t generation)
 {
-    const auto command = pop_first(connections_[worker].stops);
-    if (!schedule::is_due(scheduler_, command))
-        co_return;
+    const auto worker = command.worker;
     const auto sent_at = monotonic_now();
-    if (command.attempt == 1) {
-        stop_delay_.record(sent_at - command.requested_at);
-        load_.longest_stop_delay =
-            std::max(load_.longest_stop_delay, sent_at - command.requested_at);
+    const auto attempt = schedule::on_stop_sent(self->scheduler_, command);
+    const auto waited = sent_at - command.requested_at;
+    if (attempt == 1) {
+        self->stop_delay_.record(waited);
+        self->load_.longest_stop_delay = std::max(self->load_.longest_stop_delay, waited);
     }
-    const auto reply = co_await send_command(worker, generation, command, &worker_commands::stop);
+    const auto reply =
+        co_await self->send_command(worker, generation, command, &worker_commands::stop);
     if (!reply)
         co_return;
     log_event(log_level::info, "task_stopped",
@@ -448,17 +491,22 @@
                {"run", command.run},
                {"worker", command.worker},
                {"cause", schedule::to_string(command.cause)},
-               {"attempt", command.attempt},
-               {"waited_us", (sent_at - command.requested_at).count()},
+               {"attempt", attempt},
+               {"waited_us", waited.count()},
                {"queued_us", (sent_at - command.planned_at).count()},
-               {"token", token_},
+               {"token", self->token_},
                {"answer", schedule::to_string(reply->result)},
                {"reason", reply->reason}});
-    schedule::on_stop_result(scheduler_, command, reply->result, monotonic_now());
+    schedule::on_stop_result(self->scheduler_, command, reply->result, monotonic_now());
     if (reply->result == command_result::none)
-        drop_queued_starts(worker);
+        self->drop_queued_starts(worker);
     if (reply->result == command_result::other_incarnation)
-        on_worker_crash(worker);
+        self->on_worker_crash(worker);
+    const auto connection = self->connections_.find(worker);
+    if (connection == self->connections_.end())
+        co_return;
+    connection->second.stopping.erase({command.task, command.run});
+    self->send_commands(worker);
 }
 
 } // namespace galenaturn::controld
--- a/src/libschedule/duecommands.cpp
+++ b/src/libschedule/duecommands.cpp
@@ -19,8 +19,7 @@
         auto& run = *find_task(state, ref)->run;
         run.phase_since = now;
         ++state.counts.stops;
-        commands.push_back(
-            {ref, run.number, run.worker, run.cause, run.stop_requested_at, now, ++run.stops_sent});
+        commands.push_back({ref, run.number, run.worker, run.cause, run.stop_requested_at, now});
         state.stops_due.set(ref, now + stop_resend_interval);
     }
 }
@@ -30,7 +29,7 @@
     for (const auto& orphan : state.orphan_stops_due.due(now)) {
         auto& stops = state.orphans.at(orphan);
         commands.push_back({orphan.task, orphan.run, orphan.worker, stop_cause::orphan,
-                            stops.first_listed_at, now, ++stops.sent});
+                            stops.first_listed_at, now});
         state.orphan_stops_due.set(orphan, now + stop_resend_interval);
     }
 }
@@ -43,7 +42,7 @@
             continue;
         doubtful.stop_sent_at = now;
         commands.push_back({doubtful.task, doubtful.run, worker.record.id, stop_cause::unconfirmed,
-                            doubtful.since, now, ++doubtful.stops_sent});
+                            doubtful.since, now});
     }
 }
 
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -472,6 +472,17 @@
            run->pace_percent == command.percent;
 }
 
+std::uint32_t on_stop_sent(job_scheduler& state, const stop_command& command)
+{
+    for (auto& start : state.workers.at(command.worker).doubtful_starts) {
+        if (start.task == command.task && start.run == command.run)
+            return ++start.stops_sent;
+    }
+    if (command.cause == stop_cause::orphan)
+        return ++state.orphans.at({command.worker, command.task, command.run}).sent;
+    return ++find_task(state, command.task)->run->stops_sent;
+}
+
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now)
 {
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -316,8 +316,6 @@
         return "no_capacity";
     case drop_reason::no_lease:
         return "no_lease";
-    case drop_reason::not_leading:
-        return "not_leading";
     case drop_reason::not_recorded:
         return "not_recorded";
     case drop_reason::unanswered:
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -25,8 +25,6 @@
     /** When it was decided to stop the run, and when this command was planned. */
     time_point requested_at;
     time_point planned_at;
-    /** Number of this command among those for the run, from 1 on. */
-    std::uint32_t attempt{1};
 };
 
 /** Command to continue at a pace: the share of full speed that a run may use, in percent. */
@@ -171,6 +169,8 @@
 /** Returns whether the command still changes something, just before it is sent. */
 bool is_due(const job_scheduler& state, const stop_command& command);
 bool is_due(const job_scheduler& state, const pace_command& command);
+/** Records that a due stop is being sent. Returns how many were sent for the run, this included. */
+std::uint32_t on_stop_sent(job_scheduler& state, const stop_command& command);
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now);
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -341,8 +341,6 @@
     no_capacity,
     /** The worker was silent for too long to get a lease. */
     no_lease,
-    /** This process no longer leads. */
-    not_leading,
     /** The ledger has not recorded the start of a suspect. */
     not_recorded,
     /** The worker did not answer the command before it. */
@@ -350,7 +348,7 @@
     /** It is a suspect, and another job has started on the worker since it was planned. */
     not_isolated,
 };
-inline constexpr std::size_t drop_reason_count = 9;
+inline constexpr std::size_t drop_reason_count = 8;
 
 /** Event counts, for operators. */
 struct job_counts {
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -10,6 +10,9 @@
 class job_service_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(job_service_test);
     CPPUNIT_TEST(stop_of_a_cancelled_job_does_not_wait_for_a_pass);
+    CPPUNIT_TEST(queued_commands_outlast_a_lapse_of_the_lease);
+    CPPUNIT_TEST(stops_to_one_worker_do_not_wait_for_each_others_replies);
+    CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
@@ -33,6 +36,76 @@
         // A pass that is due anyway may come first.
         CPPUNIT_ASSERT(sent_without_pass > jobs / 2);
     }
+
+    /** Queued stops were forgotten until their resend, and queued starts were dropped. */
+    void queued_commands_outlast_a_lapse_of_the_lease()
+    {
+        constexpr std::size_t stopped = 8;
+        test_leader leader{1};
+        for (std::size_t job = 0; job < stopped; ++job)
+            leader.submit(std::to_string(job));
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == stopped; }));
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.hold_stop_replies(true);
+        for (std::size_t job = 0; job < stopped; ++job)
+            leader.cancel(std::to_string(job));
+        leader.submit("next");
+        CPPUNIT_ASSERT(leader.run_until([&] { return !leader.stops().empty(); }));
+        CPPUNIT_ASSERT(leader.run_until_pass());
+        leader.set_leads(false);
+        leader.hold_stop_replies(false);
+        leader.run_for(std::chrono::milliseconds{100});
+        CPPUNIT_ASSERT(leader.stops().size() < stopped);
+        leader.set_leads(true);
+        // Shorter than the time after which a stop is sent again.
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.stops().size() == stopped; },
+                                        std::chrono::milliseconds{400}));
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(stopped + 1, leader.starts().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, leader.starts().back().run);
+        CPPUNIT_ASSERT_EQUAL(stopped, leader.stops().size());
+    }
+
+    /** A lost reply delayed the stops behind it by the timeout of 0.8 s each. */
+    void stops_to_one_worker_do_not_wait_for_each_others_replies()
+    {
+        constexpr std::size_t stopped = 6;
+        constexpr std::size_t in_flight = 4;
+        test_leader leader{1};
+        for (std::size_t job = 0; job < stopped; ++job)
+            leader.submit(std::to_string(job));
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == stopped; }));
+        leader.hold_stop_replies(true);
+        for (std::size_t job = 0; job < stopped; ++job)
+            leader.cancel(std::to_string(job));
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.stops().size() == in_flight; }));
+        // Longer than the time after which a stop is sent again: none of them is sent twice.
+        leader.run_for(std::chrono::milliseconds{700});
+        CPPUNIT_ASSERT_EQUAL(in_flight, leader.stops().size());
+        leader.hold_stop_replies(false);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 0; }));
+        leader.run_for(std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(stopped, leader.stops().size());
+    }
+
+    void stop_waits_for_the_reply_to_its_start()
+    {
+        test_leader leader{1};
+        leader.submit("first");
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 1; }));
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.hold_start_replies(true);
+        leader.submit("second");
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 2; }));
+        leader.cancel("second");
+        leader.cancel("first");
+        CPPUNIT_ASSERT(leader.run_until([&] { return !leader.stops().empty(); }));
+        leader.run_for(std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader.stops().size());
+        CPPUNIT_ASSERT(leader.stops().front().command.task.job == submission_id{"first"});
+        leader.hold_start_replies(false);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.stops().size() == 2; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_service_test);
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -36,7 +36,9 @@
                                          schedule::start_command command,
                                          command_header /*header*/) override
     {
+        leader_.starts_.push_back(command);
         leader_.runs_[worker.id][command.task] = command.run;
+        co_await released(leader_.start_replies_held_);
         co_return accepted();
     }
 
@@ -47,6 +49,7 @@
         co_await asio::post(leader_.shared_.io, asio::use_awaitable);
         leader_.stops_.push_back({command, leader_.passes()});
         leader_.runs_[worker.id].erase(command.task);
+        co_await released(leader_.stop_replies_held_);
         co_return accepted();
     }
 
@@ -72,6 +75,14 @@
     }
 
 private:
+    asio::awaitable<void> released(const bool& held)
+    {
+        while (held) {
+            asio::steady_timer timer{leader_.shared_.io, std::chrono::milliseconds{1}};
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
     static command_reply accepted()
     {
         command_reply reply;
@@ -87,7 +98,7 @@
 test_leader::test_leader(std::size_t workers) : shared_{leader_settings()}, roster_{shared_}
 {
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
-    hub_.leads = [] { return true; };
+    hub_.leads = [this] { return leads_; };
     hub_.current_term = [] { return term{1}; };
     hub_.leader = [] { return process_id{"control-a"}; };
     hub_.submit = [this](wire::command command,
@@ -143,6 +154,11 @@
     return true;
 }
 
+void test_leader::run_for(duration span)
+{
+    run_until([] { return false; }, span);
+}
+
 bool test_leader::run_until_pass()
 {
     const auto before = passes();
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -39,10 +39,19 @@
     /** Runs the event loop until a scheduling pass has ended. */
     bool run_until_pass();
     [[nodiscard]] std::uint64_t passes();
+    /** Runs the event loop for about this time. */
+    void run_for(duration span);
+
+    /** The lease of the leader lapses, or is renewed. */
+    void set_leads(bool leads) { leads_ = leads; }
+    /** Workers carry out starts and stops at once, but reply only once they are not held. */
+    void hold_start_replies(bool hold) { start_replies_held_ = hold; }
+    void hold_stop_replies(bool hold) { stop_replies_held_ = hold; }
 
     /** Tasks that run on any worker. */
     [[nodiscard]] std::size_t running() const;
     [[nodiscard]] const std::vector<received_stop>& stops() const { return stops_; }
+    [[nodiscard]] const std::vector<schedule::start_command>& starts() const { return starts_; }
 
 private:
     class workers_in_process;
@@ -56,6 +65,10 @@
     std::uint64_t index_{0};
     std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
     std::vector<received_stop> stops_;
+    std::vector<schedule::start_command> starts_;
+    bool leads_{true};
+    bool start_replies_held_{false};
+    bool stop_replies_held_{false};
     std::unique_ptr<job_service> service_;
 };
 
