--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -44,6 +44,14 @@
     /** Runs the event loop until a scheduling pass has ended. */
     bool run_until_pass();
     [[nodiscard]] std::uint64_t passes();
+    /** Runs the event loop for about this time. */
+    void run_for(duration span);
+
+    /** The lease of the leader lapses, or is renewed. */
+    void set_leads(bool leads) { leads_ = leads; }
+    /** Workers carry out starts and stops at once, but reply only once they are not held. */
+    void hold_start_replies(bool hold) { start_replies_held_ = hold; }
+    void hold_stop_replies(bool hold) { stop_replies_held_ = hold; }
 
     /** Tasks that run on any worker. */
     [[nodiscard]] std::size_t running() const;
@@ -54,6 +62,7 @@
     [[nodiscard]] std::size_t polls_since_end() const { return polls_since_end_; }
     /** The highest completion number that this worker may forget. */
     [[nodiscard]] std::uint64_t acknowledged() const { return acknowledged_; }
+    [[nodiscard]] const std::vector<schedule::start_command>& starts() const { return starts_; }
 
 private:
     class workers_in_process;
@@ -74,6 +83,10 @@
     std::size_t leases_since_end_{0};
     std::size_t polls_since_end_{0};
     std::uint64_t acknowledged_{0};
+    std::vector<schedule::start_command> starts_;
+    bool leads_{true};
+    bool start_replies_held_{false};
+    bool stop_replies_held_{false};
     std::unique_ptr<job_service> service_;
 };
 
