--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(a_worker_report_names_the_life_of_its_worker);
     CPPUNIT_TEST(reads_a_worker_report);
     CPPUNIT_TEST(rejects_incomplete_worker_reports);
+    CPPUNIT_TEST(a_malformed_report_leaves_the_other_fields_of_the_reply);
+    CPPUNIT_TEST(reads_a_report_that_exceeds_the_buffer_of_a_document);
     CPPUNIT_TEST(commands_have_the_fencing_token_and_the_lease);
     CPPUNIT_TEST(writes_a_pace_command);
     CPPUNIT_TEST(reads_a_configuration);
@@ -166,6 +168,39 @@
             CPPUNIT_ASSERT_MESSAGE(body, !read_report(body));
     }
 
+    void a_malformed_report_leaves_the_other_fields_of_the_reply()
+    {
+        const auto valid =
+            read_poll_reply(R"({"clockMs":7,"born":12,"running":[],"endedRuns":[]})");
+        CPPUNIT_ASSERT(valid.reply.clock == std::chrono::milliseconds{7});
+        CPPUNIT_ASSERT(valid.report && valid.report->life == incarnation{12});
+        const auto incomplete = read_poll_reply(R"({"clockMs":7,"reason":"fence","running":[]})");
+        CPPUNIT_ASSERT(incomplete.reply.clock == std::chrono::milliseconds{7});
+        CPPUNIT_ASSERT_EQUAL(std::string{"fence"}, incomplete.reply.reason);
+        CPPUNIT_ASSERT(!incomplete.report);
+        for (const char* body : {"", "[]", "null", R"({"clockMs":7,)"}) {
+            const auto unreadable = read_poll_reply(body);
+            CPPUNIT_ASSERT_MESSAGE(body, !unreadable.reply.clock && !unreadable.report);
+        }
+    }
+
+    void reads_a_report_that_exceeds_the_buffer_of_a_document()
+    {
+        const int tasks = 2000;
+        std::string rows;
+        for (int index = 0; index < tasks; ++index)
+            rows += (index == 0 ? "" : ",") + std::string{R"(["5c0e7a21d94b36f8.0.1.)"} +
+                    std::to_string(index) + R"(",2,"checkpoint-longer-than-a-pointer",41,310])";
+        const auto polled =
+            read_poll_reply(R"({"clockMs":1,"running":[)" + rows + R"(],"endedRuns":[]})");
+        CPPUNIT_ASSERT(polled.report.has_value());
+        const auto& running = polled.report->report.running;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, running.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{tasks - 1}, running.back().task.index);
+        CPPUNIT_ASSERT_EQUAL(std::string{"checkpoint-longer-than-a-pointer"},
+                             running.back().checkpoint);
+    }
+
     void commands_have_the_fencing_token_and_the_lease()
     {
         schedule::start_command command;
