schedule: a report finds each listed task once

Cause: for each task that a report lists, its job was looked up by name about nine times: to apply the row twice, to clear surviving suspects, and in each step of the tail control. All rows were sorted to find runs that are not listed, and each announcement counted as a change of its worker.

Change: a row is resolved once, and the tail control gets the resolved runs. Suspects are cleared where their task is found anyway. The rows are sorted only where fewer of the worker's runs are listed than it has. An announcement that says nothing new changes nothing.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -83,6 +83,8 @@
     std::optional<time_point> confirmed_at;
     /** A report of the worker has listed it. */
     bool listed{false};
+    /** When a report of the worker last listed its task. */
+    time_point task_listed_at;
     /** When it was decided to stop it, and the number of stops sent since. */
     time_point stop_requested_at;
     std::uint32_t stops_sent{0};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -24,11 +24,22 @@
     time_point requested_at;
     time_point now;
     completion_items to_record;
+    /** The current runs that the report lists. */
+    std::vector<listed_run> listed;
+    /** Number of runs of the worker whose task the report lists. */
+    std::size_t listed_tasks{0};
 };
 
-void adopt(report_context& context, const worker_report::running_task& listed, open_task& task)
+open_task* find_task_of(open_job* job, const wire::task_ref& ref)
 {
-    const auto& step = find_job(context.state, listed.task.job)->spec.steps[listed.task.step];
+    const auto position = job == nullptr ? std::nullopt : wire::position_of(job->spec, ref);
+    return position ? &job->tasks[*position] : nullptr;
+}
+
+void adopt(report_context& context, const worker_report::running_task& listed, open_job& job,
+           open_task& task)
+{
+    const auto& step = job.spec.steps[listed.task.step];
     task_run run;
     run.number = listed.run;
     run.worker = context.worker.record.id;
@@ -52,7 +63,7 @@
     begin_run(context.state, listed.task, task, std::move(run));
     if (is_throttled)
         context.state.paces_due.set(listed.task, context.now);
-    find_job(context.state, listed.task.job)->begun = true;
+    job.begun = true;
     ++context.state.counts.adopted;
 }
 
@@ -72,6 +83,8 @@
 /** Forgets the orphans of the worker that were not listed since `listed_since`. */
 void forget_orphans(job_scheduler& state, const worker_id& worker, time_point listed_since)
 {
+    if (state.orphans.empty())
+        return;
     auto orphan = state.orphans.lower_bound({worker, {}, 0});
     while (orphan != state.orphans.end() && orphan->first.worker == worker) {
         if (orphan->second.last_listed_at >= listed_since) {
@@ -83,34 +96,56 @@
     }
 }
 
-void apply_running(report_context& context, const worker_report::running_task& listed)
+void apply_to_task(report_context& context, const worker_report::running_task& listed,
+                   open_job& job, open_task& task)
 {
-    settle_doubtful_start(context.state, context.worker, listed.task, listed.run);
-    auto* job = find_job(context.state, listed.task.job);
-    auto* task = find_task(context.state, listed.task);
-    if (task == nullptr || task->succeeded)
+    if (task.succeeded)
         return mark_orphan(context, listed);
-    task->last_run = std::max(task->last_run, listed.run);
-    if (!task->run && !job->ending && task->recording == 0)
-        adopt(context, listed, *task);
-    if (!task->run || task->run->worker != context.worker.record.id ||
-        task->run->number != listed.run)
+    task.last_run = std::max(task.last_run, listed.run);
+    if (!task.run && !job.ending && task.recording == 0)
+        adopt(context, listed, job, task);
+    if (!task.run || task.run->worker != context.worker.record.id || task.run->number != listed.run)
         return mark_orphan(context, listed);
-    auto& run = *task->run;
+    auto& run = *task.run;
     run.listed = true;
     if (!listed.checkpoint.empty())
-        task->checkpoint = listed.checkpoint;
+        task.checkpoint = listed.checkpoint;
     const bool withdrawn = run.phase == run_phase::withdrawn;
     if (is_unconfirmed(run.phase) || run.phase == run_phase::unknown || withdrawn)
         confirm_run(context.state, listed.task, run, context.now);
     if (withdrawn)
-        stop_run(context.state, listed.task, *task, run.cause, context.now);
+        stop_run(context.state, listed.task, task, run.cause, context.now);
     if (listed.percent != run.progress_percent) {
         run.progress_percent = listed.percent;
         run.progressed_at = context.now;
     }
 }
 
+/** Counts the run of a listed task once, also where several rows name the task. */
+void count_listed_task(report_context& context, task_run& run)
+{
+    if (run.task_listed_at == context.now || run.worker != context.worker.record.id)
+        return;
+    run.task_listed_at = context.now;
+    ++context.listed_tasks;
+}
+
+void apply_running(report_context& context, const worker_report::running_task& listed)
+{
+    settle_doubtful_start(context.state, context.worker, listed.task, listed.run);
+    auto* job = find_job(context.state, listed.task.job);
+    auto* task = find_task_of(job, listed.task);
+    if (task == nullptr)
+        return mark_orphan(context, listed);
+    clear_if_survived(context.worker, *task);
+    apply_to_task(context, listed, *job, *task);
+    if (!task->run)
+        return;
+    count_listed_task(context, *task->run);
+    if (task->run->number == listed.run)
+        context.listed.push_back({&listed, job, task});
+}
+
 /**
  * One success completes the whole gang: the worker reports of the other members no longer list
  * them. Members of a later run are still running and are stopped.
@@ -150,9 +185,10 @@
     count_outcome(context.state.counts, ended.outcome);
     update_failure_streak(context, ended.outcome);
     auto* job = find_job(context.state, ended.task.job);
-    auto* task = find_task(context.state, ended.task);
+    auto* task = find_task_of(job, ended.task);
     if (task == nullptr)
         return;
+    clear_if_survived(context.worker, *task);
     mark_begun(context.state, ended.task.job, context.now);
     task->last_run = std::max(task->last_run, ended.run);
     if (!ended.checkpoint.empty())
@@ -200,9 +236,14 @@
 /** Clears runs that the report should list, as running or as ended, and does not. */
 void clear_unlisted(report_context& context, const worker_report& report)
 {
+    if (context.listed_tasks == context.worker.runs.size())
+        return;
     for (const auto& ref : unlisted_runs(context.worker, report)) {
         auto* task = find_task(context.state, ref);
-        if (task == nullptr || !task->run || task->run->phase_since >= context.requested_at)
+        if (task == nullptr || !task->run)
+            continue;
+        clear_if_survived(context.worker, *task);
+        if (task->run->phase_since >= context.requested_at)
             continue;
         const auto phase = task->run->phase;
         if (phase == run_phase::running || phase == run_phase::stopped) {
@@ -294,7 +335,10 @@
 {
     if (presence.left)
         return remove_worker(state, presence.worker.id);
-    auto& worker = state.workers[presence.worker.id];
+    const auto [found, added] = state.workers.try_emplace(presence.worker.id);
+    auto& worker = found->second;
+    if (!added && worker.leaving == presence.leaving && worker.record == presence.worker)
+        return;
     worker.record = presence.worker;
     worker.leaving = presence.leaving;
     mark_changed(state, worker);
@@ -401,8 +445,9 @@
     const auto worker = state.workers.find(id);
     if (worker == state.workers.end())
         return {};
-    report_context context{state, worker->second, requested_at, now, {}};
-    clear_surviving_suspects(state, worker->second, now);
+    report_context context{state, worker->second, requested_at, now, {}, {}, 0};
+    context.listed.reserve(report.running.size());
+    record_alive(worker->second, now);
     worker->second.has_orphans = false;
     // Completions first: a task that ended and runs again is in both lists.
     for (const auto& ended : report.ended) {
@@ -415,7 +460,7 @@
         apply_running(context, running);
     forget_orphans(state, id, now);
     clear_unlisted(context, report);
-    control_tail_latency(state, worker->second, report, now);
+    control_tail_latency(state, worker->second, context.listed, now);
     mark_changed(state, worker->second);
     worker->second.report_read = true;
     state.unread_workers.erase(id);
--- a/src/libschedule/tailcontrol.cpp
+++ b/src/libschedule/tailcontrol.cpp
@@ -62,13 +62,6 @@
     bool slowed{false};
 };
 
-open_task* running_task(job_scheduler& state, const worker_report::running_task& listed)
-{
-    auto* task = find_task(state, listed.task);
-    const bool is_current = task != nullptr && task->run && task->run->number == listed.run;
-    return is_current ? task : nullptr;
-}
-
 bool are_pairs_trusted(const job_scheduler& state, const std::string& serving,
                        const best_effort_load& best_effort_use)
 {
@@ -78,13 +71,13 @@
 }
 
 /** Returns the processors in use by each best-effort image. */
-best_effort_load best_effort_use_in(job_scheduler& state, const worker_report& report)
+best_effort_load best_effort_use_in(const std::vector<listed_run>& listed)
 {
     best_effort_load best_effort_use;
-    for (const auto& running : report.running) {
-        const auto* task = running_task(state, running);
-        if (task != nullptr && task->run->best_effort_processors.value() > 0)
-            best_effort_use[task->run->image] += millicores{running.measurement};
+    for (const auto& running : listed) {
+        const auto& run = *running.task->run;
+        if (run.best_effort_processors.value() > 0)
+            best_effort_use[run.image] += millicores{running.row->measurement};
     }
     return best_effort_use;
 }
@@ -108,15 +101,16 @@
  * Returns whether several tasks of the worker report outliers: then the cause is real and not a
  * measurement error.
  */
-bool are_several_outliers(job_scheduler& state, const worker_report& report,
+bool are_several_outliers(const job_scheduler& state, const std::vector<listed_run>& listed,
                           const best_effort_load& best_effort_use, time_point now)
 {
     int outliers = 0;
-    for (const auto& running : report.running) {
-        const auto* task = running_task(state, running);
-        if (task != nullptr && task->run->tail_target.count() > 0 && running.measurement > 0)
-            outliers += is_outlier(state, *find_job(state, running.task.job), *task->run,
-                                   static_cast<double>(running.measurement), best_effort_use, now)
+    for (const auto& running : listed) {
+        const auto& run = *running.task->run;
+        const auto measurement = running.row->measurement;
+        if (run.tail_target.count() > 0 && measurement > 0)
+            outliers += is_outlier(state, *running.job, run, static_cast<double>(measurement),
+                                   best_effort_use, now)
                             ? 1
                             : 0;
     }
@@ -165,25 +159,25 @@
  * Learns from all tails of the report and returns the one that is longest in relation to its
  * target.
  */
-longest_tail learn_from_tails(job_scheduler& state, const worker_report& report,
+longest_tail learn_from_tails(job_scheduler& state, const std::vector<listed_run>& listed,
                               const best_effort_load& best_effort_use, time_point now)
 {
     longest_tail longest;
-    const bool several_outliers = are_several_outliers(state, report, best_effort_use, now);
-    for (const auto& running : report.running) {
-        auto* task = running_task(state, running);
-        if (task == nullptr || task->run->tail_target.count() == 0 || running.measurement == 0)
+    const bool several_outliers = are_several_outliers(state, listed, best_effort_use, now);
+    for (const auto& running : listed) {
+        auto& run = *running.task->run;
+        if (run.tail_target.count() == 0 || running.row->measurement == 0)
             continue;
-        auto& job = *find_job(state, running.task.job);
-        const auto tail_ms = static_cast<double>(running.measurement);
-        const bool outlier = is_outlier(state, job, *task->run, tail_ms, best_effort_use, now);
-        if (!passes_outlier_filter(*task->run, outlier, now) && !several_outliers)
+        auto& job = *running.job;
+        const auto tail_ms = static_cast<double>(running.row->measurement);
+        const bool outlier = is_outlier(state, job, run, tail_ms, best_effort_use, now);
+        if (!passes_outlier_filter(run, outlier, now) && !several_outliers)
             continue;
-        learn_from_tail(state, job, *task->run, tail_ms, best_effort_use, now);
-        const std::chrono::duration<double, std::milli> target{task->run->tail_target};
+        learn_from_tail(state, job, run, tail_ms, best_effort_use, now);
+        const std::chrono::duration<double, std::milli> target{run.tail_target};
         if (longest.target_ms == 0 ||
             tail_ms * longest.target_ms > longest.tail_ms * target.count())
-            longest = {task->run->image, tail_ms, target.count(), job.baseline.fast_average};
+            longest = {run.image, tail_ms, target.count(), job.baseline.fast_average};
     }
     return longest;
 }
@@ -192,7 +186,8 @@
  * Returns the best-effort runs, strongest interference per processor first. Together they account
  * for the part of the tail above its baseline; the model determines the share of each.
  */
-std::vector<interfering_run> interfering_runs(job_scheduler& state, const worker_report& report,
+std::vector<interfering_run> interfering_runs(const job_scheduler& state,
+                                              const std::vector<listed_run>& listed,
                                               const longest_tail& longest)
 {
     struct ranked_run {
@@ -202,19 +197,20 @@
     };
     std::vector<ranked_run> ranked_runs;
     double total = 0;
-    for (const auto& running : report.running) {
-        auto* task = running_task(state, running);
-        if (task == nullptr || task->run->best_effort_processors.value() == 0 ||
+    for (const auto& running : listed) {
+        auto* task = running.task;
+        if (task->run->best_effort_processors.value() == 0 ||
             task->run->phase != run_phase::running)
             continue;
         const auto slope = tail_slope(state.interference, longest.image, task->run->image);
         const auto processors =
             static_cast<double>(task->run->best_effort_processors.value()) / 1000;
-        const auto& step = find_job(state, running.task.job)->spec.steps[running.task.step];
-        ranked_runs.push_back({slope,
-                               slope * processors,
-                               {running.task, task, 0, step.checkpoints,
-                                task->run->claimed_percent < full_pace_percent}});
+        const auto& ref = running.row->task;
+        const auto& step = running.job->spec.steps[ref.step];
+        ranked_runs.push_back(
+            {slope,
+             slope * processors,
+             {ref, task, 0, step.checkpoints, task->run->claimed_percent < full_pace_percent}});
         total += slope * processors * task->run->pace_percent / full_pace_percent;
     }
     std::sort(ranked_runs.begin(), ranked_runs.end(), [](const auto& first, const auto& second) {
@@ -346,11 +342,11 @@
 
 } // namespace
 
-void control_tail_latency(job_scheduler& state, job_worker& worker, const worker_report& report,
-                          time_point now)
+void control_tail_latency(job_scheduler& state, job_worker& worker,
+                          const std::vector<listed_run>& listed, time_point now)
 {
-    const auto best_effort_use = best_effort_use_in(state, report);
-    auto longest = learn_from_tails(state, report, best_effort_use, now);
+    const auto best_effort_use = best_effort_use_in(listed);
+    auto longest = learn_from_tails(state, listed, best_effort_use, now);
     end_trial_if_known(state, worker);
     if (is_over_target_for_long(worker, longest, now))
         longest.baseline_ms = std::min(longest.baseline_ms, longest.target_ms / 2);
@@ -358,7 +354,7 @@
                             now - worker.pace_changed_at > measurement_span;
     if (best_effort_use.empty() || !is_settled)
         return;
-    const auto interfering = interfering_runs(state, report, longest);
+    const auto interfering = interfering_runs(state, listed, longest);
     if (worker.serving_images.empty())
         return raise_paces(state, worker, interfering, unlimited_headroom_ms, now);
     if (longest.target_ms == 0)
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -80,16 +80,18 @@
     worker.isolated_until = now + crash_window;
 }
 
-void clear_surviving_suspects(job_scheduler& state, job_worker& worker, time_point now)
+void record_alive(job_worker& worker, time_point now)
 {
     worker.alive_at = now;
     worker.lost.reset();
     worker.unexplained.clear();
-    for (const auto& [ref, number] : worker.runs) {
-        auto* task = find_task(state, ref);
-        if (task != nullptr && is_suspect(*task) && outlived_crash_window(*task->run, now))
-            task->cleared = true;
-    }
+}
+
+void clear_if_survived(const job_worker& worker, open_task& task)
+{
+    if (is_suspect(task) && task.run && task.run->worker == worker.record.id &&
+        outlived_crash_window(*task.run, worker.alive_at))
+        task.cleared = true;
 }
 
 void record_contact_loss(job_scheduler& state, const worker_id& id, time_point now, bool closed)
--- a/src/libschedule/workercrashes.h
+++ b/src/libschedule/workercrashes.h
@@ -23,8 +23,10 @@
 void record_start(recent_starts& starts, const submission_id& job, time_point now);
 /** Keeps other jobs from starting on the worker within the crash window. */
 void isolate(job_worker& worker, const submission_id& job, time_point now);
-/** Clears the suspects among the runs of a worker that has responded. */
-void clear_surviving_suspects(job_scheduler& state, job_worker& worker, time_point now);
+/** Records that the worker has responded. */
+void record_alive(job_worker& worker, time_point now);
+/** Clears a suspect that the worker, which has responded, outlived. */
+void clear_if_survived(const job_worker& worker, open_task& task);
 /**
  * Returns the runs of a worker that is gone, with the likelihood that each was the cause. Runs that
  * were commanded after contact was lost are left out.
