tests: the processor time of the leader in the fault simulation, bad input

Decisions took no time in the simulation, so a stop that waited for a pass, and a leader voted out for being busy, could not be seen there.

With a share of a processor set, candidates, waiting tasks, reports, commands and changes of the ledger take virtual time, and nothing else of the leader happens meanwhile; its loop follows job_service. Counted are runs alive more than 4.4 s after the cancellation, leaders lost without a fault, and the delays of stops and of urgent starts.

--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -1,5 +1,7 @@
 #include "jobfaultsimulation.h"
 
+#include "leaderprocessor.h"
+
 #include <galenaturn/ledger.h>
 #include <galenaturn/schedule.h>
 
@@ -31,6 +33,20 @@
 constexpr duration command_timeout = milliseconds{800};
 /** Jobs that were accepted this long ago are in the counts. */
 constexpr duration counted_after = seconds{5};
+constexpr duration tick_interval = milliseconds{100};
+constexpr duration min_pass_pause = milliseconds{10};
+constexpr int pass_pause_factor = 4;
+constexpr duration heartbeat_interval = milliseconds{250};
+constexpr duration election_timeout = seconds{1};
+/** A run may be alive for this time after the cancellation of its job was recorded. */
+constexpr duration tolerated_after_cancel = milliseconds{4400};
+/** Every fourth worker runs urgent jobs only, so that there is room for them. */
+constexpr std::size_t workers_per_urgent_one = 4;
+constexpr std::size_t refusing_worker = 1;
+constexpr std::size_t mute_worker = 2;
+constexpr std::uint32_t large_job_tasks = 5000;
+constexpr int short_jobs = 1000;
+constexpr int jobs_cancelled_without_leader = 20;
 
 /** A run on a simulated worker. */
 struct worker_run {
@@ -38,6 +54,10 @@
     resources demand;
     time_point ends_at;
     run_outcome outcome{run_outcome::succeeded};
+    time_point began_at;
+    /** A stop has arrived. */
+    bool stop_arrived{false};
+    bool counted_as_late{false};
 };
 
 /** A worker outside the scheduler: it executes every start that is not stale. */
@@ -50,6 +70,7 @@
     bool up{true};
     time_point returns_at;
     time_point partitioned_until;
+    time_point last_unreachable_at;
     time_point next_announcement;
     time_point next_poll;
     time_point lease_until;
@@ -112,8 +133,11 @@
     bool counted{false};
     bool cancelled{false};
     time_point cancelled_at;
+    /** When a leader learned of it. */
+    time_point cancel_known_at{time_point::max()};
     /** A worker has started a task of it. */
     bool begun{false};
+    bool urgent{false};
 };
 
 class job_fault_simulation {
@@ -132,7 +156,7 @@
     {
         const auto end = now_ + seconds{options_.seconds};
         // After the last submission the remaining jobs have time to end.
-        const auto last_submission = end - seconds{15};
+        const auto last_submission = end - seconds{options_.settling_seconds};
         for (int job = 0; job < 3; ++job)
             submit(true);
         while (now_ < end) {
@@ -143,19 +167,25 @@
                     submit(false);
                 cause_faults();
             }
+            if (options_.bad_input)
+                cause_bad_input();
             if (!term_active_ && now_ >= next_term_at_)
                 begin_term();
             advance_workers();
             execute_late_starts();
             execute_late_stops();
             announce();
-            commit();
-            exchange_with_workers();
-            pass();
-            advance_command_queues();
+            if (options_.processor_share > 0)
+                lead_with_limited_processor();
+            else
+                lead();
             count_ended_jobs();
-            check_counts();
+            if (options_.bad_input)
+                count_late_stops();
+            else
+                check_counts();
         }
+        count_urgent_jobs_that_wait();
         return counts_;
     }
 
@@ -186,7 +216,7 @@
         const auto started = static_cast<std::uint64_t>(wall_.time_since_epoch().count());
         record.id = make_worker_id("w" + std::to_string(number),
                                    incarnation{options_.ids_are_kept ? started : 0});
-        record.service = service_id{"desk"};
+        record.service = service_id{is_for_urgent_jobs(index) ? "alerts" : "desk"};
         record.address = {"10.0.0." + std::to_string(index + 1), 8129};
         record.capacity = {millicores{32'000}, bytes{std::int64_t{125} << 30}, {}};
         worker = {};
@@ -196,6 +226,11 @@
         index_of_[record.id] = index;
     }
 
+    [[nodiscard]] bool is_for_urgent_jobs(std::size_t index) const
+    {
+        return options_.bad_input && index % workers_per_urgent_one == 0;
+    }
+
     [[nodiscard]] bool is_reachable(const simulated_job_worker& worker) const
     {
         return worker.up && now_ >= worker.partitioned_until;
@@ -277,11 +312,15 @@
         highest = command.run;
         check_start(worker, command.task);
         auto& job = jobs_.at(command.task.job);
+        // Without a leader nothing starts.
+        if (job.urgent && !job.begun && job.at >= recovered_at_)
+            counts_.urgent_start_delays.push_back(now_ - job.at);
         job.begun = true;
-        counts_.starts_after_cancel += job.cancelled && sent_at > job.cancelled_at ? 1 : 0;
+        counts_.starts_after_cancel += sent_at > job.cancel_known_at ? 1 : 0;
         const auto& step = job.spec.steps[command.task.step];
         worker_run run;
         run.number = command.run;
+        run.began_at = now_;
         run.demand = step.demand;
         run.ends_at = is_crashing(command.task) ? now_ + crash_delay
                       : step.long_running       ? time_point::max()
@@ -368,13 +407,106 @@
             change_capacity(draw_worker());
         if (options_.cancels_per_minute > 0 && per_minute(options_.cancels_per_minute))
             cancel_any_job();
-        if (term_active_ && per_minute(options_.leader_losses_per_minute)) {
-            ++counts_.leader_losses;
-            term_active_ = false;
-            next_term_at_ = now_ + draw_span(300, 1500);
-            if (chance(50))
-                pending_.clear();
+        if (term_active_ && per_minute(options_.leader_losses_per_minute))
+            lose_leader();
+    }
+
+    void lose_leader()
+    {
+        ++counts_.leader_losses;
+        term_active_ = false;
+        lost_by_fault_ = true;
+        next_term_at_ = now_ + draw_span(300, 1500);
+        if (chance(50))
+            pending_.clear();
+    }
+
+    /** Returns whether the step contains this time since the beginning. */
+    [[nodiscard]] bool is_at(duration time) const
+    {
+        return now_ - began_at_ >= time && now_ - began_at_ < time + step_span;
+    }
+
+    /** Returns whether this time since the beginning is in the second after `begin`. */
+    [[nodiscard]] bool is_in_second_after(duration begin) const
+    {
+        return now_ - began_at_ >= begin && now_ - began_at_ < begin + seconds{1};
+    }
+
+    void cause_bad_input()
+    {
+        if (is_at(milliseconds{500}))
+            submit_unplaceable_steps();
+        constexpr auto jobs_per_step = short_jobs / static_cast<int>(seconds{1} / step_span);
+        for (int job = 0; job < jobs_per_step; ++job) {
+            if (is_in_second_after(seconds{1}))
+                short_jobs_.push_back(
+                    submit_steps("q", {make_step(1, draw(1, 2), draw_span(5000, 9000))}));
+            if (is_in_second_after(milliseconds{2500}))
+                cancel_first_short_job();
+        }
+        if (per_minute(240))
+            jobs_.at(submit_steps("urgent", {make_step(1, 1, milliseconds{200})})).urgent = true;
+        if (is_at(milliseconds{4500})) {
+            for (int job = 0; job < jobs_cancelled_without_leader; ++job)
+                late_jobs_.push_back(submit_steps("first", {make_step(1, 2, seconds{20})}));
         }
+        if (is_at(milliseconds{6000})) {
+            if (term_active_)
+                lose_leader();
+            for (const auto& id : std::exchange(late_jobs_, {}))
+                cancel(id);
+        }
+    }
+
+    void submit_unplaceable_steps()
+    {
+        submit_steps("q", {make_step(large_job_tasks, 1, draw_span(300, 2700))});
+        auto wide = make_step(static_cast<std::uint32_t>(10 * fleet_.size()), 1, seconds{1});
+        wide.gang = true;
+        submit_steps("q", {wide});
+    }
+
+    void cancel_first_short_job()
+    {
+        const auto id = short_jobs_.front();
+        short_jobs_.pop_front();
+        if (ledger_.jobs.at(id).phase == wire::job_phase::open)
+            cancel(id);
+    }
+
+    void count_late_stops()
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index) {
+            auto& worker = fleet_[index];
+            if (!is_reachable(worker))
+                worker.last_unreachable_at = now_;
+            if (ignores_stops(index))
+                continue;
+            for (auto& [ref, run] : worker.runs) {
+                const auto& job = jobs_.at(ref.job);
+                const auto since = std::max(
+                    {job.cancelled_at, run.began_at, recovered_at_, worker.last_unreachable_at});
+                if (!job.cancelled || run.counted_as_late || lost_by_fault_ ||
+                    now_ - since <= tolerated_after_cancel)
+                    continue;
+                run.counted_as_late = true;
+                ++counts_.late_stops;
+            }
+        }
+    }
+
+    void count_urgent_jobs_that_wait()
+    {
+        for (const auto& [id, job] : jobs_) {
+            if (job.urgent && !job.begun && job.at >= recovered_at_)
+                counts_.urgent_start_delays.push_back(now_ - job.at);
+        }
+    }
+
+    [[nodiscard]] bool ignores_stops(std::size_t index) const
+    {
+        return options_.bad_input && (index == refusing_worker || index == mute_worker);
     }
 
     simulated_job_worker& draw_worker()
@@ -406,6 +538,27 @@
         return step;
     }
 
+    /** Submits a job that is not among the sound ones. */
+    submission_id submit_steps(const std::string& queue, std::vector<wire::job_step> steps)
+    {
+        wire::submit_job body;
+        body.id = submission_id{"job-" + std::to_string(last_job_++)};
+        body.queue.name = queue;
+        body.queue.service = service_id{queue == "urgent" ? "alerts" : "desk"};
+        body.queue.priority = queue == "q" ? 1 : 0;
+        body.queue.max_attempts = 3;
+        body.queue.latency = queue == "urgent" ? milliseconds{250} : milliseconds{1000};
+        body.submitted = wall_;
+        body.spec.steps = std::move(steps);
+        auto& job = jobs_[body.id];
+        job.at = now_;
+        job.spec = body.spec;
+        job.counted = true;
+        auto id = body.id;
+        apply(std::move(body));
+        return id;
+    }
+
     void submit(bool long_running)
     {
         wire::submit_job body;
@@ -442,11 +595,19 @@
         if (job.cancelled || ledger_.jobs.at(id).phase != wire::job_phase::open ||
             ledger_.jobs.at(id).spec.steps.front().long_running)
             return;
-        ++counts_.cancels;
         --(job.crashes ? counts_.crashing_jobs : counts_.sound_jobs);
+        cancel(id);
+    }
+
+    void cancel(const submission_id& id)
+    {
+        ++counts_.cancels;
+        auto& job = jobs_.at(id);
         job.cancelled = true;
         job.counted = true;
         job.cancelled_at = now_;
+        if (!term_active_ || options_.processor_share <= 0)
+            job.cancel_known_at = now_;
         apply(wire::cancel_job{id, wall_});
     }
 
@@ -495,8 +656,12 @@
         ledger::apply_command(ledger_, request, log_index{index_}, change);
         if (!term_active_)
             return;
-        for (const auto& id : change.jobs)
-            on_job_record(state_, ledger_.jobs.at(id), now_);
+        for (const auto& id : change.jobs) {
+            if (options_.processor_share > 0)
+                changed_jobs_.push_back(id);
+            else
+                on_job_record(state_, ledger_.jobs.at(id), now_);
+        }
         if (change.workers) {
             for (const auto& [id, record] : ledger_.workers)
                 admit_worker(state_, id);
@@ -510,10 +675,14 @@
 
     void commit()
     {
-        while (!pending_.empty() && now_ >= pending_.front().due) {
+        while (!pending_.empty() && now_ >= pending_.front().due && !is_busy()) {
+            charge(processor_time::ledger_change);
             auto command = std::move(pending_.front());
             pending_.pop_front();
             apply(std::move(command.body));
+            // The leader handles changes in order, each before its request is answered.
+            while (!changed_jobs_.empty())
+                apply_first_changed_job();
             if (term_active_)
                 command.applied();
         }
@@ -528,6 +697,17 @@
         pending_.clear();
         recording_.clear();
         queues_.clear();
+        for (const auto& id : std::exchange(changed_jobs_, {})) {
+            auto& job = jobs_.at(id);
+            if (job.cancelled)
+                job.cancel_known_at = std::min(job.cancel_known_at, now_);
+        }
+        processor_ = {options_.processor_share, now_};
+        last_heartbeat_ = now_;
+        next_tick_ = now_;
+        next_pass_ = now_;
+        if (std::exchange(lost_by_fault_, false))
+            recovered_at_ = now_;
         state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
         for (const auto& [id, announced] : announcements_)
             apply_announcement(announced.presence);
@@ -582,7 +762,13 @@
             if (worker.admitted)
                 known.push_back(id);
         }
+        // Goes on after the worker that was polled last when the leader became busy.
+        if (options_.processor_share > 0)
+            std::rotate(known.begin(), std::upper_bound(known.begin(), known.end(), last_polled_),
+                        known.end());
         for (const auto& id : known) {
+            if (is_busy())
+                return;
             auto& worker = fleet_[index_of_.at(id)];
             if (now_ < worker.next_poll || recording_.contains(id))
                 continue;
@@ -597,7 +783,11 @@
                 continue;
             }
             worker.next_poll = now_ + poll_interval;
+            last_polled_ = id;
+            charge(processor_time::report);
             poll(worker, id);
+            if (options_.processor_share > 0)
+                send_due_commands();
         }
     }
 
@@ -643,13 +833,124 @@
         });
     }
 
-    void pass()
+    // A leader whose work takes time.
+
+    /** The leader may use its time until the end of the current step. */
+    [[nodiscard]] bool is_busy() const { return processor_.busy_until >= now_ + step_span; }
+
+    void charge(std::chrono::nanoseconds work) { charge_work(processor_, work, now_); }
+
+    void lead()
+    {
+        commit();
+        exchange_with_workers();
+        pass();
+        advance_command_queues();
+    }
+
+    /** The same as one thread does it: each kind of event in turn, nothing while it is busy. */
+    void lead_with_limited_processor()
     {
         if (!term_active_)
             return;
+        const auto heartbeat_pause = now_ - last_heartbeat_;
+        counts_.longest_heartbeat_pause =
+            std::max(counts_.longest_heartbeat_pause, heartbeat_pause);
+        if (heartbeat_pause > election_timeout) {
+            ++counts_.leaders_lost_while_busy;
+            term_active_ = false;
+            next_term_at_ = now_ + draw_span(300, 1500);
+            return;
+        }
+        constexpr int kinds = 6;
+        for (int turn = 0; turn < kinds && !is_busy(); ++turn) {
+            next_kind_ = (next_kind_ + 1) % kinds;
+            handle_events(next_kind_);
+        }
+    }
+
+    void handle_events(int kind)
+    {
+        switch (kind) {
+        case 0:
+            return tick();
+        case 1:
+            return commit();
+        case 2:
+            return apply_changed_jobs();
+        case 3:
+            return exchange_with_workers();
+        case 4:
+            return advance_command_queues();
+        default:
+            return pass_if_due();
+        }
+    }
+
+    void tick()
+    {
+        if (now_ - last_heartbeat_ >= heartbeat_interval)
+            last_heartbeat_ = now_;
+        if (now_ < next_tick_)
+            return;
+        next_tick_ = now_ + tick_interval;
+        send_due_commands();
+    }
+
+    void apply_changed_jobs()
+    {
+        if (changed_jobs_.empty())
+            return;
+        while (!changed_jobs_.empty() && !is_busy()) {
+            charge(processor_time::ledger_change);
+            apply_first_changed_job();
+        }
+        send_due_commands();
+    }
+
+    void apply_first_changed_job()
+    {
+        const auto id = changed_jobs_.front();
+        changed_jobs_.pop_front();
+        auto& job = jobs_.at(id);
+        if (job.cancelled)
+            job.cancel_known_at = std::min(job.cancel_known_at, now_);
+        on_job_record(state_, ledger_.jobs.at(id), now_);
+    }
+
+    void pass_if_due()
+    {
+        if (now_ < next_pass_)
+            return;
+        const auto candidates = state_.counts.candidates;
+        charge(processor_time::waiting_task *
+               static_cast<std::int64_t>(summarize_capacity(state_).waiting_tasks));
+        drain_leaving_workers(state_, now_);
+        send_planned_starts();
+        charge(processor_time::candidate * options_.fleet_multiple *
+               static_cast<std::int64_t>(state_.counts.candidates - candidates));
+        send_due_commands();
+        const auto ended = std::max(now_, processor_.busy_until);
+        next_pass_ = ended + std::max(min_pass_pause, (ended - now_) * pass_pause_factor);
+    }
+
+    void send_due_commands()
+    {
         expire_leases(state_, now_);
         for (const auto& command : plan_stops(state_, now_))
             send_stop(command);
+    }
+
+    void pass()
+    {
+        if (!term_active_)
+            return;
+        send_due_commands();
+        send_planned_starts();
+    }
+
+    void send_planned_starts()
+    {
         for (const auto& command : plan_starts(state_, now_, wall_)) {
             if (!command.suspect)
                 send_start(command);
@@ -660,6 +961,20 @@
         }
     }
 
+    /** Counts the first stop of a run that arrives. */
+    void note_stop(simulated_job_worker& worker, const stop_command& command)
+    {
+        const auto run = worker.runs.find(command.task);
+        const auto& job = jobs_.at(command.task.job);
+        if (run == worker.runs.end() || run->second.number != command.run || !job.cancelled ||
+            std::exchange(run->second.stop_arrived, true))
+            return;
+        counts_.orphan_stops += command.cause == stop_cause::orphan ? 1 : 0;
+        const bool is_bad = ignores_stops(index_of_.at(worker.announcement.worker.id));
+        if (!is_bad && job.cancelled_at >= recovered_at_ && !lost_by_fault_)
+            counts_.stop_delays.push_back(now_ - std::max(job.cancelled_at, run->second.began_at));
+    }
+
     void execute(simulated_job_worker& worker, const stop_command& command)
     {
         auto& highest = worker.highest_runs[command.task];
@@ -707,6 +1022,8 @@
         if (!term_active_)
             return;
         for (auto& [id, queue] : queues_) {
+            if (is_busy())
+                return;
             if (now_ < queue.busy_until)
                 continue;
             if (const auto on_timeout = std::exchange(queue.on_timeout, nullptr)) {
@@ -714,8 +1031,11 @@
                 for (const auto& command : std::exchange(queue.starts, {}))
                     drop_start(state_, command, drop_reason::unanswered, now_);
             }
-            while (now_ >= queue.busy_until && !(queue.stops.empty() && queue.starts.empty()))
+            while (now_ >= queue.busy_until && !is_busy() &&
+                   !(queue.stops.empty() && queue.starts.empty())) {
+                charge(processor_time::command);
                 send_first(queue);
+            }
         }
     }
 
@@ -732,8 +1052,17 @@
             const bool late = reaches && chance(options_.late_command_percent);
             if (late)
                 late_stops_.push_back({now_ + draw_late(), command, generation_});
-            if (!reaches || late)
+            if (reaches)
+                note_stop(worker, command);
+            const auto index = index_of_.at(command.worker);
+            const bool mute = options_.bad_input && index == mute_worker;
+            counts_.unanswered_stops += mute ? 1 : 0;
+            if (!reaches || late || mute)
                 return wait_for_timeout(queue, command, on_stop_result);
+            if (options_.bad_input && index == refusing_worker) {
+                ++counts_.refused_stops;
+                return on_stop_result(state_, command, command_result::refused, now_);
+            }
             execute(worker, command);
             return on_stop_result(state_, command, command_result::accepted, now_);
         }
@@ -797,6 +1126,20 @@
     bool term_active_{false};
     std::uint64_t generation_{0};
     time_point next_term_at_;
+    const time_point began_at_{now_};
+    /** The current loss of the leader is a fault, and when the latest one was over. */
+    bool lost_by_fault_{false};
+    time_point recovered_at_;
+    leader_processor processor_;
+    /** Jobs whose records the leader has not handled. */
+    std::deque<submission_id> changed_jobs_;
+    int next_kind_{0};
+    worker_id last_polled_;
+    time_point last_heartbeat_;
+    time_point next_tick_;
+    time_point next_pass_;
+    std::deque<submission_id> short_jobs_;
+    std::vector<submission_id> late_jobs_;
 };
 
 } // namespace
@@ -813,6 +1156,28 @@
     return options;
 }
 
+job_fault_options bad_input_options(std::uint64_t seed, double processor_share)
+{
+    job_fault_options options;
+    options.seed = seed;
+    options.workers = 24;
+    options.seconds = 12;
+    options.settling_seconds = 4;
+    options.commands_wait = true;
+    options.processor_share = processor_share;
+    options.fleet_multiple = 20;
+    options.bad_input = true;
+    return options;
+}
+
+duration quantile(std::vector<duration> delays, int percent)
+{
+    if (delays.empty())
+        return {};
+    std::sort(delays.begin(), delays.end());
+    return delays[(delays.size() - 1) * static_cast<std::size_t>(percent) / 100];
+}
+
 job_fault_counts run_job_fault_simulation(const job_fault_options& options)
 {
     return job_fault_simulation{options}.run();
--- a/tests/schedule/jobfaultsimulation.h
+++ b/tests/schedule/jobfaultsimulation.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <galenaturn/core.h>
+
 #include <cstdint>
+#include <vector>
 
 namespace galenaturn::schedule {
 
@@ -29,6 +32,16 @@
     /** Share of the commands that get no response and are carried out 2 to 12 s later. */
     int late_command_percent{0};
     int cancels_per_minute{0};
+    /**
+     * Share of a processor that the leader has. Its work then takes time, during which it does
+     * nothing else. Zero: its work takes no time.
+     */
+    double processor_share{0};
+    /** Workers of the fleet for each simulated one; a pass examines that many more. */
+    int fleet_multiple{1};
+    /** Time without submissions at the end. */
+    int settling_seconds{15};
+    bool bad_input{false};
 };
 
 /** What happened in a run, seen from the workers and the callers. */
@@ -63,6 +76,23 @@
     std::uint64_t low_counts{0};
     /** Observations of a job that is said to have started before any task of it had. */
     std::uint64_t premature_starts{0};
+    /** Leaders that sent no heartbeat in time, because they were busy. */
+    std::uint64_t leaders_lost_while_busy{0};
+    /**
+     * Runs that were alive for longer than is tolerated after the cancellation of their job was
+     * recorded, although the leader was in contact with the worker.
+     */
+    std::uint64_t late_stops{0};
+    /** From the record of a cancellation to the first stop of each run, without leader losses. */
+    std::vector<duration> stop_delays;
+    /** From the submission of an urgent job, for which there is room, to its first start. */
+    std::vector<duration> urgent_start_delays;
+    /** The longest pause between two heartbeats of a leader. */
+    duration longest_heartbeat_pause{};
+    std::uint64_t refused_stops{0};
+    std::uint64_t unanswered_stops{0};
+    /** Stops of runs of jobs that had ended before the term of the leader began. */
+    std::uint64_t orphan_stops{0};
 };
 
 /**
@@ -74,4 +104,14 @@
 /** Options of a run in which commands wait behind others that get no response. */
 job_fault_options late_command_options(std::uint64_t seed);
 
+/**
+ * Options of a run with a leader short of processor time and bad input: a job of 5,000 tasks, a
+ * step wider than the fleet, 1,000 cancellations within a second, a worker that refuses every stop,
+ * one that answers none, and jobs that are cancelled while there is no leader.
+ */
+job_fault_options bad_input_options(std::uint64_t seed, double processor_share);
+
+/** Returns the delay that `percent` of the delays do not exceed; zero without delays. */
+duration quantile(std::vector<duration> delays, int percent);
+
 } // namespace galenaturn::schedule
--- a/tests/schedule/soak/main.cpp
+++ b/tests/schedule/soak/main.cpp
@@ -5,9 +5,13 @@
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <string>
+#include <vector>
 
 DEFINE_int32(seconds, 10, "How long to run");
 DEFINE_uint64(seed, 1, "First seed; each further run takes the next one");
+DEFINE_double(bad_input_share, 0,
+              "Runs only bad input, with a leader that has this share of a processor");
 
 namespace {
 
@@ -38,15 +42,67 @@
     sum.sound_job_seconds += counts.sound_job_seconds;
 }
 
+/** Half of the delays, 99 of 100 and all of them are within these times, in milliseconds. */
+std::string summary(const std::vector<galenaturn::duration>& delays)
+{
+    std::string text;
+    for (const int percent : {50, 99, 100})
+        text += std::to_string(galenaturn::schedule::quantile(delays, percent) /
+                               std::chrono::milliseconds{1}) +
+                (percent < 100 ? "/" : "");
+    return text;
+}
+
+/** Runs bad input until the time is over. Returns whether all decisions were in time. */
+bool run_bad_input()
+{
+    const auto end = galenaturn::monotonic_now() + std::chrono::seconds{FLAGS_seconds};
+    job_fault_counts sum;
+    auto seed = FLAGS_seed;
+    do {
+        const auto counts = run_job_fault_simulation(
+            galenaturn::schedule::bad_input_options(seed, FLAGS_bad_input_share));
+        sum.late_stops += counts.late_stops;
+        sum.leaders_lost_while_busy += counts.leaders_lost_while_busy;
+        sum.doubled_starts += counts.doubled_starts;
+        sum.oversized_starts += counts.oversized_starts;
+        sum.starts_after_cancel += counts.starts_after_cancel;
+        std::cout << "seed " << seed << ": late_stops=" << counts.late_stops
+                  << " leaders_lost_while_busy=" << counts.leaders_lost_while_busy
+                  << " stop_delay_ms=" << summary(counts.stop_delays)
+                  << " urgent_start_delay_ms=" << summary(counts.urgent_start_delays)
+                  << " heartbeat_pause_ms="
+                  << counts.longest_heartbeat_pause / std::chrono::milliseconds{1}
+                  << " starts=" << counts.starts << " cancels=" << counts.cancels
+                  << " refused_stops=" << counts.refused_stops
+                  << " unanswered_stops=" << counts.unanswered_stops
+                  << " orphan_stops=" << counts.orphan_stops
+                  << " doubled_starts=" << counts.doubled_starts
+                  << " oversized_starts=" << counts.oversized_starts
+                  << " starts_after_cancel=" << counts.starts_after_cancel << std::endl;
+        ++seed;
+    } while (galenaturn::monotonic_now() < end);
+    std::cout << "runs=" << seed - FLAGS_seed << " late_stops=" << sum.late_stops
+              << " leaders_lost_while_busy=" << sum.leaders_lost_while_busy
+              << " doubled_starts=" << sum.doubled_starts
+              << " oversized_starts=" << sum.oversized_starts
+              << " starts_after_cancel=" << sum.starts_after_cancel << "\n";
+    return sum.late_stops + sum.leaders_lost_while_busy + sum.doubled_starts +
+               sum.oversized_starts + sum.starts_after_cancel ==
+           0;
+}
+
 } // namespace
 
 /** Runs the simulations with consecutive seeds until the time is over. */
 int main(int argc, char** argv)
 {
     using namespace galenaturn;
-    gflags::SetUsageMessage("[--seconds N] [--seed S]");
+    gflags::SetUsageMessage("[--seconds N] [--seed S] [--bad_input_share SHARE]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     init_log(log_level::error);
+    if (FLAGS_bad_input_share > 0)
+        return run_bad_input() ? 0 : 1;
     const auto end = monotonic_now() + std::chrono::seconds{FLAGS_seconds};
     std::uint64_t seed = FLAGS_seed;
     constexpr int placement_steps = 1000;
