schedule: an adopted run is kept until the lease of its worker has certainly expired

A worker that the ledger did not list when the term began is first polled without a lease, so its runs were adopted with a lease that had expired and cleared by the next check of leases, and could start elsewhere while they ran. adopted_run_is_kept_until_the_lease_of_its_worker_has_certainly_expired failed before (0 runs instead of 1).

--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -60,6 +60,10 @@
             static_cast<std::uint32_t>(std::max(used_percent, min_adopted_pace_percent));
         run.claimed_percent = run.pace_percent;
     }
+    // The worker has a lease of an earlier leader, which may not have expired.
+    context.worker.lease_expires_at =
+        std::max(context.worker.lease_expires_at,
+                 context.now + certain_expiry(context.state.settings.lease));
     begin_run(context.state, listed.task, task, std::move(run));
     if (is_throttled)
         context.state.paces_due.set(listed.task, context.now);
--- a/tests/schedule/stopstest.cpp
+++ b/tests/schedule/stopstest.cpp
@@ -8,6 +8,7 @@
 class stops_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(stops_test);
     CPPUNIT_TEST(stop_of_an_orphan_is_sent_again_until_it_is_listed_no_more);
+    CPPUNIT_TEST(adopted_run_is_kept_until_the_lease_of_its_worker_has_certainly_expired);
     CPPUNIT_TEST_SUITE_END();
 
     job_scheduler state_;
@@ -35,6 +36,17 @@
         extend_lease(state_, worker_, now_);
     }
 
+    [[nodiscard]] wire::job_record job() const
+    {
+        wire::job_record record;
+        record.id = orphan_.job;
+        record.queue.service = service_id{"desk"};
+        record.queue.max_attempts = 3;
+        record.spec.steps.emplace_back().demand.processors = millicores{1000};
+        record.tasks.resize(1);
+        return record;
+    }
+
     [[nodiscard]] worker_report report_with_orphan() const
     {
         worker_report reported;
@@ -58,6 +70,25 @@
         report({});
         CPPUNIT_ASSERT(plan_stops(state_, now_).empty());
     }
+
+    /**
+     * A worker that the ledger did not list is first polled without a lease; its runs were cleared
+     * and started elsewhere while it still had one.
+     */
+    void adopted_run_is_kept_until_the_lease_of_its_worker_has_certainly_expired()
+    {
+        add_job(state_, job(), now_);
+        worker_report reported;
+        reported.running.push_back({orphan_, 1, "", 50, 0});
+        record_reply(state_, worker_, now_);
+        on_worker_report(state_, worker_, reported, now_, now_);
+        now_ += state_.settings.lease;
+        expire_leases(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.workers.at(worker_).runs.size());
+        now_ += state_.settings.lease;
+        expire_leases(state_, now_);
+        CPPUNIT_ASSERT(state_.workers.at(worker_).runs.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stops_test);
