--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -457,6 +457,8 @@
                {"reason", schedule::to_string(reason)},
                {"queued_us", (now - command.planned_at).count()}});
     schedule::drop_start(scheduler_, command, reason, now);
+    // Without it, the other members of a gang are stopped.
+    schedule_due_commands();
     schedule_pass();
 }
 
