schedule: bounds of a kind begin with what is free for all kinds

Cause: a bound for each kind of request and each changed worker was computed before any comparison, although most workers of a full fleet have too little free for any kind.

Change: a pass computes what a worker has free once for all images, labels and services; a kind copies that and lowers the bound of a worker when a comparison there fails.

--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -437,12 +437,12 @@
     return unknown ? room : -1;
 }
 
-/** Returns an upper bound of what a request of the kind may get on the worker. */
-resources room_on(const job_scheduler& state, const job_worker& worker, const placement_kind& kind,
-                  room_tree& tree, time_point now)
+/**
+ * Returns an upper bound of what a request may get on the worker, without regard to tails; of the
+ * kind only what is true of all images counts.
+ */
+resources free_room_on(const job_worker& worker, const placement_kind& kind, time_point now)
 {
-    if (worker.record.service.value() != kind.service || !has_label(worker, kind.label))
-        return no_room;
     auto room = free_capacity(worker);
     if (!kind.best_effort)
         return room;
@@ -452,7 +452,17 @@
     if (kind.oversubscribes)
         room.processors = kind.slowed ? room.processors + oversubscription_of(worker)
                                       : oversubscribed_processors(worker);
-    if (worker.serving_images.empty())
+    return room;
+}
+
+/** Returns an upper bound of what a request of the kind may get on the worker. */
+resources room_on(const job_scheduler& state, const job_worker& worker, const placement_kind& kind,
+                  room_tree& tree, time_point now)
+{
+    if (worker.record.service.value() != kind.service || !has_label(worker, kind.label))
+        return no_room;
+    auto room = free_room_on(worker, kind, now);
+    if (!kind.best_effort || worker.serving_images.empty())
         return room;
     auto tolerated = tail_room(worker, kind, tree);
     const auto available = static_cast<double>(room.processors.value());
@@ -474,22 +484,48 @@
     std::size_t limit{0};
 };
 
-/** Computes the bounds of the first workers of the index, as many as the search covers. */
-std::pair<const placement_kind, room_tree>& bounds_of(const room_search& search)
+std::pair<const placement_kind, room_tree>& find_or_add(room_by_kind& kinds,
+                                                        const placement_kind_view& view)
 {
-    auto& kinds = search.index.kinds;
-    const auto view = room_kind_of(search.request);
-    auto found = kinds.find(view);
-    if (found == kinds.end())
-        found = kinds.emplace(placement_kind{view}, room_tree{}).first;
-    auto& tree = found->second;
+    const auto found = kinds.find(view);
+    return found != kinds.end() ? *found : *kinds.emplace(placement_kind{view}, room_tree{}).first;
+}
+
+/** Computes what the first workers of the index have free, as many as the search covers. */
+const room_tree& free_room_of(const room_search& search, placement_kind_view view)
+{
+    view.service = view.image = view.label = {};
+    auto& [kind, tree] = find_or_add(search.index.free_room, view);
     reserve_leaves(tree, search.limit);
     for (; tree.size < search.limit; ++tree.size) {
         ++search.state.counts.candidates;
         const auto& worker = *search.index.workers[tree.size].worker;
-        set_room(tree, tree.size, room_on(search.state, worker, found->first, tree, search.now));
+        set_room(tree, tree.size, free_room_on(worker, kind, search.now));
+    }
+    return tree;
+}
+
+/**
+ * Returns the bounds of the first workers of the index for the request, as many as the search
+ * covers: what a worker has free, until a comparison that fails shows that it has less room.
+ */
+std::pair<const placement_kind, room_tree>& bounds_of(const room_search& search)
+{
+    const auto view = room_kind_of(search.request);
+    auto& bounds = find_or_add(search.index.kinds, view);
+    auto& tree = bounds.second;
+    if (tree.size >= search.limit)
+        return bounds;
+    const auto& free_room = free_room_of(search, view);
+    if (tree.size == 0) {
+        tree.nodes = free_room.nodes;
+        tree.size = free_room.size;
+        return bounds;
     }
-    return *found;
+    reserve_leaves(tree, search.limit);
+    for (; tree.size < search.limit; ++tree.size)
+        set_room(tree, tree.size, room_at(free_room, tree.size));
+    return bounds;
 }
 
 /**
@@ -545,17 +581,19 @@
 {
     // A trial that was taken back allows others elsewhere.
     if (step.best_effort)
-        return candidates.kinds.clear();
+        candidates.kinds.clear();
     const auto& workers = candidates.workers;
     const auto entry = std::find_if(workers.begin(), workers.end(), [&](const auto& candidate) {
         return candidate.worker == &worker;
     });
     const auto position = static_cast<std::size_t>(entry - workers.begin());
-    for (auto& [kind, tree] : candidates.kinds) {
-        if (position >= tree.size)
-            continue;
-        ++state.counts.candidates;
-        set_room(tree, position, room_on(state, worker, kind, tree, now));
+    for (auto* kinds : {&candidates.free_room, &candidates.kinds}) {
+        for (auto& [kind, tree] : *kinds) {
+            if (position >= tree.size)
+                continue;
+            ++state.counts.candidates;
+            set_room(tree, position, free_room_on(worker, kind, now));
+        }
     }
 }
 
--- a/src/libschedule/placementindex.cpp
+++ b/src/libschedule/placementindex.cpp
@@ -34,6 +34,11 @@
     tree.nodes = std::move(nodes);
 }
 
+const resources& room_at(const room_tree& tree, std::size_t position)
+{
+    return tree.nodes[leaf_count(tree) + position];
+}
+
 void set_room(room_tree& tree, std::size_t position, const resources& room)
 {
     auto node = leaf_count(tree) + position;
--- a/src/libschedule/placementindex.h
+++ b/src/libschedule/placementindex.h
@@ -29,6 +29,8 @@
     std::vector<std::pair<const tail_estimate*, cautious_slope>> slopes;
 };
 
+using room_by_kind = std::map<placement_kind, room_tree, placement_kind_less>;
+
 /**
  * The workers that accept tasks, the most recently changed first, with bounds for the kinds of
  * requests that were searched for. During a pass the room on a worker only shrinks, except where a
@@ -36,7 +38,9 @@
  */
 struct placement_index {
     std::vector<placement_candidate> workers;
-    std::map<placement_kind, room_tree, placement_kind_less> kinds;
+    room_by_kind kinds;
+    /** What the workers have free for all services, labels and images. */
+    room_by_kind free_room;
 };
 
 /** Room that no demand fits in. */
@@ -45,6 +49,7 @@
 std::size_t leaf_count(const room_tree& tree);
 /** Makes the tree large enough for this number of workers. */
 void reserve_leaves(room_tree& tree, std::size_t count);
+const resources& room_at(const room_tree& tree, std::size_t position);
 void set_room(room_tree& tree, std::size_t position, const resources& room);
 
 /**
