--- a/bench/schedule/main.cpp
+++ b/bench/schedule/main.cpp
@@ -16,5 +16,6 @@
     bench::measure_shares(report);
     bench::measure_recovery(report);
     bench::measure_policy(report);
+    bench::measure_passes(report, quick);
     return report.exit_code();
 }
--- a/bench/schedule/measurements.h
+++ b/bench/schedule/measurements.h
@@ -20,6 +20,11 @@
 void measure_recovery(benchmark_report& report);
 /** Measures services beside nightly batch work, compared with baseline policies in the same run. */
 void measure_policy(benchmark_report& report);
+/**
+ * Measures the passes of the job scheduler of a leader with more work waiting than the workers have
+ * room for, compared with a search of all workers. `quick`: only the work done.
+ */
+void measure_passes(benchmark_report& report, bool quick);
 
 /** Returns the state chart of charts/task.yaml. */
 const state_chart& task_chart();
