--- a/src/libschedule/placementindex.h
+++ b/src/libschedule/placementindex.h
@@ -2,6 +2,7 @@
 
 #include "jobstate.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <utility>
@@ -29,6 +30,8 @@
     std::vector<std::pair<const tail_estimate*, cautious_slope>> slopes;
 };
 
+using room_by_kind = std::map<placement_kind, room_tree, placement_kind_less>;
+
 /**
  * The workers that accept tasks, the most recently changed first, with bounds for the kinds of
  * requests that were searched for. During a pass the room on a worker only shrinks, except where a
@@ -36,15 +39,21 @@
  */
 struct placement_index {
     std::vector<placement_candidate> workers;
-    std::map<placement_kind, room_tree, placement_kind_less> kinds;
+    room_by_kind kinds;
+    /** What the workers have free for all services, labels and images. */
+    room_by_kind free_room;
 };
 
 /** Room that no demand fits in. */
 inline constexpr resources no_room{millicores{-1}, bytes{-1}, accelerator_count{-1}};
 
+/** So few workers are compared one by one. */
+inline constexpr std::size_t linear_width = 8;
+
 std::size_t leaf_count(const room_tree& tree);
 /** Makes the tree large enough for this number of workers. */
 void reserve_leaves(room_tree& tree, std::size_t count);
+const resources& room_at(const room_tree& tree, std::size_t position);
 void set_room(room_tree& tree, std::size_t position, const resources& room);
 
 /**
@@ -72,8 +81,13 @@
         ++comparisons;
         if (!fits(demand, tree.nodes[next.node]))
             continue;
-        if (next.width == 1) {
-            visit(next.first);
+        if (next.width <= linear_width) {
+            const auto end = std::min(next.first + next.width, limit);
+            for (auto position = next.first; position < end; ++position) {
+                ++comparisons;
+                if (fits(demand, tree.nodes[leaves + position]))
+                    visit(position);
+            }
             continue;
         }
         const auto half = next.width / 2;
