controld, schedule: a scheduling pass runs in slices

A pass held the only thread until all jobs had been placed, so that heartbeats, votes and replies waited, and it was followed by a pause of four times its duration.

A pass is kept as the ids of the jobs in order and a position, and is made in slices that end once they have examined a number of tasks and workers; the events that are ready come between two slices. Jobs and workers are looked up again in each. What has changed in queues more urgent than those that the pass has reached comes first in the next slice; what has changed in the most urgent queues does not wait for the next pass. The pause after a pass is 50 ms at most. Capacity that is freed while a pass runs goes to changed jobs that are urgent and to the next pass.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -26,10 +26,13 @@
  */
 constexpr duration min_pass_pause = std::chrono::milliseconds{10};
 /**
- * A pass is followed by a pause of this multiple of its duration, so that passes take at most one
- * fifth of the time.
+ * A pass is followed by a pause of this multiple of the time that it took, up to a maximum. What is
+ * urgent does not wait for the next pass.
  */
 constexpr int pass_pause_factor = 4;
+constexpr duration max_pass_pause = std::chrono::milliseconds{50};
+/** Number of tasks and workers that a slice of a pass examines: some milliseconds of work. */
+constexpr std::uint64_t max_examined_in_slice = 4000;
 /** A new leader uses announcements up to this age. */
 constexpr duration max_announcement_age = std::chrono::seconds{10};
 /**
@@ -52,6 +55,7 @@
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
       pass_latency_{shared.metrics.make_latency("galenaturn_job_pass_seconds")},
+      slice_latency_{shared.metrics.make_latency("galenaturn_job_slice_seconds")},
       pass_interval_{shared.metrics.make_latency("galenaturn_job_pass_interval_seconds")},
       stop_delay_{shared.metrics.make_latency("galenaturn_job_stop_delay_seconds")},
       tick_delay_{shared.metrics.make_latency("galenaturn_job_tick_delay_seconds")}
@@ -81,6 +85,7 @@
     counters_.add("galenaturn_worker_crashes_total", {}, counts_.worker_crashes);
     counters_.add("galenaturn_crash_suspects_total", {}, counts_.crash_suspects);
     counters_.add("galenaturn_job_passes_total", {}, counts_.passes);
+    counters_.add("galenaturn_job_slices_total", {}, counts_.slices);
     counters_.add("galenaturn_placement_candidates_total", {}, counts_.candidates);
     hub_.applied.emplace_back([this](const auto& change) { on_applied_change(change); });
     hub_.leadership.emplace_back([this](bool leads) {
@@ -221,23 +226,60 @@
 
 void job_service::schedule_pass()
 {
+    if (scheduler_.pass.active) {
+        pass_wanted_ = true;
+        return schedule_slice();
+    }
+    if (schedule::has_urgent_changes(scheduler_))
+        schedule_slice();
     if (std::exchange(pass_due_, true))
         return;
     pass_timer_.expires_at(std::max(next_pass_, monotonic_now()));
     pass_timer_.async_wait([this](const boost::system::error_code& error) {
         pass_due_ = false;
-        if (!error)
-            pass();
+        if (error || !term_active_ || !hub_.leads())
+            return;
+        begin_pass();
     });
 }
 
-void job_service::set_next_pass(time_point began)
+void job_service::begin_pass()
+{
+    const auto began = monotonic_now();
+    log_begun_jobs();
+    schedule::drain_leaving_workers(scheduler_, began);
+    schedule::begin_pass(scheduler_, began);
+    pass_wanted_ = false;
+    pass_time_ = {};
+    record_slice(monotonic_now() - began);
+    schedule_slice();
+}
+
+void job_service::schedule_slice()
+{
+    if (std::exchange(slice_due_, true))
+        return;
+    asio::post(shared_.io, [this] {
+        slice_due_ = false;
+        run_slice();
+    });
+}
+
+void job_service::record_slice(duration elapsed)
+{
+    slice_latency_.record(elapsed);
+    pass_time_ += elapsed;
+    load_.passing += elapsed;
+    load_.longest_slice = std::max(load_.longest_slice, elapsed);
+}
+
+void job_service::end_pass()
 {
     const auto ended = monotonic_now();
-    next_pass_ = ended + std::max(min_pass_pause, (ended - began) * pass_pause_factor);
-    pass_latency_.record(ended - began);
-    load_.passing += ended - began;
-    load_.longest_pass = std::max(load_.longest_pass, ended - began);
+    next_pass_ = ended + std::clamp<duration>(pass_time_ * pass_pause_factor, min_pass_pause,
+                                              max_pass_pause);
+    pass_latency_.record(pass_time_);
+    load_.longest_pass = std::max(load_.longest_pass, pass_time_);
     pass_interval_.record(ended - last_pass_);
     load_.longest_interval = std::max(load_.longest_interval, ended - last_pass_);
     last_pass_ = ended;
@@ -312,14 +354,14 @@
     self->drop_start(command, schedule::drop_reason::not_recorded);
 }
 
-void job_service::pass()
+void job_service::run_slice()
 {
     if (!term_active_ || !hub_.leads())
         return;
     const auto now = monotonic_now();
-    log_begun_jobs();
-    schedule::drain_leaving_workers(scheduler_, now);
-    for (auto& command : schedule::plan_starts(scheduler_, now, wall_now())) {
+    const bool in_pass = scheduler_.pass.active;
+    auto commands = schedule::continue_pass(scheduler_, now, wall_now(), max_examined_in_slice);
+    for (auto& command : commands) {
         if (command.suspect)
             asio::co_spawn(shared_.io, start_suspect(this, std::move(command), generation_),
                            asio::detached);
@@ -327,7 +369,14 @@
             queue_start(std::move(command));
     }
     send_due_commands();
-    set_next_pass(now);
+    record_slice(monotonic_now() - now);
+    if (in_pass && !scheduler_.pass.active) {
+        end_pass();
+        if (pass_wanted_)
+            schedule_pass();
+    }
+    if (scheduler_.pass.active || schedule::has_urgent_changes(scheduler_))
+        schedule_slice();
 }
 
 void job_service::send_due_commands()
@@ -423,9 +472,11 @@
     log_event(log_level::info, "leader_load",
               {{"token", token_},
                {"passes", counts.passes - load_.passes},
+               {"slices", counts.slices - load_.slices},
                {"candidates", counts.candidates - load_.candidates},
                {"passing_us", load_.passing.count()},
                {"longest_pass_us", load_.longest_pass.count()},
+               {"longest_slice_us", load_.longest_slice.count()},
                {"longest_interval_us", load_.longest_interval.count()},
                {"longest_stop_delay_us", load_.longest_stop_delay.count()},
                {"longest_accept_us", load_.longest_accept.count()},
@@ -433,6 +484,7 @@
                {"longest_tick_delay_us", load_.longest_tick_delay.count()}});
     load_ = {};
     load_.passes = counts.passes;
+    load_.slices = counts.slices;
     load_.candidates = counts.candidates;
 }
 
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -67,9 +67,11 @@
     /** Work and delays since the last `leader_load` event. */
     struct interval_load {
         std::uint64_t passes{0};
+        std::uint64_t slices{0};
         std::uint64_t candidates{0};
         duration passing{};
         duration longest_pass{};
+        duration longest_slice{};
         /** From the end of one pass to the end of the next. */
         duration longest_interval{};
         duration longest_stop_delay{};
@@ -148,7 +150,11 @@
 
     // Scheduling passes.
     void schedule_pass();
-    void pass();
+    void begin_pass();
+    /** Runs a slice once the events that are ready have been handled. */
+    void schedule_slice();
+    /** Places what is urgent, and continues the pass that is under way. */
+    void run_slice();
     /**
      * Sends the stops and paces that are due and ends the runs whose leases have expired. Separate
      * from passes, which take longer the more work waits.
@@ -164,7 +170,8 @@
     /** Sends the start once the ledger has recorded it. */
     static boost::asio::awaitable<void>
     start_suspect(job_service* self, schedule::start_command command, std::uint64_t generation);
-    void set_next_pass(time_point began);
+    void record_slice(duration elapsed);
+    void end_pass();
     void log_begun_jobs();
     /** Logs the end of a job that is still open in the scheduler. */
     void log_end(const wire::job_record& record, time_point now) const;
@@ -206,8 +213,13 @@
     std::set<worker_id> held_workers_;
     bool pass_due_{false};
     bool due_commands_posted_{false};
+    bool slice_due_{false};
+    /** Something has changed since the current pass began. */
+    bool pass_wanted_{false};
     /** Earliest start of the next pass. */
     time_point next_pass_;
+    /** Time in the slices of the current pass. */
+    duration pass_time_{};
     /** End of the last pass in this term, or start of the term. */
     time_point last_pass_;
     time_point next_capacity_log_;
@@ -226,6 +238,7 @@
     latency_summary& accept_latency_;
     latency_summary& record_latency_;
     latency_summary& pass_latency_;
+    latency_summary& slice_latency_;
     latency_summary& pass_interval_;
     /** From the decision to stop a run until its first stop is sent. */
     latency_summary& stop_delay_;
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -5,6 +5,8 @@
 #include "workercrashes.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <utility>
 
 namespace galenaturn::schedule {
@@ -33,26 +35,29 @@
 /** A service has idle capacity while less than this share of its processors is reserved. */
 constexpr std::int64_t max_reserved_percent_of_idle_service = 60;
 
-struct waiting_task {
-    time_point since;
-    open_job* job{nullptr};
-    wire::task_ref ref;
-};
-
-struct scheduling_pass {
+struct pass_slice {
     job_scheduler& state;
     time_point now;
     wall_time wall;
-    std::vector<placement_candidate> candidates;
+    const candidate_list& candidates;
+    std::uint64_t max_examined{0};
     std::vector<start_command> commands;
-    /** The job being placed is starving, and none of its tasks has been placed in this pass. */
+    /** The job being placed is starving, and none of its tasks has been placed in this slice. */
     bool starving{false};
     /** Computed when it is first needed. */
     std::optional<std::set<service_id>> idle_services;
-    /** Tasks of jobs without runs that found no worker, also not below full speed. */
-    std::vector<waiting_task> unplaced;
+    /** Tasks examined, and the workers that had been examined before. */
+    std::uint64_t tasks{0};
+    std::uint64_t workers_before{0};
 };
 
+/** Returns whether the slice has examined as much as it may. */
+bool is_used_up(const pass_slice& slice)
+{
+    return slice.tasks > 0 &&
+           slice.tasks + slice.state.counts.candidates - slice.workers_before >= slice.max_examined;
+}
+
 /** Returns the services of which a large part of the processors is not reserved. */
 std::set<service_id> services_with_idle_capacity(const job_scheduler& state)
 {
@@ -71,7 +76,7 @@
     return idle;
 }
 
-void start_run(scheduling_pass& pass, open_job& job, const wire::task_ref& ref, open_task& task,
+void start_run(pass_slice& slice, open_job& job, const wire::task_ref& ref, open_task& task,
                job_worker& worker, std::uint32_t run_number,
                std::uint32_t pace_percent = full_pace_percent)
 {
@@ -82,25 +87,25 @@
     run.worker = worker.record.id;
     const auto& step = job.spec.steps[ref.step];
     set_demand(run, step);
-    run.phase_since = pass.now;
-    run.commanded_at = pass.now;
-    run.progressed_at = pass.now;
+    run.phase_since = slice.now;
+    run.commanded_at = slice.now;
+    run.progressed_at = slice.now;
     // A placement that the forecast does not allow is a trial, made to learn how the images
     // interfere.
     const bool is_slowed = pace_percent < full_pace_percent;
     const bool is_trial = !is_slowed && run.best_effort_processors.value() > 0 &&
                           !worker.serving_images.empty() && !keeps_tail_targets(worker, step);
     if (is_trial) {
-        const auto harm = expected_trial_harm(pass.state, worker, step, pass.now);
-        begin_trial(pass.state, worker, step, harm.value_or(0), pass.now);
-        ++pass.state.counts.trials;
+        const auto harm = expected_trial_harm(slice.state, worker, step, slice.now);
+        begin_trial(slice.state, worker, step, harm.value_or(0), slice.now);
+        ++slice.state.counts.trials;
     }
-    pass.state.counts.slowed_starts += is_slowed ? 1 : 0;
+    slice.state.counts.slowed_starts += is_slowed ? 1 : 0;
     job.unplaced_since.reset();
-    begin_run(pass.state, ref, task, std::move(run));
-    ++pass.state.counts.planned;
-    pass.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint,
-                             is_suspect(task), pass.now});
+    begin_run(slice.state, ref, task, std::move(run));
+    ++slice.state.counts.planned;
+    slice.commands.push_back({ref, run_number, worker.record.id, job.spec.text, task.checkpoint,
+                              is_suspect(task), slice.now});
 }
 
 bool has_runs(const open_job& job)
@@ -119,69 +124,69 @@
 }
 
 /** Returns whether the job may start a best-effort task below full speed. */
-bool may_start_slowed(scheduling_pass& pass, open_job& job)
+bool may_start_slowed(pass_slice& slice, open_job& job)
 {
     if (has_runs(job))
         return false;
     if (!job.unplaced_since)
-        job.unplaced_since = pass.now;
-    if (pass.now - *job.unplaced_since < max_wait_for_full_speed)
+        job.unplaced_since = slice.now;
+    if (slice.now - *job.unplaced_since < max_wait_for_full_speed)
         return false;
-    if (!pass.idle_services)
-        pass.idle_services = services_with_idle_capacity(pass.state);
-    return pass.idle_services->contains(job.queue.service);
+    if (!slice.idle_services)
+        slice.idle_services = services_with_idle_capacity(slice.state);
+    return slice.idle_services->contains(job.queue.service);
 }
 
 /** Starts a best-effort task below full speed. Returns whether a worker can run it. */
-bool start_slowed(scheduling_pass& pass, open_job& job, const wire::task_ref& ref, open_task& task,
+bool start_slowed(pass_slice& slice, open_job& job, const wire::task_ref& ref, open_task& task,
                   bool oversubscribe)
 {
     const placement_request request{&job,          ref,  &job.spec.steps[ref.step], {},
                                     oversubscribe, true, is_suspect(task)};
     const auto placement =
-        choose_worker_for_slowed_run(pass.state, pass.candidates, request, pass.now);
+        choose_worker_for_slowed_run(slice.state, slice.candidates, request, slice.now);
     if (placement.worker == nullptr)
         return false;
-    start_run(pass, job, ref, task, *placement.worker, task.last_run + 1, placement.pace_percent);
+    start_run(slice, job, ref, task, *placement.worker, task.last_run + 1, placement.pace_percent);
     if (request.suspect)
-        isolate(*placement.worker, job.id, pass.now);
-    pass.starving = false;
+        isolate(*placement.worker, job.id, slice.now);
+    slice.starving = false;
     return true;
 }
 
-/** Returns whether further tasks of the step are worth placing in this pass. */
-bool start_task(scheduling_pass& pass, open_job& job, const wire::task_ref& ref, open_task& task)
+/** Returns whether further tasks of the step are worth placing in this slice. */
+bool start_task(pass_slice& slice, open_job& job, const wire::task_ref& ref, open_task& task)
 {
     const auto& step = job.spec.steps[ref.step];
     if (!needs_run(task))
         return true;
     const bool suspect = is_suspect(task);
-    if (suspect && !may_risk_worker(pass.state, pass.now))
+    if (suspect && !may_risk_worker(slice.state, slice.now))
         return true;
-    const placement_request request{&job, ref, &step, {}, pass.starving, false, suspect};
-    auto* worker = choose_worker(pass.state, pass.candidates, request, pass.now);
+    const placement_request request{&job, ref, &step, {}, slice.starving, false, suspect};
+    auto* worker = choose_worker(slice.state, slice.candidates, request, slice.now);
     if (worker == nullptr) {
-        if (step.long_running && job.last_preemption + preemption_interval <= pass.now) {
-            job.last_preemption = pass.now;
-            preempt_best_effort(pass.state, request, pass.now);
+        if (step.long_running && job.last_preemption + preemption_interval <= slice.now) {
+            job.last_preemption = slice.now;
+            preempt_best_effort(slice.state, request, slice.now);
         }
         // Other tasks of the step may start beside tasks that have just started.
-        if (!step.best_effort || !may_start_slowed(pass, job))
+        if (!step.best_effort || !may_start_slowed(slice, job))
             return suspect;
-        if (start_slowed(pass, job, ref, task, false))
+        if (start_slowed(slice, job, ref, task, false))
             return true;
-        pass.unplaced.push_back({*job.unplaced_since, &job, ref});
+        slice.state.pass.unplaced.push_back({*job.unplaced_since, ref});
         return false;
     }
-    start_run(pass, job, ref, task, *worker, task.last_run + 1);
+    start_run(slice, job, ref, task, *worker, task.last_run + 1);
     if (suspect)
-        isolate(*worker, job.id, pass.now);
-    pass.starving = false;
+        isolate(*worker, job.id, slice.now);
+    slice.starving = false;
     return true;
 }
 
 /** Reserves a worker for every member of the gang, or for none. */
-bool reserve_gang(scheduling_pass& pass, open_job& job, const wire::task_ref& first,
+bool reserve_gang(pass_slice& slice, open_job& job, const wire::task_ref& first,
                   std::size_t position, const rack_id& rack)
 {
     const auto& step = job.spec.steps[first.step];
@@ -195,7 +200,7 @@
         if (checkpoint.empty())
             checkpoint = member.checkpoint;
     }
-    const auto commands_before = pass.commands.size();
+    const auto commands_before = slice.commands.size();
     std::vector<std::pair<job_worker*, recent_starts>> starts_before;
     for (std::uint32_t index = 0; index < step.count; ++index) {
         auto ref = first;
@@ -203,32 +208,31 @@
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
         const placement_request request{&job, ref, &step, rack, false, false, suspect};
-        auto* worker = choose_worker(pass.state, pass.candidates, request, pass.now);
+        auto* worker = choose_worker(slice.state, slice.candidates, request, slice.now);
         if (worker != nullptr) {
             starts_before.emplace_back(worker, worker->starts);
-            start_run(pass, job, ref, member, *worker, run_number);
+            start_run(slice, job, ref, member, *worker, run_number);
             continue;
         }
         for (std::uint32_t placed = 0; placed < index; ++placed) {
             ref.index = placed;
-            clear_run(pass.state, ref, job.tasks[position + placed]);
+            clear_run(slice.state, ref, job.tasks[position + placed]);
         }
         while (!starts_before.empty()) {
             starts_before.back().first->starts = starts_before.back().second;
             starts_before.pop_back();
         }
-        pass.commands.resize(commands_before);
+        slice.commands.resize(commands_before);
         return false;
     }
     if (suspect) {
         for (const auto& entry : starts_before)
-            isolate(*entry.first, job.id, pass.now);
+            isolate(*entry.first, job.id, slice.now);
     }
     return true;
 }
 
-void start_gang(scheduling_pass& pass, open_job& job, const wire::task_ref& first,
-                std::size_t position)
+void start_gang(pass_slice& slice, open_job& job, const wire::task_ref& first, std::size_t position)
 {
     const auto& step = job.spec.steps[first.step];
     const auto members = job.tasks.begin() + static_cast<std::ptrdiff_t>(position);
@@ -237,61 +241,96 @@
     std::set<rack_id> racks{rack_id{}};
     if (step.one_rack) {
         racks.clear();
-        for (const auto& [id, worker] : pass.state.workers)
+        for (const auto& [id, worker] : slice.state.workers)
             racks.insert(worker.record.rack);
     }
-    if (!step.data_rack.empty() && reserve_gang(pass, job, first, position, step.data_rack))
+    if (!step.data_rack.empty() && reserve_gang(slice, job, first, position, step.data_rack))
         return;
     for (const auto& rack : racks) {
-        if (reserve_gang(pass, job, first, position, rack))
+        if (reserve_gang(slice, job, first, position, rack))
             return;
     }
 }
 
-void start_step(scheduling_pass& pass, open_job& job, std::uint32_t occurrence, std::uint32_t step)
+/** Starts tasks of the step at the position. Returns false where the slice is used up before. */
+bool start_step(pass_slice& slice, open_job& job, task_position& position)
 {
-    const auto index = std::size_t{occurrence} * job.spec.steps.size() + step;
-    if (job.remaining_tasks[index] == 0 || !is_ready(job, occurrence, step))
-        return;
-    wire::task_ref ref{job.id, occurrence, step, 0};
-    const auto position = *wire::position_of(job.spec, ref);
-    if (job.spec.steps[step].gang)
-        return start_gang(pass, job, ref, position);
-    for (; ref.index < job.spec.steps[step].count; ++ref.index) {
-        if (!start_task(pass, job, ref, job.tasks[position + ref.index]))
-            return;
+    const auto& spec = job.spec;
+    const auto index = std::size_t{position.occurrence} * spec.steps.size() + position.step;
+    if (job.remaining_tasks[index] == 0 || !is_ready(job, position.occurrence, position.step))
+        return true;
+    wire::task_ref ref{job.id, position.occurrence, position.step, 0};
+    const auto first = *wire::position_of(spec, ref);
+    if (is_used_up(slice))
+        return false;
+    if (spec.steps[position.step].gang) {
+        slice.tasks += spec.steps[position.step].count;
+        start_gang(slice, job, ref, first);
+        return true;
     }
+    for (ref.index = position.index; ref.index < spec.steps[position.step].count; ++ref.index) {
+        position.index = ref.index;
+        if (is_used_up(slice))
+            return false;
+        slice.tasks += needs_run(job.tasks[first + ref.index]) ? 1 : 0;
+        if (!start_task(slice, job, ref, job.tasks[first + ref.index]))
+            return true;
+    }
+    return true;
 }
 
-void start_ready_tasks(scheduling_pass& pass, open_job& job)
+/** Starts ready tasks from the position on. Returns false where the slice is used up before. */
+bool start_ready_tasks(pass_slice& slice, open_job& job, task_position& position)
 {
-    pass.starving = is_starving(job, pass.now);
-    for (std::uint32_t occurrence = 0; occurrence < wire::occurrences_of(job.spec); ++occurrence) {
-        if (job.spec.schedule.occurrences > 0 && pass.wall < due_at(job.spec, occurrence))
-            return;
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
-            start_step(pass, job, occurrence, step);
+    slice.starving = is_starving(job, slice.now);
+    for (; position.occurrence < wire::occurrences_of(job.spec); ++position.occurrence) {
+        if (job.spec.schedule.occurrences > 0 && slice.wall < due_at(job.spec, position.occurrence))
+            return true;
+        for (; position.step < job.spec.steps.size(); ++position.step) {
+            if (!start_step(slice, job, position))
+                return false;
+            position.index = 0;
+        }
+        position.step = 0;
     }
+    return true;
 }
 
-/**
- * Lets the job that has waited longest oversubscribe a worker. One at a time, because the runs
- * beside it get slower.
- */
-void start_longest_waiting(scheduling_pass& pass)
+/** Sorts the waiting tasks the first time, so that a later slice continues where one ended. */
+void sort_unplaced(starts_pass& pass)
 {
-    if (pass.now - pass.state.last_oversubscription < oversubscription_interval)
+    if (std::exchange(pass.unplaced_sorted, true))
         return;
     std::stable_sort(
         pass.unplaced.begin(), pass.unplaced.end(),
         [](const auto& first, const auto& second) { return first.since < second.since; });
-    for (const auto& waiting : pass.unplaced) {
-        auto& task = *find_task(pass.state, waiting.ref);
-        if (!start_slowed(pass, *waiting.job, waiting.ref, task, true))
+}
+
+/**
+ * Lets the job that has waited longest oversubscribe a worker. One at a time, because the runs
+ * beside it get slower. Returns false where the slice is used up before.
+ */
+bool start_longest_waiting(pass_slice& slice)
+{
+    auto& pass = slice.state.pass;
+    if (slice.now - slice.state.last_oversubscription < oversubscription_interval)
+        return true;
+    sort_unplaced(pass);
+    for (; pass.next_unplaced < pass.unplaced.size(); ++pass.next_unplaced) {
+        if (is_used_up(slice))
+            return false;
+        ++slice.tasks;
+        const auto& ref = pass.unplaced[pass.next_unplaced].ref;
+        auto* job = find_job(slice.state, ref.job);
+        if (job == nullptr || job->ending)
             continue;
-        pass.state.last_oversubscription = pass.now;
-        return;
+        auto& task = *find_task(slice.state, ref);
+        if (!needs_run(task) || !start_slowed(slice, *job, ref, task, true))
+            continue;
+        slice.state.last_oversubscription = slice.now;
+        return true;
     }
+    return true;
 }
 
 /** Returns whether an image of the worker was observed for the first time since its forecast. */
@@ -304,7 +343,7 @@
                        });
 }
 
-/** Updates the tail forecasts of the workers that have changed since the last pass. */
+/** Updates the tail forecasts of the workers that have changed since the last slice. */
 void update_changed_forecasts(job_scheduler& state)
 {
     state.serving_workers = 0;
@@ -385,19 +424,152 @@
     }
 }
 
+namespace {
+
+/** Returns the priority of the queues that the pass has reached, or the highest of all. */
+std::uint32_t reached_priority(const job_scheduler& state)
+{
+    const auto& pass = state.pass;
+    if (pass.active)
+        return pass.next_turn < pass.turns.size() ? pass.turns[pass.next_turn].priority
+                                                  : std::numeric_limits<std::uint32_t>::max();
+    // The turns of the last pass are in order.
+    return pass.turns.empty() ? std::numeric_limits<std::uint32_t>::max()
+                              : pass.turns.front().priority + 1;
+}
+
+/** Returns the changed jobs whose turn comes first, in order of priority and arrival. */
+std::vector<open_job*> urgent_jobs(job_scheduler& state)
+{
+    const auto reached = reached_priority(state);
+    std::vector<open_job*> urgent;
+    for (const auto& id : state.changed_jobs) {
+        auto* job = find_job(state, id);
+        if (job != nullptr && !job->ending && job->queue.priority < reached)
+            urgent.push_back(job);
+    }
+    std::sort(urgent.begin(), urgent.end(), [](const auto* first, const auto* second) {
+        return std::pair{first->queue.priority, first->arrived} <
+               std::pair{second->queue.priority, second->arrived};
+    });
+    return urgent;
+}
+
+/** Gives a turn to the changed jobs that are less urgent than what the pass has reached. */
+void add_turns(job_scheduler& state)
+{
+    auto& pass = state.pass;
+    const auto next = pass.turns.begin() + static_cast<std::ptrdiff_t>(pass.next_turn);
+    std::set<submission_id> waiting;
+    for (auto turn = next; turn != pass.turns.end(); ++turn)
+        waiting.insert(turn->id);
+    for (const auto& id : std::exchange(state.changed_jobs, {})) {
+        const auto* job = find_job(state, id);
+        if (job == nullptr || job->ending || waiting.contains(id))
+            continue;
+        const auto from = pass.turns.begin() + static_cast<std::ptrdiff_t>(pass.next_turn);
+        const auto position = std::upper_bound(
+            from, pass.turns.end(), job->queue.priority,
+            [](std::uint32_t priority, const auto& turn) { return priority < turn.priority; });
+        // The turn that a slice has begun keeps its place.
+        const auto place = position == from && from != pass.turns.end() ? from + 1 : position;
+        pass.turns.insert(place, {job->queue.priority, id});
+    }
+}
+
+/** Gives the next turn of the pass, if one is under way, to the rest of the job. */
+void continue_in_turn(starts_pass& pass, const open_job& job, const task_position& position)
+{
+    if (!pass.active)
+        return;
+    const auto next = pass.turns.begin() + static_cast<std::ptrdiff_t>(pass.next_turn);
+    pass.turns.insert(next, {job.queue.priority, job.id});
+    pass.position = position;
+}
+
+/** Places the changed jobs that come first, into all capacity that is free now. */
+void place_urgent_jobs(pass_slice& slice)
+{
+    const bool runs_known = are_inherited_runs_known(slice.state, slice.now);
+    for (auto* job : urgent_jobs(slice.state)) {
+        if (is_used_up(slice))
+            return;
+        slice.state.changed_jobs.erase(job->id);
+        task_position position;
+        if ((runs_known || !job->inherited) && !start_ready_tasks(slice, *job, position))
+            return continue_in_turn(slice.state.pass, *job, position);
+    }
+}
+
+/** Gives the jobs their turns. Returns false where the slice is used up before. */
+bool place_in_turn(pass_slice& slice)
+{
+    auto& pass = slice.state.pass;
+    const bool runs_known = are_inherited_runs_known(slice.state, slice.now);
+    for (; pass.next_turn < pass.turns.size(); ++pass.next_turn) {
+        auto* job = find_job(slice.state, pass.turns[pass.next_turn].id);
+        const bool has_turn = job != nullptr && !job->ending && (runs_known || !job->inherited);
+        if (has_turn && !start_ready_tasks(slice, *job, pass.position))
+            return false;
+        pass.position = {};
+    }
+    return start_longest_waiting(slice);
+}
+
+} // namespace
+
 std::vector<start_command> plan_starts(job_scheduler& state, time_point now, wall_time wall)
+{
+    begin_pass(state, now);
+    return continue_pass(state, now, wall, std::numeric_limits<std::uint64_t>::max());
+}
+
+void begin_pass(job_scheduler& state, time_point now)
 {
     ++state.counts.passes;
     update_changed_forecasts(state);
     mark_ended_pauses(state, now);
-    scheduling_pass pass{state, now, wall, placement_candidates(state, now), {}, false, {}, {}};
-    const bool runs_known = are_inherited_runs_known(state, now);
-    for (auto* job : order_jobs(state, now)) {
-        if (runs_known || !job->inherited)
-            start_ready_tasks(pass, *job);
+    state.pass = {};
+    state.pass.active = true;
+    state.pass.candidates = placement_candidates(state, now);
+    for (const auto* job : order_jobs(state, now))
+        state.pass.turns.push_back({job->queue.priority, job->id});
+    state.changed_jobs.clear();
+}
+
+std::vector<start_command> continue_pass(job_scheduler& state, time_point now, wall_time wall,
+                                         std::uint64_t max_examined)
+{
+    ++state.counts.slices;
+    std::vector<start_command> commands;
+    if (has_urgent_changes(state)) {
+        const auto candidates = placement_candidates(state, now);
+        pass_slice slice{state, now,   wall, candidates, max_examined,
+                         {},    false, {},   0,          state.counts.candidates};
+        place_urgent_jobs(slice);
+        commands = std::move(slice.commands);
+        if (is_used_up(slice))
+            return commands;
     }
-    start_longest_waiting(pass);
-    return std::move(pass.commands);
+    auto& pass = state.pass;
+    if (!pass.active)
+        return commands;
+    add_turns(state);
+    validate_candidates(state, pass.candidates, now);
+    pass_slice slice{state, now, wall, pass.candidates,        max_examined, std::move(commands),
+                     false, {},  0,    state.counts.candidates};
+    pass.active = !place_in_turn(slice);
+    return std::move(slice.commands);
+}
+
+bool has_urgent_changes(const job_scheduler& state)
+{
+    const auto reached = reached_priority(state);
+    return std::any_of(state.changed_jobs.begin(), state.changed_jobs.end(), [&](const auto& id) {
+        const auto job = state.jobs.find(id);
+        return job != state.jobs.end() && !job->second.ending &&
+               job->second.queue.priority < reached;
+    });
 }
 
 std::optional<drop_reason> reason_to_drop(const job_scheduler& state, const start_command& command)
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -349,14 +349,17 @@
     state.pauses_checked_at = now;
 }
 
-std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now)
+candidate_list placement_candidates(job_scheduler& state, time_point now)
 {
-    std::vector<placement_candidate> candidates;
+    candidate_list list;
+    list.change = state.last_change;
+    auto& candidates = list.workers;
     candidates.reserve(state.workers.size());
     for (auto& [id, worker] : state.workers) {
         if (!accepts_tasks(state, worker, now))
             continue;
         auto& candidate = candidates.emplace_back();
+        candidate.id = id;
         candidate.worker = &worker;
         candidate.change = worker.change;
         candidate.free = free_capacity(worker);
@@ -367,10 +370,25 @@
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const auto& left, const auto& right) { return left.change > right.change; });
-    return candidates;
+    return list;
 }
 
-job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
+void validate_candidates(job_scheduler& state, candidate_list& candidates, time_point now)
+{
+    std::erase_if(candidates.workers, [&](placement_candidate& candidate) {
+        const auto found = state.workers.find(candidate.id);
+        if (found == state.workers.end() || !accepts_tasks(state, found->second, now))
+            return true;
+        candidate.worker = &found->second;
+        if (!accepts_best_effort(found->second, now)) {
+            candidate.best_effort_processors = {};
+            candidate.oversubscribed_processors = {};
+        }
+        return false;
+    });
+}
+
+job_worker* choose_worker(job_scheduler& state, const candidate_list& candidates,
                           const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
@@ -382,7 +400,7 @@
     slope_cache slopes{step};
     job_worker* best = nullptr;
     std::int64_t best_cost = 0;
-    for (const auto& candidate : candidates) {
+    for (const auto& candidate : candidates.workers) {
         if (failed_at != 0 && candidate.change <= failed_at)
             break;
         ++state.counts.candidates;
@@ -400,7 +418,7 @@
     }
     // A member of a gang fails beside the others, which give their capacity back.
     if (best == nullptr && !step.gang && !request.suspect)
-        record_failure(state.failed, request, state.last_change);
+        record_failure(state.failed, request, candidates.change);
     return best;
 }
 
@@ -428,7 +446,7 @@
 } // namespace
 
 slowed_placement choose_worker_for_slowed_run(job_scheduler& state,
-                                              const std::vector<placement_candidate>& candidates,
+                                              const candidate_list& candidates,
                                               const placement_request& request, time_point now)
 {
     const auto& step = *request.step;
@@ -437,7 +455,7 @@
     slope_cache slopes{step};
     slowed_placement best;
     double best_pace = 0;
-    for (const auto& candidate : candidates) {
+    for (const auto& candidate : candidates.workers) {
         if (failed_at != 0 && candidate.change <= failed_at)
             break;
         auto& worker = *candidate.worker;
@@ -456,7 +474,7 @@
         best_pace = pace;
     }
     if (best.worker == nullptr && !request.suspect)
-        record_failure(state.failed, request, state.last_change);
+        record_failure(state.failed, request, candidates.change);
     return best;
 }
 
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -48,27 +48,16 @@
  * needs the fewest preemptions; does nothing where no worker would suffice.
  */
 void preempt_best_effort(job_scheduler& state, const placement_request& request, time_point now);
-/**
- * A worker that accepts tasks, with upper bounds of what it can run. During a pass its free
- * capacity only shrinks, so what exceeds the bounds does not fit until the worker changes.
- */
-struct placement_candidate {
-    job_worker* worker{nullptr};
-    std::uint64_t change{0};
-    resources free;
-    millicores best_effort_processors;
-    /** The same for a request that may oversubscribe the worker. */
-    millicores oversubscribed_processors;
-};
-
-/** Returns the workers that accept tasks, the most recently changed first. */
-std::vector<placement_candidate> placement_candidates(job_scheduler& state, time_point now);
+/** Returns the workers that accept tasks. */
+candidate_list placement_candidates(job_scheduler& state, time_point now);
+/** Removes the workers that are gone or accept no more tasks. */
+void validate_candidates(job_scheduler& state, candidate_list& candidates, time_point now);
 /**
  * Returns the worker with the lowest placement cost, or null where none can run the task now.
  * Failures are remembered: a request that failed before is compared only with the workers that have
  * changed since.
  */
-job_worker* choose_worker(job_scheduler& state, const std::vector<placement_candidate>& candidates,
+job_worker* choose_worker(job_scheduler& state, const candidate_list& candidates,
                           const placement_request& request, time_point now);
 
 /** A worker on which a best-effort run may start at a lower pace. */
@@ -83,7 +72,7 @@
  * processors than its pace allows. Returns no worker where the pace would be too low everywhere.
  */
 slowed_placement choose_worker_for_slowed_run(job_scheduler& state,
-                                              const std::vector<placement_candidate>& candidates,
+                                              const candidate_list& candidates,
                                               const placement_request& request, time_point now);
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -146,6 +146,18 @@
  * are due.
  */
 std::vector<start_command> plan_starts(job_scheduler& state, time_point now, wall_time wall);
+/** Begins a scheduling pass, in place of one that has not ended. */
+void begin_pass(job_scheduler& state, time_point now);
+/**
+ * Returns the starts that the next slice of the pass finds. It ends once it has examined about
+ * `max_examined` tasks and workers. What has changed in queues of a higher priority than those that
+ * the pass has reached comes first; where no pass is under way, what has changed in the most urgent
+ * queues.
+ */
+std::vector<start_command> continue_pass(job_scheduler& state, time_point now, wall_time wall,
+                                         std::uint64_t max_examined);
+/** Returns whether a slice would place something before the next pass. */
+bool has_urgent_changes(const job_scheduler& state);
 /** Stops long-running tasks on workers that are leaving, where another worker can run them. */
 void drain_leaving_workers(job_scheduler& state, time_point now);
 /** Returns the stops to send now. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -380,10 +380,69 @@
     /** Runs that started at a lower pace. */
     std::uint64_t slowed_starts{0};
     std::uint64_t passes{0};
+    /** Parts of passes between which other work is done. */
+    std::uint64_t slices{0};
     /** Workers examined to place a task. */
     std::uint64_t candidates{0};
 };
 
+/**
+ * A worker that accepts tasks, with upper bounds of what it can run. During a pass its free
+ * capacity only shrinks, so what exceeds the bounds does not fit until the worker changes.
+ */
+struct placement_candidate {
+    worker_id id;
+    job_worker* worker{nullptr};
+    std::uint64_t change{0};
+    resources free;
+    millicores best_effort_processors;
+    /** The same for a request that may oversubscribe the worker. */
+    millicores oversubscribed_processors;
+};
+
+/** The workers that accept tasks, the most recently changed first. */
+struct candidate_list {
+    std::vector<placement_candidate> workers;
+    /** Number of the last change that the list takes into account. */
+    std::uint64_t change{0};
+};
+
+/** A job to place in a pass. */
+struct job_turn {
+    std::uint32_t priority{0};
+    submission_id id;
+};
+
+/** Where the placement of a job continues. */
+struct task_position {
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    std::uint32_t index{0};
+};
+
+struct waiting_task {
+    time_point since;
+    wire::task_ref ref;
+};
+
+/**
+ * A scheduling pass, made in slices between which anything may change. It places tasks into the
+ * capacity that was free when it began: what becomes free meanwhile is for the most urgent jobs,
+ * with which the next pass begins.
+ */
+struct starts_pass {
+    bool active{false};
+    std::vector<job_turn> turns;
+    /** The turn that is next, and where in its job. */
+    std::size_t next_turn{0};
+    task_position position;
+    candidate_list candidates;
+    /** Tasks of jobs without runs that found no worker, also not below full speed. */
+    std::vector<waiting_task> unplaced;
+    bool unplaced_sorted{false};
+    std::size_t next_unplaced{0};
+};
+
 /**
  * State of the job scheduler during one term of a leader. It refers to its own elements, so it can
  * be moved but not copied.
@@ -430,6 +489,9 @@
     std::size_t serving_workers{0};
     /** Sizes of the finite jobs, by queue. */
     std::map<std::string, queue_sizes> queue_sizes_of;
+    starts_pass pass;
+    /** Jobs that are new, or of which a completion was recorded, since their last turn. */
+    std::set<submission_id> changed_jobs;
     /** Jobs that have begun since the service last logged them. */
     std::vector<begun_job> begun_jobs;
     job_counts counts;
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -148,6 +148,7 @@
     auto job = make_job(record, now);
     count_job(state, job);
     state.jobs.emplace(record.id, std::move(job));
+    state.changed_jobs.insert(record.id);
 }
 
 void on_job_record(job_scheduler& state, const wire::job_record& record, time_point now)
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -429,8 +429,11 @@
 {
     for (const auto& item : items) {
         auto* task = find_task(state, item.task);
-        if (task != nullptr && task->recording > 0)
+        if (task == nullptr)
+            continue;
+        if (task->recording > 0)
             --task->recording;
+        state.changed_jobs.insert(item.task.job);
     }
 }
 
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace galenaturn::controld {
 
@@ -13,6 +15,7 @@
     CPPUNIT_TEST(queued_commands_outlast_a_lapse_of_the_lease);
     CPPUNIT_TEST(stops_to_one_worker_do_not_wait_for_each_others_replies);
     CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
+    CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
@@ -106,6 +109,31 @@
         leader.hold_start_replies(false);
         CPPUNIT_ASSERT(leader.run_until([&] { return leader.stops().size() == 2; }));
     }
+
+    /** A pass held the thread until all tasks were placed, so heartbeats and votes waited. */
+    void event_loop_goes_on_during_a_pass()
+    {
+        constexpr std::size_t workers = 60;
+        constexpr std::size_t submitted = 400;
+        test_leader leader{workers};
+        leader.run_for(std::chrono::milliseconds{100});
+        leader.count_rounds();
+        for (std::size_t job = 0; job < submitted; ++job)
+            leader.submit(std::to_string(job));
+        std::size_t most_in_handler = 0;
+        std::size_t starts = 0;
+        std::set<std::uint64_t> rounds_with_starts;
+        CPPUNIT_ASSERT(leader.run_until([&] {
+            const auto added =
+                leader.starts().size() - std::exchange(starts, leader.starts().size());
+            most_in_handler = std::max(most_in_handler, added);
+            if (added > 0)
+                rounds_with_starts.insert(leader.rounds());
+            return starts == submitted;
+        }));
+        CPPUNIT_ASSERT(most_in_handler < submitted / 4);
+        CPPUNIT_ASSERT(rounds_with_starts.size() > 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_service_test);
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -159,6 +159,14 @@
     run_until([] { return false; }, span);
 }
 
+void test_leader::count_rounds()
+{
+    asio::post(shared_.io, [this] {
+        ++rounds_;
+        count_rounds();
+    });
+}
+
 bool test_leader::run_until_pass()
 {
     const auto before = passes();
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -42,6 +42,10 @@
     /** Runs the event loop for about this time. */
     void run_for(duration span);
 
+    /** Begins to count how often the event loop comes round. */
+    void count_rounds();
+    [[nodiscard]] std::uint64_t rounds() const { return rounds_; }
+
     /** The lease of the leader lapses, or is renewed. */
     void set_leads(bool leads) { leads_ = leads; }
     /** Workers carry out starts and stops at once, but reply only once they are not held. */
@@ -66,6 +70,7 @@
     std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
     std::vector<received_stop> stops_;
     std::vector<schedule::start_command> starts_;
+    std::uint64_t rounds_{0};
     bool leads_{true};
     bool start_replies_held_{false};
     bool stop_replies_held_{false};
