schedule: a pass goes on beside urgent work, and older failures replace no newer ones

Besides, failures that the pass found with its older candidates replaced those of urgent jobs, which then compared all workers that had changed since again.

Both parts of a slice have their own limit, and a failure replaces only those that are not newer.

--- a/src/libschedule/failedplacements.cpp
+++ b/src/libschedule/failedplacements.cpp
@@ -70,7 +70,8 @@
     const auto demand = reservation_of(step);
     const auto best_effort = best_effort_demand_of(step);
     std::erase_if(failures, [&](const failed_placement& earlier) {
-        return covers({demand, best_effort, change}, earlier.demand, earlier.best_effort);
+        return earlier.change <= change &&
+               covers({demand, best_effort, change}, earlier.demand, earlier.best_effort);
     });
     failures.push_back({demand, best_effort, change});
 }
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -548,8 +548,6 @@
                          {},    false, {},   0,          state.counts.candidates};
         place_urgent_jobs(slice);
         commands = std::move(slice.commands);
-        if (is_used_up(slice))
-            return commands;
     }
     auto& pass = state.pass;
     if (!pass.active)
--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -418,7 +418,7 @@
     }
     // A member of a gang fails beside the others, which give their capacity back.
     if (best == nullptr && !step.gang && !request.suspect)
-        record_failure(state.failed, request, candidates.change);
+        record_failure(state.failed, request, std::max(failed_at, candidates.change));
     return best;
 }
 
@@ -474,7 +474,7 @@
         best_pace = pace;
     }
     if (best.worker == nullptr && !request.suspect)
-        record_failure(state.failed, request, candidates.change);
+        record_failure(state.failed, request, std::max(failed_at, candidates.change));
     return best;
 }
 
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -149,10 +149,10 @@
 /** Begins a scheduling pass, in place of one that has not ended. */
 void begin_pass(job_scheduler& state, time_point now);
 /**
- * Returns the starts that the next slice of the pass finds. It ends once it has examined about
- * `max_examined` tasks and workers. What has changed in queues of a higher priority than those that
- * the pass has reached comes first; where no pass is under way, what has changed in the most urgent
- * queues.
+ * Returns the starts that the next slice of the pass finds. What has changed in queues of a higher
+ * priority than those that the pass has reached comes first; where no pass is under way, what has
+ * changed in the most urgent queues. Both this and the rest, which always proceeds, end once they
+ * have examined about `max_examined` tasks and workers.
  */
 std::vector<start_command> continue_pass(job_scheduler& state, time_point now, wall_time wall,
                                          std::uint64_t max_examined);
--- a/tests/schedule/passslicestest.cpp
+++ b/tests/schedule/passslicestest.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(urgent_job_does_not_wait_for_the_next_pass);
     CPPUNIT_TEST(less_urgent_job_gets_its_turn_in_the_same_pass);
     CPPUNIT_TEST(capacity_freed_during_a_pass_is_for_the_most_urgent);
+    CPPUNIT_TEST(urgent_failures_are_remembered_during_a_pass);
+    CPPUNIT_TEST(pass_goes_on_beside_urgent_jobs);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 30;
@@ -228,6 +230,44 @@
         while (state_.pass.active)
             CPPUNIT_ASSERT(slice(1).empty());
     }
+
+    /** The failures of less urgent jobs, which are older, took the place of newer ones. */
+    void urgent_failures_are_remembered_during_a_pass()
+    {
+        add_worker(state_, 0, 8);
+        add("first", 0, 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, plan_starts(state_, now_, wall_).size());
+        for (int number = 0; number < 20; ++number)
+            add("usual-" + std::to_string(number), 1, 3);
+        begin_pass(state_, now_);
+        slice(1);
+        const auto [task, run] = *state_.workers.at(name(0)).runs.begin();
+        start_command refused{task, run, name(0), "", "", false, now_};
+        on_start_sent(state_, refused, now_);
+        on_start_result(state_, refused, command_result::no_capacity, now_);
+        now_ += std::chrono::seconds{1};
+        add("urgent-a", 0, 1, 3000);
+        slice(1);
+        slice(1);
+        CPPUNIT_ASSERT(state_.pass.active);
+        const auto before = state_.counts.candidates;
+        add("urgent-b", 0, 1, 3000);
+        slice(1);
+        CPPUNIT_ASSERT_EQUAL(before, state_.counts.candidates);
+    }
+
+    void pass_goes_on_beside_urgent_jobs()
+    {
+        add_worker(state_, 0, 8);
+        for (int number = 0; number < 20; ++number)
+            add("usual-" + std::to_string(number), 1, 3);
+        begin_pass(state_, now_);
+        for (int number = 0; number < 100 && state_.pass.active; ++number) {
+            add("urgent-" + std::to_string(number), 0, 9, 20'000);
+            slice(1);
+        }
+        CPPUNIT_ASSERT(!state_.pass.active);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(pass_slices_test);
