--- a/src/libschedule/jobplacement.cpp
+++ b/src/libschedule/jobplacement.cpp
@@ -356,11 +356,12 @@
 placement_index placement_candidates(job_scheduler& state, time_point now)
 {
     placement_index index;
+    index.change = state.last_change;
     auto& workers = index.workers;
     workers.reserve(state.workers.size());
     for (auto& [id, worker] : state.workers) {
         if (accepts_tasks(state, worker, now))
-            workers.push_back({&worker, worker.change});
+            workers.push_back({id, &worker, worker.change});
     }
     std::sort(workers.begin(), workers.end(),
               [](const auto& left, const auto& right) { return left.change > right.change; });
@@ -499,8 +500,9 @@
     reserve_leaves(tree, search.limit);
     for (; tree.size < search.limit; ++tree.size) {
         ++search.state.counts.candidates;
-        const auto& worker = *search.index.workers[tree.size].worker;
-        set_room(tree, tree.size, free_room_on(worker, kind, search.now));
+        const auto* worker = search.index.workers[tree.size].worker;
+        set_room(tree, tree.size,
+                 worker == nullptr ? no_room : free_room_on(*worker, kind, search.now));
     }
     return tree;
 }
@@ -539,8 +541,10 @@
     const auto& workers = search.index.workers;
     if (search.state.examines_all_workers) {
         counts.candidates += search.limit;
-        for (std::size_t position = 0; position < search.limit; ++position)
-            examine(*workers[position].worker);
+        for (std::size_t position = 0; position < search.limit; ++position) {
+            if (workers[position].worker != nullptr)
+                examine(*workers[position].worker);
+        }
         return;
     }
     if (search.limit == 0)
@@ -576,6 +580,28 @@
 
 } // namespace
 
+void validate_candidates(job_scheduler& state, placement_index& candidates, time_point now)
+{
+    for (std::size_t position = 0; position < candidates.workers.size(); ++position) {
+        auto& candidate = candidates.workers[position];
+        if (candidate.worker == nullptr)
+            continue;
+        const auto found = state.workers.find(candidate.id);
+        if (found != state.workers.end() && accepts_tasks(state, found->second, now)) {
+            // A worker that has come back under its id is another element.
+            candidate.worker = &found->second;
+            continue;
+        }
+        candidate.worker = nullptr;
+        for (auto* trees : {&candidates.kinds, &candidates.free_room}) {
+            for (auto& [kind, tree] : *trees) {
+                if (position < tree.size)
+                    set_room(tree, position, no_room);
+            }
+        }
+    }
+}
+
 void restore_bounds(job_scheduler& state, placement_index& candidates, const wire::job_step& step,
                     const job_worker& worker, time_point now)
 {
@@ -622,7 +648,7 @@
     });
     // A member of a gang fails beside the others, which give their capacity back.
     if (best == nullptr && !step.gang && !request.suspect)
-        record_failure(state.failed, request, state.last_change);
+        record_failure(state.failed, request, candidates.change);
     return best;
 }
 
@@ -679,7 +705,7 @@
         return std::nullopt;
     });
     if (best.worker == nullptr && !request.suspect)
-        record_failure(state.failed, request, state.last_change);
+        record_failure(state.failed, request, candidates.change);
     return best;
 }
 
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -48,6 +48,8 @@
 void preempt_best_effort(job_scheduler& state, const placement_request& request, time_point now);
 /** Returns the workers that accept tasks, the most recently changed first. */
 placement_index placement_candidates(job_scheduler& state, time_point now);
+/** Leaves out the workers that are gone or accept no more tasks. */
+void validate_candidates(job_scheduler& state, placement_index& candidates, time_point now);
 /** Updates the bounds of the workers that a start was taken back from. */
 void restore_bounds(job_scheduler& state, placement_index& candidates, const wire::job_step& step,
                     const job_worker& worker, time_point now);
--- a/src/libschedule/placementindex.h
+++ b/src/libschedule/placementindex.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "jobstate.h"
+#include "failedplacements.h"
+#include "tailmodel.h"
 
 #include <algorithm>
 #include <array>
@@ -10,8 +11,11 @@
 
 namespace galenaturn::schedule {
 
-/** A worker that accepts tasks. */
+struct job_worker;
+
+/** A worker that accepts tasks; null once it is gone or accepts no more. */
 struct placement_candidate {
+    worker_id id;
     job_worker* worker{nullptr};
     std::uint64_t change{0};
 };
@@ -35,13 +39,15 @@
 /**
  * The workers that accept tasks, the most recently changed first, with bounds for the kinds of
  * requests that were searched for. During a pass the room on a worker only shrinks, except where a
- * start is taken back.
+ * start is taken back; what else becomes free belongs to the next pass.
  */
 struct placement_index {
     std::vector<placement_candidate> workers;
     room_by_kind kinds;
     /** What the workers have free for all services, labels and images. */
     room_by_kind free_room;
+    /** Number of the last change that the index takes into account. */
+    std::uint64_t change{0};
 };
 
 /** Room that no demand fits in. */
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -49,6 +49,10 @@
     /** Runs the event loop for about this time. */
     void run_for(duration span);
 
+    /** Begins to count how often the event loop comes round. */
+    void count_rounds();
+    [[nodiscard]] std::uint64_t rounds() const { return rounds_; }
+
     /** The lease of the leader lapses, or is renewed. */
     void set_leads(bool leads) { leads_ = leads; }
     /** Workers carry out starts and stops at once, but reply only once they are not held. */
@@ -86,6 +90,7 @@
     std::size_t polls_since_end_{0};
     std::uint64_t acknowledged_{0};
     std::vector<schedule::start_command> starts_;
+    std::uint64_t rounds_{0};
     bool leads_{true};
     bool start_replies_held_{false};
     bool stop_replies_held_{false};
