core: a log line copies its fields once

Each field was copied to be quoted, and each line made a stream of its own, with a locale. Fields are appended to the line, and the sink keeps its stream.

--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -50,6 +50,25 @@
     return limiter.check(event, monotonic_now());
 }
 
+void append_quoted(std::string& line, std::string_view value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char character : value) {
+        if (character == '"' || character == '\\')
+            line += '\\';
+        if (character == '\n' || character == '\r') {
+            line += "\\n";
+            continue;
+        }
+        line += character;
+    }
+    line += '"';
+}
+
 } // namespace
 
 void init_log(log_level threshold, log_target target)
@@ -66,19 +85,8 @@
 
 std::string log_quoted(std::string_view value)
 {
-    if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos)
-        return std::string{value};
-    std::string quoted{"\""};
-    for (const char character : value) {
-        if (character == '"' || character == '\\')
-            quoted += '\\';
-        if (character == '\n' || character == '\r') {
-            quoted += "\\n";
-            continue;
-        }
-        quoted += character;
-    }
-    quoted += '"';
+    std::string quoted;
+    append_quoted(quoted, value);
     return quoted;
 }
 
@@ -100,7 +108,7 @@
         line += ' ';
         line += field.key;
         line += '=';
-        line += log_quoted(field.value);
+        append_quoted(line, field.value);
     }
     logger().log(library_level, line);
 }
--- a/src/libcore/logsink.cpp
+++ b/src/libcore/logsink.cpp
@@ -5,7 +5,6 @@
 
 #include <cerrno>
 #include <fcntl.h>
-#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -64,11 +63,11 @@
         if (!write_all(rest))
             unwritten_ = rest;
     }
-    std::ostringstream line;
+    line_.str(std::string{});
     if (omitted_ > 0)
-        line << "event=log_lines_left_out cause=full_pipe count=" << omitted_ << '\n';
-    layout->formatAndAppend(line, event);
-    if (!unwritten_.empty() || !write_all(line.str())) {
+        line_ << "event=log_lines_left_out cause=full_pipe count=" << omitted_ << '\n';
+    layout->formatAndAppend(line_, event);
+    if (!unwritten_.empty() || !write_all(line_.str())) {
         ++omitted_;
         return;
     }
--- a/src/libcore/logsink.h
+++ b/src/libcore/logsink.h
@@ -3,6 +3,7 @@
 #include <log4cplus/appender.h>
 
 #include <cstdint>
+#include <sstream>
 
 namespace galenaturn {
 
@@ -31,6 +32,7 @@
 
     int descriptor_;
     std::uint64_t omitted_{0};
+    std::ostringstream line_;
     /** The rest of a partially written line. */
     std::string unwritten_;
 };
