controld: a command takes a worker's name and address, not its record

Each command and poll copied the whole record of its worker, with its labels, up to twice; destroying these copies alone was 1% of the leader's samples. Commands take the two fields that are used. In tests/control only the types in the signatures of the fake change.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -117,8 +117,9 @@
     boost::asio::awaitable<void> send_stop(worker_id worker, std::uint64_t generation);
     /** Member function that sends a command that does not extend the lease. */
     template <class Command>
-    using command_call = boost::asio::awaitable<command_reply> (worker_commands::*)(
-        wire::worker_record, Command, command_header);
+    using command_call = boost::asio::awaitable<command_reply> (worker_commands::*)(worker_target,
+                                                                                    Command,
+                                                                                    command_header);
     /** Sends a command. Returns nothing where it was not sent, or the term has ended since. */
     template <class Command>
     boost::asio::awaitable<std::optional<command_reply>>
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -35,6 +35,11 @@
 constexpr duration record_retry_pause = std::chrono::milliseconds{50};
 constexpr duration record_timeout = std::chrono::seconds{3};
 
+worker_target target_of(const schedule::job_worker& worker)
+{
+    return {worker.record.id, worker.record.address};
+}
+
 std::chrono::milliseconds poll_wait_for(const schedule::job_worker& worker)
 {
     if (worker.serving_images.empty())
@@ -142,7 +147,7 @@
     const auto requested_at = monotonic_now();
     // The first response, and the first one after a silence, is wanted at once.
     const bool is_urgent = !found->second.report_read || found->second.lost;
-    const auto record = found->second.record;
+    auto target = target_of(found->second);
     const auto read_up_to = found->second.completions_read;
     command_header header;
     header.token = token_;
@@ -152,8 +157,8 @@
     header.reply_deadline = requested_at + wait + command_timeout;
     if (header.lease_until)
         schedule::extend_lease(scheduler_, worker, requested_at);
-    const auto polled =
-        co_await commands_->poll(record, found->second.completions_acknowledged, wait, header);
+    const auto polled = co_await commands_->poll(
+        std::move(target), found->second.completions_acknowledged, wait, header);
     const auto connection = connections_.find(worker);
     if (!in_term(generation) || connection == connections_.end())
         co_return false;
@@ -350,7 +355,8 @@
         co_return drop_start(command, *obstacle);
     schedule::extend_lease(scheduler_, worker, requested_at);
     schedule::on_start_sent(scheduler_, command, requested_at);
-    const auto reply = co_await commands_->start(found->second.record, command, header);
+    auto target = target_of(found->second);
+    const auto reply = co_await commands_->start(std::move(target), command, header);
     if (!in_term(generation))
         co_return;
     log_start(command, token_, reply, requested_at - command.planned_at);
@@ -402,7 +408,8 @@
     command_header header;
     header.token = token_;
     header.reply_deadline = monotonic_now() + command_timeout;
-    auto reply = co_await ((*commands_).*method)(found->second.record, std::move(command), header);
+    auto target = target_of(found->second);
+    auto reply = co_await ((*commands_).*method)(std::move(target), std::move(command), header);
     if (!in_term(generation))
         co_return std::nullopt;
     co_return std::move(reply);
--- a/src/controld/workercommands.h
+++ b/src/controld/workercommands.h
@@ -20,6 +20,12 @@
     time_point reply_deadline;
 };
 
+/** The worker that a command is sent to. */
+struct worker_target {
+    worker_id id;
+    ip_endpoint address;
+};
+
 /** Reply to a command. */
 struct command_reply {
     schedule::command_result result{schedule::command_result::none};
@@ -44,16 +50,16 @@
     virtual ~worker_commands() = default;
 
     virtual boost::asio::awaitable<command_reply>
-    start(wire::worker_record worker, schedule::start_command command, command_header header) = 0;
+    start(worker_target worker, schedule::start_command command, command_header header) = 0;
     virtual boost::asio::awaitable<command_reply>
-    stop(wire::worker_record worker, schedule::stop_command command, command_header header) = 0;
+    stop(worker_target worker, schedule::stop_command command, command_header header) = 0;
     virtual boost::asio::awaitable<command_reply>
-    pace(wire::worker_record worker, schedule::pace_command command, command_header header) = 0;
+    pace(worker_target worker, schedule::pace_command command, command_header header) = 0;
     /**
      * Polls the worker for its report. The worker delays the reply until a run ends, for `wait` at
      * most.
      */
-    virtual boost::asio::awaitable<poll_reply> poll(wire::worker_record worker,
+    virtual boost::asio::awaitable<poll_reply> poll(worker_target worker,
                                                     std::uint64_t acknowledged_completions,
                                                     std::chrono::milliseconds wait,
                                                     command_header header) = 0;
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -32,15 +32,14 @@
 public:
     explicit workers_in_process(test_leader& leader) : leader_{leader} {}
 
-    asio::awaitable<command_reply> start(wire::worker_record worker,
-                                         schedule::start_command command,
+    asio::awaitable<command_reply> start(worker_target worker, schedule::start_command command,
                                          command_header /*header*/) override
     {
         leader_.runs_[worker.id][command.task] = command.run;
         co_return accepted();
     }
 
-    asio::awaitable<command_reply> stop(wire::worker_record worker, schedule::stop_command command,
+    asio::awaitable<command_reply> stop(worker_target worker, schedule::stop_command command,
                                         command_header /*header*/) override
     {
         // A pass that sends the command has ended before it arrives.
@@ -50,14 +49,14 @@
         co_return accepted();
     }
 
-    asio::awaitable<command_reply> pace(wire::worker_record /*worker*/,
+    asio::awaitable<command_reply> pace(worker_target /*worker*/,
                                         schedule::pace_command /*command*/,
                                         command_header /*header*/) override
     {
         co_return accepted();
     }
 
-    asio::awaitable<poll_reply> poll(wire::worker_record worker,
+    asio::awaitable<poll_reply> poll(worker_target worker,
                                      std::uint64_t /*acknowledged_completions*/,
                                      std::chrono::milliseconds wait,
                                      command_header /*header*/) override
