--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -25,8 +25,6 @@
     /** When it was decided to stop the run, and when this command was planned. */
     time_point requested_at;
     time_point planned_at;
-    /** Number of this command among those for the run, from 1 on. */
-    std::uint32_t attempt{1};
 };
 
 /** Command to continue at a pace: the share of full speed that a run may use, in percent. */
@@ -171,6 +169,8 @@
 /** Returns whether the command still changes something, just before it is sent. */
 bool is_due(const job_scheduler& state, const stop_command& command);
 bool is_due(const job_scheduler& state, const pace_command& command);
+/** Records that a due stop is being sent. Returns how many were sent for the run, this included. */
+std::uint32_t on_stop_sent(job_scheduler& state, const stop_command& command);
 void on_start_result(job_scheduler& state, const start_command& command, command_result outcome,
                      time_point now);
 void on_stop_result(job_scheduler& state, const stop_command& command, command_result outcome,
@@ -179,7 +179,7 @@
 
 /**
  * Applies the report of a worker that was polled at `requested_at`. Returns the completions that
- * the ledger has to record before the worker may forget them.
+ * the ledger has to record before the worker may forget them; acknowledge_completions says so.
  */
 std::vector<wire::record_completions::item>
 on_worker_report(job_scheduler& state, const worker_id& worker, const worker_report& report,
@@ -187,8 +187,12 @@
 /** Marks these completions as recorded by the ledger. */
 void on_completions_recorded(job_scheduler& state,
                              const std::vector<wire::record_completions::item>& items);
-/** Marks all completions read from the worker as recorded, so that the worker may forget them. */
-void acknowledge_completions(job_scheduler& state, const worker_id& worker);
+/**
+ * Marks the completions of one report, of which `read_up_to` is the last, as recorded. Once those
+ * of all reports are, the worker may forget what was read.
+ */
+void acknowledge_completions(job_scheduler& state, const worker_id& worker,
+                             std::uint64_t read_up_to);
 /** Ends the runs on workers whose leases have expired. */
 void expire_leases(job_scheduler& state, time_point now);
 
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -304,6 +304,8 @@
     bool has_orphans{false};
     /** Failed runs since the last success. */
     std::uint32_t failure_streak{0};
+    /** The last completion of each report of which completions are being recorded. */
+    std::set<std::uint64_t> recording;
     /** The highest completion number read, and the highest that the worker may forget. */
     std::uint64_t completions_read{0};
     std::uint64_t completions_acknowledged{0};
@@ -343,8 +345,6 @@
     no_capacity,
     /** The worker was silent for too long to get a lease. */
     no_lease,
-    /** This process no longer leads. */
-    not_leading,
     /** The ledger has not recorded the start of a suspect. */
     not_recorded,
     /** The worker did not answer the command before it. */
@@ -352,7 +352,7 @@
     /** It is a suspect, and another job has started on the worker since it was planned. */
     not_isolated,
 };
-inline constexpr std::size_t drop_reason_count = 9;
+inline constexpr std::size_t drop_reason_count = 8;
 
 /** Event counts, for operators. */
 struct job_counts {
@@ -384,8 +384,10 @@
     /** Runs that started at a lower pace. */
     std::uint64_t slowed_starts{0};
     std::uint64_t passes{0};
-    /** Workers examined to place a task. */
+    /** Workers examined to place a task, or to know what they have room for. */
     std::uint64_t candidates{0};
+    /** Comparisons of a task with the room of a worker, or of several. */
+    std::uint64_t bounds{0};
 };
 
 /**
@@ -405,6 +407,8 @@
     /** The newest change that the tail forecasts take into account. */
     std::uint64_t last_forecast_change{0};
     failed_placements failed;
+    /** Each task is compared with each worker: a reference for tests of the search. */
+    bool examines_all_workers{false};
     /** Pauses of workers that ended by then have been recorded as changes. */
     time_point pauses_checked_at;
     /** Tasks whose runs are to be stopped, by the time of the next stop, until one is confirmed. */
