schedule: a steward repeats that a task may run at full speed

A throttled task stayed at the lower speed where the one response that said full speed was lost. The response is repeated now for the span of a lease: a worker that gets none of them ends the task with its lease.

--- a/src/libschedule/stewardstate.h
+++ b/src/libschedule/stewardstate.h
@@ -97,7 +97,11 @@
     bool resumed{false};
     /** Processors that the task may use while it is throttled. */
     millicores throttled_to;
-    bool unthrottle_pending{false};
+    /**
+     * Until then each response says that the task may run at full speed. A worker that gets none
+     * of them ends the task with its lease.
+     */
+    time_point full_speed_repeated_until;
     /** The ledger no longer assigns the task to this domain: its end is not reported. */
     bool withdrawn{false};
     /** A later assignment to this same domain, applied once the withdrawn task has ended. */
--- a/src/libschedule/taskchart.cpp
+++ b/src/libschedule/taskchart.cpp
@@ -57,7 +57,7 @@
     --context.steward.job_tasks_per_rack[context.task.record.job][context.task.rack_index];
     GN_INVARIANT(fits({}, worker->reserved), {"worker", worker->id});
     context.task.throttled_to = {};
-    context.task.unthrottle_pending = false;
+    context.task.full_speed_repeated_until = {};
     context.task.worker = worker_id{};
     context.steward.placement_due = true;
     update_capacity_index(context.steward, *worker);
@@ -71,6 +71,13 @@
     return expected_run_time(context.steward.sizes, context.task.record.job, declared);
 }
 
+void order_full_speed(task_event_context& context)
+{
+    context.task.throttled_to = {};
+    repeat_full_speed(context.steward, context.task, context.now);
+    mark_response_due(context);
+}
+
 void enqueue(task_event_context& context)
 {
     context.task.waiting_since = context.now;
@@ -128,12 +135,7 @@
         {"order_stop", mark_response_due},
         {"order_checkpoint", mark_response_due},
         {"order_throttle", mark_response_due},
-        {"order_full_speed",
-         [](task_event_context& context) {
-             context.task.throttled_to = {};
-             context.task.unthrottle_pending = true;
-             mark_response_due(context);
-         }},
+        {"order_full_speed", order_full_speed},
         {"report_end", report_end},
         {"report_success",
          [](task_event_context& context) {
@@ -167,6 +169,11 @@
         apply_event(*steward.chart, task_actions(), task.state, event, context));
 }
 
+void repeat_full_speed(const steward_state& steward, task_entry& task, time_point now)
+{
+    task.full_speed_repeated_until = now + grantor_span(steward.terms, steward.terms.worker_lease);
+}
+
 void enqueue_task(steward_state& steward, task_entry& task, time_point now)
 {
     task_event_context context{steward, task, now};
--- a/src/libschedule/taskchart.h
+++ b/src/libschedule/taskchart.h
@@ -27,6 +27,11 @@
 bool has_reservation(const task_entry& task);
 /** Updates the free capacity of the worker in the index; none if nothing may be placed there. */
 void update_capacity_index(steward_state& steward, const worker_entry& worker);
+/**
+ * Lets each response of a lease's span say that the task may run at full speed, so that the worker
+ * learns of it although responses are lost.
+ */
+void repeat_full_speed(const steward_state& steward, task_entry& task, time_point now);
 /** Puts a task without a reservation into the placement queue. */
 void enqueue_task(steward_state& steward, task_entry& task, time_point now);
 
--- a/src/libschedule/workerresponses.cpp
+++ b/src/libschedule/workerresponses.cpp
@@ -47,15 +47,15 @@
     task.lease_until = std::max(task.lease_until, lease_end);
 }
 
-void add_other_commands(const worker_entry& worker, task_entry& task,
+void add_other_commands(const worker_entry& worker, const task_entry& task, time_point now,
                         std::vector<wire::worker_command>& commands)
 {
-    if (task.state == "throttled" || task.unthrottle_pending) {
+    const bool repeats_full_speed = task.state == "running" && now < task.full_speed_repeated_until;
+    if (task.state == "throttled" || repeats_full_speed) {
         auto command = make_command(wire::worker_command_kind::throttle, task);
         command.processors =
             task.state == "throttled" ? task.throttled_to : task.reserved.processors;
         commands.push_back(command);
-        task.unthrottle_pending = false;
     }
     if (task.state == "checkpointing" && is_reported(worker, task))
         commands.push_back(make_command(wire::worker_command_kind::checkpoint, task));
@@ -64,7 +64,7 @@
 } // namespace
 
 wire::worker_response make_worker_response(steward_state& steward, const worker_id& id,
-                                           time_point /*now*/)
+                                           time_point now)
 {
     wire::worker_response response;
     response.stewardship = steward.stewardship;
@@ -83,7 +83,7 @@
         }
         else {
             add_lease(steward, worker, task, response.commands);
-            add_other_commands(worker, task, response.commands);
+            add_other_commands(worker, task, now, response.commands);
         }
         worker.earliest_lease_end = std::min(worker.earliest_lease_end, task.lease_until);
     }
