schedule: a steward lets adopted tasks run at full speed

The earlier steward may have throttled a task that the next one adopts as running, and no command ended that. Adoption now repeats for the span of a lease that the task may run at full speed.

--- a/src/libschedule/taskchart.cpp
+++ b/src/libschedule/taskchart.cpp
@@ -171,6 +171,9 @@
 
 void repeat_full_speed(const steward_state& steward, task_entry& task, time_point now)
 {
+    // Only batch work is throttled.
+    if (is_service(task))
+        return;
     task.full_speed_repeated_until = now + grantor_span(steward.terms, steward.terms.worker_lease);
 }
 
--- a/src/libschedule/workerreports.cpp
+++ b/src/libschedule/workerreports.cpp
@@ -82,6 +82,8 @@
     task.confirmed = true;
     task.lease_until = std::max(steward.predecessor_leases_end, now);
     apply_task_event(steward, task, "seen_running", now);
+    // The previous steward may have throttled it.
+    repeat_full_speed(steward, task, now);
     if (task.record.cancel_requested || task.record.stop_requested)
         apply_task_event(steward, task, "end", now);
 }
