--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "placementindex.h"
+#include "jobstate.h"
 
 namespace galenaturn::schedule {
 
