controld: slices of passes leave most of the time to other work

A slice is now followed by a pause of four times its duration, or, where something urgent waits, of its own duration.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -22,17 +22,17 @@
  */
 constexpr duration tick_interval = std::chrono::milliseconds{100};
 /**
- * Minimum pause between passes, so that events are handled in batches; far below any job objective.
+ * Minimum pause between passes and before urgent slices, so that events are handled in batches; far
+ * below any job objective.
  */
 constexpr duration min_pass_pause = std::chrono::milliseconds{10};
-/**
- * A pass is followed by a pause of this multiple of the time that it took, up to a maximum. What is
- * urgent does not wait for the next pass.
- */
-constexpr int pass_pause_factor = 4;
-constexpr duration max_pass_pause = std::chrono::milliseconds{50};
 /** Number of tasks and workers that a slice of a pass examines: some milliseconds of work. */
 constexpr std::uint64_t max_examined_in_slice = 4000;
+/**
+ * A slice is followed by a pause of this multiple of its duration, so that slices take at most one
+ * fifth of the time; where something urgent waits, by one of its own duration.
+ */
+constexpr int slice_pause_factor = 4;
 /** A new leader uses announcements up to this age. */
 constexpr duration max_announcement_age = std::chrono::seconds{10};
 /**
@@ -49,8 +49,8 @@
                          std::unique_ptr<worker_commands> commands, queue_reader read_queues)
     : shared_{shared}, hub_{hub}, roster_{roster}, commands_{std::move(commands)},
       read_queues_{std::move(read_queues)}, counters_{shared.metrics}, tick_timer_{shared.io},
-      pass_timer_{shared.io}, share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge(
-                                                           "galenaturn_jobs_open")},
+      pass_timer_{shared.io}, slice_timer_{shared.io}, share_timer_{shared.io},
+      open_jobs_{shared.metrics.make_gauge("galenaturn_jobs_open")},
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
@@ -257,16 +257,24 @@
 
 void job_service::schedule_slice()
 {
-    if (std::exchange(slice_due_, true))
+    const auto due = schedule::has_urgent_changes(scheduler_) ? next_urgent_slice_ : next_slice_;
+    if (slice_due_ && *slice_due_ <= due)
         return;
-    asio::post(shared_.io, [this] {
-        slice_due_ = false;
+    slice_due_ = due;
+    slice_timer_.expires_at(std::max(due, monotonic_now()));
+    slice_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        slice_due_.reset();
         run_slice();
     });
 }
 
 void job_service::record_slice(duration elapsed)
 {
+    const auto ended = monotonic_now();
+    next_slice_ = ended + elapsed * slice_pause_factor;
+    next_urgent_slice_ = ended + std::max(min_pass_pause, elapsed);
     slice_latency_.record(elapsed);
     pass_time_ += elapsed;
     load_.passing += elapsed;
@@ -276,8 +284,7 @@
 void job_service::end_pass()
 {
     const auto ended = monotonic_now();
-    next_pass_ = ended + std::clamp<duration>(pass_time_ * pass_pause_factor, min_pass_pause,
-                                              max_pass_pause);
+    next_pass_ = std::max(ended + min_pass_pause, next_slice_);
     pass_latency_.record(pass_time_);
     load_.longest_pass = std::max(load_.longest_pass, pass_time_);
     pass_interval_.record(ended - last_pass_);
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -160,7 +160,7 @@
     // Scheduling passes.
     void schedule_pass();
     void begin_pass();
-    /** Runs a slice once the events that are ready have been handled. */
+    /** Runs a slice after a pause for other work. */
     void schedule_slice();
     /** Places what is urgent, and continues the pass that is under way. */
     void run_slice();
@@ -222,7 +222,11 @@
     std::set<worker_id> held_workers_;
     bool pass_due_{false};
     bool due_commands_posted_{false};
-    bool slice_due_{false};
+    /** When the next slice runs, if one is to. */
+    std::optional<time_point> slice_due_;
+    /** Earliest start of the next slice, and of one that places something urgent. */
+    time_point next_slice_;
+    time_point next_urgent_slice_;
     /** Something has changed since the current pass began. */
     bool pass_wanted_{false};
     /** Earliest start of the next pass. */
@@ -240,6 +244,7 @@
     schedule::tail_model last_model_;
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer pass_timer_;
+    boost::asio::steady_timer slice_timer_;
     boost::asio::steady_timer share_timer_;
     gauge& open_jobs_;
     gauge& known_workers_;
