--- a/bench/platform/reportbench.cpp
+++ b/bench/platform/reportbench.cpp
@@ -1,6 +1,7 @@
 #include "benchmarkreport.h"
 #include "platform/workercodec.h"
 #include "processortime.h"
+#include "tests/platform/samplereplies.h"
 
 #include <galenaturn/schedule.h>
 
@@ -106,7 +107,7 @@
         rows += number == 0 ? "[\"" : ",[\"";
         rows += job_name(number).value() + ".0.0.1\",1,\"\",40,120]";
     }
-    return R"({"clockMs":482113,"born":1773226114081,"running":[)" + rows + R"(],"endedRuns":[]})";
+    return poll_reply_with(rows);
 }
 
 /** Returns the microseconds of processor time of one call. */
