schedule: urgent jobs do not wait for the pauses of a pass

Seen by callers: urgent jobs started late beside a full fleet although their own workers had room.

Cause: a change in a queue of the priority that the pass had just reached did not count as urgent, so it waited behind that priority's whole backlog and the pauses after each slice. And the fault simulation that guards this had a loop of its own, from before passes ran in slices: a pass at once, then a pause of four times its time.

Change: when slices run is decided in passtiming, which the daemon and the simulation share. What changes in the most urgent queues is placed in the next urgent slice, also while the pass is at that priority. A slice also ends after 40 starts: they are sent together, and to send one takes longer than to examine a worker.

--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -12,6 +12,7 @@
 #include "libschedule/jobscheduler.h"
 #include "libschedule/jobsizes.h"
 #include "libschedule/leaseterms.h"
+#include "libschedule/passtiming.h"
 #include "libschedule/placement.h"
 #include "libschedule/scheduleerrors.h"
 #include "libschedule/steward.h"
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -21,18 +21,6 @@
  * pass at once.
  */
 constexpr duration tick_interval = std::chrono::milliseconds{100};
-/**
- * Minimum pause between passes and before urgent slices, so that events are handled in batches; far
- * below any job objective.
- */
-constexpr duration min_pass_pause = std::chrono::milliseconds{10};
-/** Number of tasks and workers that a slice of a pass examines: some milliseconds of work. */
-constexpr std::uint64_t max_examined_in_slice = 4000;
-/**
- * A slice is followed by a pause of this multiple of its duration, so that slices take at most one
- * fifth of the time; where something urgent waits, by one of its own duration.
- */
-constexpr int slice_pause_factor = 4;
 /** A new leader uses announcements up to this age. */
 constexpr duration max_announcement_age = std::chrono::seconds{10};
 /**
@@ -49,8 +37,8 @@
                          std::unique_ptr<worker_commands> commands, queue_reader read_queues)
     : shared_{shared}, hub_{hub}, roster_{roster}, commands_{std::move(commands)},
       read_queues_{std::move(read_queues)}, counters_{shared.metrics}, tick_timer_{shared.io},
-      pass_timer_{shared.io}, slice_timer_{shared.io}, share_timer_{shared.io},
-      open_jobs_{shared.metrics.make_gauge("galenaturn_jobs_open")},
+      slice_timer_{shared.io}, share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge(
+                                                            "galenaturn_jobs_open")},
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
@@ -155,7 +143,8 @@
     held_workers_.clear();
     const auto now = monotonic_now();
     term_began_at_ = now;
-    last_pass_ = now;
+    timing_ = {};
+    timing_.last_pass = now;
     scheduler_ =
         schedule::take_over(state.jobs, state.workers, shared_.settings.jobs, now, wall_now());
     scheduler_.interference = last_model_;
@@ -226,42 +215,17 @@
 
 void job_service::schedule_pass()
 {
-    if (scheduler_.pass.active) {
-        pass_wanted_ = true;
-        return schedule_slice();
-    }
-    if (schedule::has_urgent_changes(scheduler_))
-        schedule_slice();
-    if (std::exchange(pass_due_, true))
-        return;
-    pass_timer_.expires_at(std::max(next_pass_, monotonic_now()));
-    pass_timer_.async_wait([this](const boost::system::error_code& error) {
-        pass_due_ = false;
-        if (error || !term_active_ || !hub_.leads())
-            return;
-        begin_pass();
-    });
-}
-
-void job_service::begin_pass()
-{
-    const auto began = monotonic_now();
-    log_begun_jobs();
-    schedule::drain_leaving_workers(scheduler_, began);
-    schedule::begin_pass(scheduler_, began);
-    pass_wanted_ = false;
-    pass_time_ = {};
-    record_slice(monotonic_now() - began);
+    timing_.wanted = true;
     schedule_slice();
 }
 
 void job_service::schedule_slice()
 {
-    const auto due = schedule::has_urgent_changes(scheduler_) ? next_urgent_slice_ : next_slice_;
-    if (slice_due_ && *slice_due_ <= due)
+    const auto due = schedule::next_slice_at(scheduler_, timing_);
+    if (!due || (slice_due_ && *slice_due_ <= *due))
         return;
     slice_due_ = due;
-    slice_timer_.expires_at(std::max(due, monotonic_now()));
+    slice_timer_.expires_at(std::max(*due, monotonic_now()));
     slice_timer_.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
@@ -270,26 +234,21 @@
     });
 }
 
-void job_service::record_slice(duration elapsed)
+void job_service::record_slice(time_point began, bool ends_pass)
 {
     const auto ended = monotonic_now();
-    next_slice_ = ended + elapsed * slice_pause_factor;
-    next_urgent_slice_ = ended + std::max(min_pass_pause, elapsed);
+    const auto elapsed = ended - began;
+    schedule::record_slice_time(timing_, began, ended);
     slice_latency_.record(elapsed);
-    pass_time_ += elapsed;
     load_.passing += elapsed;
     load_.longest_slice = std::max(load_.longest_slice, elapsed);
-}
-
-void job_service::end_pass()
-{
-    const auto ended = monotonic_now();
-    next_pass_ = std::max(ended + min_pass_pause, next_slice_);
-    pass_latency_.record(pass_time_);
-    load_.longest_pass = std::max(load_.longest_pass, pass_time_);
-    pass_interval_.record(ended - last_pass_);
-    load_.longest_interval = std::max(load_.longest_interval, ended - last_pass_);
-    last_pass_ = ended;
+    if (!ends_pass)
+        return;
+    const auto pass = schedule::record_pass_end(timing_, ended);
+    pass_latency_.record(pass.time);
+    load_.longest_pass = std::max(load_.longest_pass, pass.time);
+    pass_interval_.record(pass.interval);
+    load_.longest_interval = std::max(load_.longest_interval, pass.interval);
 }
 
 void job_service::log_begun_jobs()
@@ -365,10 +324,10 @@
 {
     if (!term_active_ || !hub_.leads())
         return;
-    const auto now = monotonic_now();
-    const bool in_pass = scheduler_.pass.active;
-    auto commands = schedule::continue_pass(scheduler_, now, wall_now(), max_examined_in_slice);
-    for (auto& command : commands) {
+    const auto began = monotonic_now();
+    log_begun_jobs();
+    auto slice = schedule::run_slice(scheduler_, timing_, began, wall_now());
+    for (auto& command : slice.starts) {
         if (command.suspect)
             asio::co_spawn(shared_.io, start_suspect(this, std::move(command), generation_),
                            asio::detached);
@@ -376,14 +335,8 @@
             queue_start(std::move(command));
     }
     send_due_commands();
-    record_slice(monotonic_now() - now);
-    if (in_pass && !scheduler_.pass.active) {
-        end_pass();
-        if (pass_wanted_)
-            schedule_pass();
-    }
-    if (scheduler_.pass.active || schedule::has_urgent_changes(scheduler_))
-        schedule_slice();
+    record_slice(began, slice.ends_pass);
+    schedule_slice();
 }
 
 void job_service::send_due_commands()
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -158,11 +158,10 @@
     boost::asio::awaitable<void> send_pace(worker_id worker, std::uint64_t generation);
 
     // Scheduling passes.
+    /** Requests a pass, because something has changed. */
     void schedule_pass();
-    void begin_pass();
-    /** Runs a slice after a pause for other work. */
+    /** Runs the next slice when it is due. */
     void schedule_slice();
-    /** Places what is urgent, and continues the pass that is under way. */
     void run_slice();
     /**
      * Sends the stops and paces that are due and ends the runs whose leases have expired. Separate
@@ -179,8 +178,7 @@
     /** Sends the start once the ledger has recorded it. */
     static boost::asio::awaitable<void>
     start_suspect(job_service* self, schedule::start_command command, std::uint64_t generation);
-    void record_slice(duration elapsed);
-    void end_pass();
+    void record_slice(time_point began, bool ends_pass);
     void log_begun_jobs();
     /** Logs the end of a job that is still open in the scheduler. */
     void log_end(const wire::job_record& record, time_point now) const;
@@ -220,21 +218,10 @@
     std::map<worker_id, worker_connection> connections_;
     /** Workers with commands that are held while the lease of this leader has lapsed. */
     std::set<worker_id> held_workers_;
-    bool pass_due_{false};
     bool due_commands_posted_{false};
+    schedule::pass_timing timing_;
     /** When the next slice runs, if one is to. */
     std::optional<time_point> slice_due_;
-    /** Earliest start of the next slice, and of one that places something urgent. */
-    time_point next_slice_;
-    time_point next_urgent_slice_;
-    /** Something has changed since the current pass began. */
-    bool pass_wanted_{false};
-    /** Earliest start of the next pass. */
-    time_point next_pass_;
-    /** Time in the slices of the current pass. */
-    duration pass_time_{};
-    /** End of the last pass in this term, or start of the term. */
-    time_point last_pass_;
     time_point next_capacity_log_;
     time_point next_model_share_;
     /**
@@ -243,7 +230,6 @@
      */
     schedule::tail_model last_model_;
     boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer pass_timer_;
     boost::asio::steady_timer slice_timer_;
     boost::asio::steady_timer share_timer_;
     gauge& open_jobs_;
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -40,7 +40,7 @@
     time_point now;
     wall_time wall;
     placement_index& candidates;
-    std::uint64_t max_examined{0};
+    slice_limits limits;
     std::vector<start_command> commands;
     /** The job being placed is starving, and none of its tasks has been placed in this slice. */
     bool starving{false};
@@ -51,11 +51,18 @@
     std::uint64_t workers_before{0};
 };
 
-/** Returns whether the slice has examined as much as it may. */
+/** Returns whether the slice has done as much as it may. */
 bool is_used_up(const pass_slice& slice)
 {
-    return slice.tasks > 0 &&
-           slice.tasks + slice.state.counts.candidates - slice.workers_before >= slice.max_examined;
+    const auto workers = slice.state.counts.candidates - slice.workers_before;
+    return slice.commands.size() >= slice.limits.starts ||
+           (slice.tasks > 0 && slice.tasks + workers >= slice.limits.examined);
+}
+
+void count_tasks(pass_slice& slice, std::uint64_t tasks)
+{
+    slice.tasks += tasks;
+    slice.state.counts.examined_tasks += tasks;
 }
 
 /** Returns the services of which a large part of the processors is not reserved. */
@@ -266,7 +273,7 @@
     if (is_used_up(slice))
         return false;
     if (spec.steps[position.step].gang) {
-        slice.tasks += spec.steps[position.step].count;
+        count_tasks(slice, spec.steps[position.step].count);
         start_gang(slice, job, ref, first);
         return true;
     }
@@ -274,7 +281,7 @@
         position.index = ref.index;
         if (is_used_up(slice))
             return false;
-        slice.tasks += needs_run(job.tasks[first + ref.index]) ? 1 : 0;
+        count_tasks(slice, needs_run(job.tasks[first + ref.index]) ? 1 : 0);
         if (!start_task(slice, job, ref, job.tasks[first + ref.index]))
             return true;
     }
@@ -321,7 +328,7 @@
     for (; pass.next_unplaced < pass.unplaced.size(); ++pass.next_unplaced) {
         if (is_used_up(slice))
             return false;
-        ++slice.tasks;
+        count_tasks(slice, 1);
         const auto& ref = pass.unplaced[pass.next_unplaced].ref;
         auto* job = find_job(slice.state, ref.job);
         if (job == nullptr || job->ending)
@@ -428,26 +435,29 @@
 
 namespace {
 
-/** Returns the priority of the queues that the pass has reached, or the highest of all. */
-std::uint32_t reached_priority(const job_scheduler& state)
+/**
+ * Returns the priority below which changes are urgent: that of the most urgent queues and of those
+ * that the pass has reached.
+ */
+std::uint32_t urgent_below(const job_scheduler& state)
 {
     const auto& pass = state.pass;
-    if (pass.active)
-        return pass.next_turn < pass.turns.size() ? pass.turns[pass.next_turn].priority
-                                                  : std::numeric_limits<std::uint32_t>::max();
-    // The turns of the last pass are in order.
-    return pass.turns.empty() ? std::numeric_limits<std::uint32_t>::max()
-                              : pass.turns.front().priority + 1;
+    constexpr auto all = std::numeric_limits<std::uint32_t>::max();
+    if (pass.turns.empty() || (pass.active && pass.next_turn >= pass.turns.size()))
+        return all;
+    // The turns are in order, also those of the last pass.
+    const auto most_urgent = pass.turns.front().priority + 1;
+    return pass.active ? std::max(most_urgent, pass.turns[pass.next_turn].priority) : most_urgent;
 }
 
 /** Returns the changed jobs whose turn comes first, in order of priority and arrival. */
 std::vector<open_job*> urgent_jobs(job_scheduler& state)
 {
-    const auto reached = reached_priority(state);
+    const auto limit = urgent_below(state);
     std::vector<open_job*> urgent;
     for (const auto& id : state.changed_jobs) {
         auto* job = find_job(state, id);
-        if (job != nullptr && !job->ending && job->queue.priority < reached)
+        if (job != nullptr && !job->ending && job->queue.priority < limit)
             urgent.push_back(job);
     }
     std::sort(urgent.begin(), urgent.end(), [](const auto* first, const auto* second) {
@@ -523,7 +533,9 @@
 std::vector<start_command> plan_starts(job_scheduler& state, time_point now, wall_time wall)
 {
     begin_pass(state, now);
-    return continue_pass(state, now, wall, std::numeric_limits<std::uint64_t>::max());
+    return continue_pass(
+        state, now, wall,
+        {std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::size_t>::max()});
 }
 
 void begin_pass(job_scheduler& state, time_point now)
@@ -540,13 +552,13 @@
 }
 
 std::vector<start_command> continue_pass(job_scheduler& state, time_point now, wall_time wall,
-                                         std::uint64_t max_examined)
+                                         slice_limits limits)
 {
     ++state.counts.slices;
     std::vector<start_command> commands;
     if (has_urgent_changes(state)) {
         auto candidates = placement_candidates(state, now);
-        pass_slice slice{state, now,   wall, candidates, max_examined,
+        pass_slice slice{state, now,   wall, candidates, limits,
                          {},    false, {},   0,          state.counts.candidates};
         place_urgent_jobs(slice);
         commands = std::move(slice.commands);
@@ -556,7 +568,7 @@
         return commands;
     add_turns(state);
     validate_candidates(state, pass.candidates, now);
-    pass_slice slice{state, now, wall, pass.candidates,        max_examined, std::move(commands),
+    pass_slice slice{state, now, wall, pass.candidates,        limits, std::move(commands),
                      false, {},  0,    state.counts.candidates};
     pass.active = !place_in_turn(slice);
     return std::move(slice.commands);
@@ -564,11 +576,10 @@
 
 bool has_urgent_changes(const job_scheduler& state)
 {
-    const auto reached = reached_priority(state);
+    const auto limit = urgent_below(state);
     return std::any_of(state.changed_jobs.begin(), state.changed_jobs.end(), [&](const auto& id) {
         const auto job = state.jobs.find(id);
-        return job != state.jobs.end() && !job->second.ending &&
-               job->second.queue.priority < reached;
+        return job != state.jobs.end() && !job->second.ending && job->second.queue.priority < limit;
     });
 }
 
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -148,14 +148,20 @@
 std::vector<start_command> plan_starts(job_scheduler& state, time_point now, wall_time wall);
 /** Begins a scheduling pass, in place of one that has not ended. */
 void begin_pass(job_scheduler& state, time_point now);
+/** How much a slice of a pass does at most: some milliseconds of work. */
+struct slice_limits {
+    /** Number of tasks and workers that are examined. */
+    std::uint64_t examined{4000};
+    /** Number of starts, which are sent together and cost more. */
+    std::size_t starts{40};
+};
 /**
- * Returns the starts that the next slice of the pass finds. What has changed in queues of a higher
- * priority than those that the pass has reached comes first; where no pass is under way, what has
- * changed in the most urgent queues. Both this and the rest, which always proceeds, end once they
- * have examined about `max_examined` tasks and workers.
+ * Returns the starts that the next slice of the pass finds. What has changed in the most urgent
+ * queues, or in queues of a higher priority than those that the pass has reached, comes first. Both
+ * this and the rest, which always proceeds, end about at the limits.
  */
 std::vector<start_command> continue_pass(job_scheduler& state, time_point now, wall_time wall,
-                                         std::uint64_t max_examined);
+                                         slice_limits limits);
 /** Returns whether a slice would place something before the next pass. */
 bool has_urgent_changes(const job_scheduler& state);
 /** Stops long-running tasks on workers that are leaving, where another worker can run them. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -387,6 +387,8 @@
     std::uint64_t passes{0};
     /** Parts of passes between which other work is done. */
     std::uint64_t slices{0};
+    /** Tasks that passes have tried to place. */
+    std::uint64_t examined_tasks{0};
     /** Workers examined to place a task, or to know what they have room for. */
     std::uint64_t candidates{0};
     /** Comparisons of a task with the room of a worker, or of several. */
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -34,8 +34,6 @@
 /** Jobs that were accepted this long ago are in the counts. */
 constexpr duration counted_after = seconds{5};
 constexpr duration tick_interval = milliseconds{100};
-constexpr duration min_pass_pause = milliseconds{10};
-constexpr int pass_pause_factor = 4;
 constexpr duration heartbeat_interval = milliseconds{250};
 constexpr duration election_timeout = seconds{1};
 /** A run may be alive for this time after the cancellation of its job was recorded. */
@@ -705,7 +703,10 @@
         processor_ = {options_.processor_share, now_};
         last_heartbeat_ = now_;
         next_tick_ = now_;
-        next_pass_ = now_;
+        timing_ = {};
+        timing_.last_pass = now_;
+        // Each worker stands for several.
+        timing_.limits.examined /= static_cast<std::uint64_t>(options_.fleet_multiple);
         if (std::exchange(lost_by_fault_, false))
             recovered_at_ = now_;
         state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
@@ -786,6 +787,7 @@
             last_polled_ = id;
             charge(processor_time::report);
             poll(worker, id);
+            timing_.wanted = true;
             if (options_.processor_share > 0)
                 send_due_commands();
         }
@@ -884,7 +886,7 @@
         case 4:
             return advance_command_queues();
         default:
-            return pass_if_due();
+            return run_slice_if_due();
         }
     }
 
@@ -895,6 +897,7 @@
         if (now_ < next_tick_)
             return;
         next_tick_ = now_ + tick_interval;
+        timing_.wanted = true;
         send_due_commands();
     }
 
@@ -917,22 +920,40 @@
         if (job.cancelled)
             job.cancel_known_at = std::min(job.cancel_known_at, now_);
         on_job_record(state_, ledger_.jobs.at(id), now_);
+        timing_.wanted = true;
     }
 
-    void pass_if_due()
+    void run_slice_if_due()
     {
-        if (now_ < next_pass_)
+        const auto due = next_slice_at(state_, timing_);
+        if (!due || now_ < *due)
             return;
-        const auto candidates = state_.counts.candidates;
-        charge(processor_time::waiting_task *
-               static_cast<std::int64_t>(summarize_capacity(state_).waiting_tasks));
-        drain_leaving_workers(state_, now_);
-        send_planned_starts();
-        charge(processor_time::candidate * options_.fleet_multiple *
-               static_cast<std::int64_t>(state_.counts.candidates - candidates));
+        const auto before = state_.counts;
+        const auto slice = run_slice(state_, timing_, now_, wall_);
+        charge_slice(before);
+        for (const auto& command : slice.starts)
+            send_planned_start(command);
         send_due_commands();
         const auto ended = std::max(now_, processor_.busy_until);
-        next_pass_ = ended + std::max(min_pass_pause, (ended - now_) * pass_pause_factor);
+        record_slice_time(timing_, now_, ended);
+        if (slice.ends_pass)
+            record_pass_end(timing_, ended);
+    }
+
+    /** Charges the work of the slice since these counts. */
+    void charge_slice(const job_counts& before)
+    {
+        const auto& counts = state_.counts;
+        const auto fleet =
+            options_.fleet_multiple * static_cast<std::int64_t>(state_.workers.size());
+        if (counts.passes > before.passes)
+            charge(processor_time::begun_pass *
+                   (fleet + static_cast<std::int64_t>(state_.jobs.size())));
+        charge(processor_time::slice * fleet);
+        charge(processor_time::waiting_task *
+               static_cast<std::int64_t>(counts.examined_tasks - before.examined_tasks));
+        charge(processor_time::candidate * options_.fleet_multiple *
+               static_cast<std::int64_t>(counts.candidates - before.candidates));
     }
 
     void send_due_commands()
@@ -952,14 +973,16 @@
 
     void send_planned_starts()
     {
-        for (const auto& command : plan_starts(state_, now_, wall_)) {
-            if (!command.suspect)
-                send_start(command);
-            else
-                submit_command(
-                    wire::record_suspect_start{command.task, command.run, command.worker},
-                    [this, command] { send_start(command); });
-        }
+        for (const auto& command : plan_starts(state_, now_, wall_))
+            send_planned_start(command);
+    }
+
+    void send_planned_start(const start_command& command)
+    {
+        if (!command.suspect)
+            return send_start(command);
+        submit_command(wire::record_suspect_start{command.task, command.run, command.worker},
+                       [this, command] { send_start(command); });
     }
 
     /** Counts the first stop of a run that arrives. */
@@ -990,7 +1013,7 @@
     void send_stop(const stop_command& command)
     {
         if (options_.commands_wait)
-            return queues_[command.worker].stops.push_back(command);
+            return queue(command, &command_queue::stops);
         auto& worker = fleet_[index_of_.at(command.worker)];
         if (!is_reachable(worker) || !accepts_commands_to(worker, command.worker))
             return on_stop_result(state_, command, command_result::none, now_);
@@ -1001,7 +1024,7 @@
     void send_start(const start_command& command)
     {
         if (options_.commands_wait)
-            return queues_[command.worker].starts.push_back(command);
+            return queue(command, &command_queue::starts);
         if (const auto reason = reason_to_drop(state_, command))
             return drop_start(state_, command, *reason, now_);
         on_start_sent(state_, command, now_);
@@ -1018,6 +1041,20 @@
         on_start_result(state_, command, execute(worker, command, now_), now_);
     }
 
+    /** A leader whose work takes time sends the first command to a worker at once. */
+    template <class Command>
+    void queue(const Command& command, std::deque<Command> command_queue::*commands)
+    {
+        auto& queue = queues_[command.worker];
+        const bool is_idle =
+            queue.starts.empty() && queue.stops.empty() && now_ >= queue.busy_until;
+        (queue.*commands).push_back(command);
+        if (options_.processor_share <= 0 || !is_idle || queue.on_timeout)
+            return;
+        charge(processor_time::command);
+        send_first(queue);
+    }
+
     void advance_command_queues()
     {
         if (!term_active_)
@@ -1138,7 +1175,7 @@
     worker_id last_polled_;
     time_point last_heartbeat_;
     time_point next_tick_;
-    time_point next_pass_;
+    pass_timing timing_;
     std::deque<submission_id> short_jobs_;
     std::vector<submission_id> late_jobs_;
 };
--- a/tests/schedule/leaderprocessor.h
+++ b/tests/schedule/leaderprocessor.h
@@ -13,8 +13,12 @@
 
 /** A worker that a pass examines for a task. */
 constexpr nanoseconds candidate{250};
-/** A task that waits during a pass. */
+/** A task that a pass tries to place. */
 constexpr nanoseconds waiting_task{1000};
+/** An open job or a worker when a pass begins. */
+constexpr nanoseconds begun_pass{7000};
+/** A worker at the beginning of a slice. */
+constexpr nanoseconds slice{500};
 constexpr nanoseconds report{100'000};
 constexpr nanoseconds command{100'000};
 constexpr nanoseconds ledger_change{50'000};
--- a/tests/schedule/passslicestest.cpp
+++ b/tests/schedule/passslicestest.cpp
@@ -94,7 +94,7 @@
 
     std::vector<start_command> slice(std::uint64_t max_examined)
     {
-        return continue_pass(state_, now_, wall_, max_examined);
+        return continue_pass(state_, now_, wall_, {max_examined, whole});
     }
 
     std::size_t started(const std::vector<start_command>& commands, const std::string& id) const
