wire: frames do not wait for rounds of a busy event loop

Cause: each frame was read in two steps, the header and the payload, and each step that finds its bytes at once still completes through the queue of the event loop. So a connection delivered one frame in two rounds of the loop, whatever had arrived: responses of followers, job requests of entries and announcements queued behind each other. A frame to be sent waited for one more round, until the coroutine that writes was woken.

Change: a connection reads what has arrived into a buffer and takes all complete frames from it; a frame is written when it is sent, or with others when the write in progress has ended.

--- a/src/libwire/connection.cpp
+++ b/src/libwire/connection.cpp
@@ -1,13 +1,11 @@
 #include "connection.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
 
-#include <array>
+#include <algorithm>
+#include <utility>
 
 namespace galenaturn::wire {
 
@@ -19,6 +17,9 @@
 /** Limit of the bytes queued for a slow peer; above it, frames are dropped and counted. */
 constexpr std::size_t max_queued_bytes = std::size_t{8} << 20;
 
+/** Bytes that are read at once, while the next frame is not longer. */
+constexpr std::size_t usual_read_bytes = std::size_t{16} << 10;
+
 /** The connection is closed if sent bytes stay unacknowledged for this long; a network partition
  * gives no other sign. */
 constexpr int user_timeout_ms = 2000;
@@ -39,18 +40,13 @@
 }
 
 connection::connection(tcp::socket socket, channel_counters& counters)
-    : socket_{std::move(socket)}, wake_{socket_.get_executor()}, counters_{counters}
+    : socket_{std::move(socket)}, counters_{counters}
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay{true}, ignored);
     set_user_timeout(socket_);
 }
 
-void connection::start_writing()
-{
-    asio::co_spawn(socket_.get_executor(), write_queue(shared_from_this()), asio::detached);
-}
-
 bool connection::send(const frame& outgoing)
 {
     if (closed_ || queued_bytes_ > max_queued_bytes) {
@@ -60,32 +56,78 @@
     queue_.push_back(encode_frame(outgoing));
     queued_bytes_ += queue_.back().size();
     counters_.frames_sent.add();
-    wake_.cancel();
+    if (!writing_)
+        write_queue();
     return true;
 }
 
+void connection::write_queue()
+{
+    writing_ = true;
+    batch_.clear();
+    for (const auto& encoded : std::exchange(queue_, {}))
+        batch_ += encoded;
+    asio::async_write(
+        socket_, asio::buffer(batch_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t written) {
+            self->writing_ = false;
+            self->queued_bytes_ -= self->batch_.size();
+            self->counters_.bytes_sent.add(written);
+            if (error)
+                self->close();
+            else if (!self->queue_.empty())
+                self->write_queue();
+        });
+}
+
 asio::awaitable<result<frame>> connection::receive()
 {
-    std::array<char, frame_header_size> header_bytes{};
-    auto [error, size] = co_await asio::async_read(socket_, asio::buffer(header_bytes), use_result);
-    if (error)
-        co_return error;
-    const auto header = decode_frame_header({header_bytes.data(), header_bytes.size()});
-    if (!header) {
-        counters_.frames_malformed.add();
-        co_return header.error();
+    while (true) {
+        if (auto next = take_frame())
+            co_return std::move(*next);
+        auto [error, size] =
+            co_await socket_.async_read_some(input_.prepare(bytes_to_read()), use_result);
+        if (error)
+            co_return error;
+        input_.commit(size);
+        counters_.bytes_received.add(size);
+    }
+}
+
+std::optional<result<frame>> connection::take_frame()
+{
+    if (!header_) {
+        if (input_.size() < frame_header_size)
+            return std::nullopt;
+        const auto bytes = input_.cdata();
+        auto header =
+            decode_frame_header({static_cast<const char*>(bytes.data()), frame_header_size});
+        if (!header) {
+            counters_.frames_malformed.add();
+            return header.error();
+        }
+        input_.consume(frame_header_size);
+        header_ = header.value();
     }
-    std::string payload(header.value().size, '\0');
-    auto [payload_error, payload_size] =
-        co_await asio::async_read(socket_, asio::buffer(payload), use_result);
-    if (payload_error)
-        co_return payload_error;
+    if (input_.size() < header_->size)
+        return std::nullopt;
+    std::string payload{static_cast<const char*>(input_.cdata().data()), header_->size};
+    input_.consume(header_->size);
+    // The room for a long frame is given back.
+    if (input_.size() == 0 && input_.capacity() > 2 * usual_read_bytes)
+        input_ = {};
+    const auto header = *std::exchange(header_, std::nullopt);
     counters_.frames_received.add();
-    counters_.bytes_received.add(size + payload_size);
-    auto checked = check_frame(header.value(), std::move(payload));
+    auto checked = check_frame(header, std::move(payload));
     if (!checked)
         counters_.frames_malformed.add();
-    co_return checked;
+    return checked;
+}
+
+std::size_t connection::bytes_to_read() const
+{
+    const auto missing = header_ ? header_->size - input_.size() : 0;
+    return std::max(usual_read_bytes, missing);
 }
 
 void connection::close()
@@ -93,29 +135,6 @@
     closed_ = true;
     boost::system::error_code ignored;
     socket_.close(ignored);
-    wake_.cancel();
-}
-
-asio::awaitable<void> connection::write_queue(std::shared_ptr<connection> self)
-{
-    while (!self->closed_) {
-        if (self->queue_.empty()) {
-            self->wake_.expires_at(asio::steady_timer::time_point::max());
-            co_await self->wake_.async_wait(use_result);
-            continue;
-        }
-        std::string batch;
-        while (!self->queue_.empty()) {
-            batch += self->queue_.front();
-            self->queue_.pop_front();
-        }
-        auto [error, written] =
-            co_await asio::async_write(self->socket_, asio::buffer(batch), use_result);
-        self->queued_bytes_ -= batch.size();
-        self->counters_.bytes_sent.add(written);
-        if (error)
-            self->close();
-    }
 }
 
 } // namespace galenaturn::wire
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -6,9 +6,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 
 #include <deque>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace galenaturn::wire {
 
@@ -20,14 +23,17 @@
 /** Converts the address to an Asio endpoint. */
 boost::asio::ip::tcp::endpoint to_tcp(const ip_endpoint& address);
 
-/** One open connection: a bounded queue of outgoing bytes and the coroutine that writes them. */
+/**
+ * One open connection. A frame is written at once, or together with others while a write is in
+ * progress; frames that have arrived together are read together. So a frame does not wait for a
+ * whole round of a busy event loop at each step.
+ */
 class connection : public std::enable_shared_from_this<connection> {
 public:
     connection(boost::asio::ip::tcp::socket socket, channel_counters& counters);
 
-    void start_writing();
-    /** Queues a frame. Returns false if it was dropped: the queue is full or the connection
-     * is closed. */
+    /** Sends a frame. Returns false if it was dropped: too much is queued or the connection is
+     * closed. */
     bool send(const frame& outgoing);
     /** Returns the next frame, or an error, after which the connection can no longer be used. */
     boost::asio::awaitable<result<frame>> receive();
@@ -35,13 +41,22 @@
     [[nodiscard]] bool closed() const { return closed_; }
 
 private:
-    static boost::asio::awaitable<void> write_queue(std::shared_ptr<connection> self);
+    void write_queue();
+    /** Returns the next frame if it has arrived completely. */
+    std::optional<result<frame>> take_frame();
+    /** Returns how many bytes to make room for: the rest of the next frame, or a usual amount. */
+    [[nodiscard]] std::size_t bytes_to_read() const;
 
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer wake_;
     channel_counters& counters_;
     std::deque<std::string> queue_;
     std::size_t queued_bytes_{0};
+    /** The frames that are being written. */
+    std::string batch_;
+    bool writing_{false};
+    /** Bytes that have arrived, from the beginning of a frame. */
+    boost::beast::flat_buffer input_;
+    std::optional<frame_header> header_;
     bool closed_{false};
 };
 
--- a/src/libwire/frameserver.cpp
+++ b/src/libwire/frameserver.cpp
@@ -44,7 +44,6 @@
     static asio::awaitable<void> serve(std::shared_ptr<state> self,
                                        std::shared_ptr<connection> peer)
     {
-        peer->start_writing();
         const auto greeting = co_await read_hello(*self, *peer);
         while (greeting && !peer->closed()) {
             auto received = co_await peer->receive();
--- a/src/libwire/peerlink.cpp
+++ b/src/libwire/peerlink.cpp
@@ -81,7 +81,6 @@
         if (error || self.closed || !socket.is_open())
             co_return false;
         self.current = std::make_shared<connection>(std::move(socket), self.context.counters);
-        self.current->start_writing();
         self.current->send({frame_kind::hello, 0, encode(self.context.self)});
         co_return true;
     }
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -94,6 +94,9 @@
     CPPUNIT_TEST(malformed_bytes_close_only_their_connection);
     CPPUNIT_TEST(failed_frame_handler_closes_only_its_connection);
     CPPUNIT_TEST(failed_datagram_handler_does_not_end_receiving);
+    CPPUNIT_TEST(frames_that_have_arrived_do_not_wait_for_a_round_each);
+    CPPUNIT_TEST(frame_is_written_without_a_further_round);
+    CPPUNIT_TEST(frame_longer_than_the_usual_read_is_received);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::awaitable<void> send_call(peer_link& link, duration limit,
@@ -362,6 +365,95 @@
         CPPUNIT_ASSERT_EQUAL(2, received);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, receiver.counters().failed.value());
     }
+
+    /** Counts the rounds of the event loop: a handler that posts itself again. */
+    static void count_rounds(asio::io_context& io, std::uint64_t& rounds)
+    {
+        asio::post(io, [&io, &rounds] {
+            ++rounds;
+            count_rounds(io, rounds);
+        });
+    }
+
+    /** Each frame waited for two rounds of a busy leader, so that its ledger fell behind. */
+    void frames_that_have_arrived_do_not_wait_for_a_round_each()
+    {
+        constexpr std::uint64_t sent = 100;
+        asio::io_context io;
+        echo_process echo{io};
+        std::uint64_t received = 0;
+        echo.router.on(frame_kind::roster,
+                       [&received](const hello& /*from*/, const frame& /*received*/,
+                                   const reply_function& /*reply*/) { ++received; });
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        const hello greeting{process_id{"client"}, failure_domain_id{"hall-b"}};
+        auto text = encode_frame({frame_kind::hello, 0, encode(greeting)});
+        for (std::uint64_t number = 0; number < sent; ++number)
+            text += encode_frame({frame_kind::roster, 0, std::string(100, 'x')});
+        asio::ip::tcp::socket client{io};
+        client.connect({asio::ip::make_address(address.address), address.port});
+        asio::write(client, asio::buffer(text));
+        run_until(io, [&received] { return received > 0; });
+        std::uint64_t rounds = 0;
+        count_rounds(io, rounds);
+        run_until(io, [&received] { return received == sent; });
+        CPPUNIT_ASSERT_EQUAL(sent, received);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(rounds), rounds < sent / 10);
+    }
+
+    /** A frame waited for the next round of a busy event loop before it was written. */
+    void frame_is_written_without_a_further_round()
+    {
+        asio::io_context io;
+        asio::io_context busy;
+        echo_process echo{io};
+        int received = 0;
+        echo.router.on(frame_kind::roster,
+                       [&received](const hello& /*from*/, const frame& /*received*/,
+                                   const reply_function& /*reply*/) { ++received; });
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{busy,
+                               {process_id{"client"}, failure_domain_id{"hall-b"}},
+                               {},
+                               channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(busy, [&link] { return link.connected(); });
+        busy.run_for(std::chrono::milliseconds{20});
+        CPPUNIT_ASSERT(link.send(frame_kind::roster, "news"));
+        io.run_for(std::chrono::milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(1, received);
+    }
+
+    void frame_longer_than_the_usual_read_is_received()
+    {
+        asio::io_context io;
+        echo_process echo{io};
+        std::size_t received = 0;
+        echo.router.on(frame_kind::roster, [&received](const hello& /*from*/, const frame& read,
+                                                       const reply_function& /*reply*/) {
+            received += read.payload.size();
+        });
+        const ip_endpoint address{"127.0.0.1", free_port(io)};
+        CPPUNIT_ASSERT(echo.server.listen(address));
+        metrics_registry metrics;
+        channel_context client{
+            io, {process_id{"client"}, failure_domain_id{"hall-b"}}, {}, channel_counters{metrics}};
+        peer_link link{client, address, failure_domain_id{"hall-a"}};
+        link.start();
+        run_until(io, [&link] { return link.connected(); });
+        std::size_t sent = 0;
+        for (const std::size_t size : {1, 3 << 20, 0, 16 << 10, (16 << 10) - 24, 100}) {
+            CPPUNIT_ASSERT(link.send(frame_kind::roster, std::string(size, 'x')));
+            sent += size;
+        }
+        run_until(io, [&] { return received == sent; });
+        CPPUNIT_ASSERT_EQUAL(sent, received);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, echo.context.counters.frames_malformed.value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(channel_test);
