http: one timer for the deadlines of all pooled connections

Each read and write armed a timer of its own, and cancelled it, which costs two further handlers in the event loop; each request asked the system twice whether its connection was still open; a write that was done at once still completed through the queue of the loop.

--- a/src/entryd/upstreamclient.cpp
+++ b/src/entryd/upstreamclient.cpp
@@ -103,7 +103,7 @@
         const bool current = link->incarnation_number == target.incarnation_number &&
                              link->address == target.address;
         if (current && now - link->idle_since < max_idle_time &&
-            http::is_open_and_idle(link->stream))
+            http::is_open_and_idle(link->stream.socket()))
             return link;
     }
     return nullptr;
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -47,15 +47,14 @@
     co_return reply;
 }
 
-bool is_open_and_idle(boost::beast::tcp_stream& stream)
+bool is_open_and_idle(asio::ip::tcp::socket& socket)
 {
     boost::system::error_code error;
     char byte = 0;
-    auto& socket = stream.socket();
-    socket.non_blocking(true, error);
-    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek,
-                   error);
-    return error == boost::asio::error::would_block;
+    if (!socket.non_blocking())
+        socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
 }
 
 } // namespace galenaturn::http
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -2,7 +2,7 @@
 
 #include "httpserver.h"
 
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 namespace galenaturn::http {
 
@@ -15,6 +15,6 @@
                      const std::string& content_type = "application/json");
 
 /** Returns whether the peer of an idle connection has neither closed it nor sent anything. */
-bool is_open_and_idle(boost::beast::tcp_stream& stream);
+bool is_open_and_idle(boost::asio::ip::tcp::socket& socket);
 
 } // namespace galenaturn::http
--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -56,14 +55,15 @@
 } // namespace
 
 struct session_pool::session {
-    explicit session(asio::io_context& io) : stream{io} {}
+    explicit session(asio::io_context& io) : socket{io} {}
 
-    beast::tcp_stream stream;
+    tcp::socket socket;
     beast::flat_buffer buffer;
 };
 
 session_pool::session_pool(asio::io_context& io, metrics_registry& metrics)
-    : io_{io}, opened_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "opened"}})},
+    : io_{io}, deadlines_{io}, opened_{metrics.make_counter("galenaturn_http_sessions_total",
+                                                            {{"use", "opened"}})},
       reused_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "reused"}})},
       failed_{metrics.make_counter("galenaturn_http_sessions_total", {{"use", "failed"}})}
 {
@@ -77,12 +77,45 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (is_open_and_idle(connection->stream))
+        if (is_open_and_idle(connection->socket))
             return connection;
     }
     return nullptr;
 }
 
+asio::awaitable<result<void>> session_pool::connect(session& opened, ip_endpoint address,
+                                                    time_point deadline)
+{
+    const tcp::endpoint endpoint{asio::ip::make_address(address.address), address.port};
+    const socket_deadlines::watch watch{deadlines_, opened.socket,
+                                        std::min(deadline, monotonic_now() + connect_timeout)};
+    auto [error] = co_await opened.socket.async_connect(endpoint, use_result);
+    if (error)
+        co_return error;
+    boost::system::error_code ignored;
+    opened.socket.set_option(tcp::no_delay{true}, ignored);
+    opened.socket.non_blocking(true, ignored);
+    co_return success();
+}
+
+namespace {
+
+/** Writes the text. What fits into the socket's buffer is written without a wait. */
+asio::awaitable<boost::system::error_code> write(tcp::socket& socket, const std::string& text)
+{
+    boost::system::error_code error;
+    const auto written = socket.write_some(asio::buffer(text), error);
+    if (error == asio::error::would_block)
+        error = {};
+    if (error || written == text.size())
+        co_return error;
+    auto [rest_error, size] =
+        co_await asio::async_write(socket, asio::buffer(text) + written, use_result);
+    co_return rest_error;
+}
+
+} // namespace
+
 asio::awaitable<result<response>> session_pool::exchange(ip_endpoint address, request message,
                                                          time_point deadline)
 {
@@ -93,37 +126,28 @@
     else {
         opened_.add();
         connection = std::make_unique<session>(io_);
-        const tcp::endpoint endpoint{asio::ip::make_address(address.address), address.port};
-        connection->stream.expires_at(std::min(deadline, monotonic_now() + connect_timeout));
-        auto [error] = co_await connection->stream.async_connect(endpoint, use_result);
-        if (error) {
+        if (auto connected = co_await connect(*connection, address, deadline); !connected) {
             failed_.add();
-            co_return error;
+            co_return connected.error();
         }
-        boost::system::error_code ignored_error;
-        connection->stream.socket().set_option(tcp::no_delay{true}, ignored_error);
     }
-    connection->stream.expires_at(deadline);
+    const socket_deadlines::watch watch{deadlines_, connection->socket, deadline};
     const auto text = serialize(message);
-    auto [write_error, written] =
-        co_await asio::async_write(connection->stream, asio::buffer(text), use_result);
-    if (write_error) {
+    if (const auto error = co_await write(connection->socket, text)) {
         failed_.add();
-        co_return write_error;
+        co_return error;
     }
     beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(max_response_bytes);
     auto [read_error, size] =
-        co_await beast_http::async_read(connection->stream, connection->buffer, parser, use_result);
+        co_await beast_http::async_read(connection->socket, connection->buffer, parser, use_result);
     if (read_error) {
         failed_.add();
-        co_return read_error;
+        co_return monotonic_now() < deadline ? read_error : asio::error::timed_out;
     }
     const bool reusable = parser.get().keep_alive() && connection->buffer.size() == 0;
-    if (reusable) {
-        connection->stream.expires_never();
+    if (reusable)
         idle_[address].push_back(std::move(connection));
-    }
     co_return parser.release();
 }
 
--- a/src/libhttp/sessionpool.h
+++ b/src/libhttp/sessionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver.h"
+#include "socketdeadlines.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -31,8 +32,11 @@
     struct session;
 
     std::unique_ptr<session> take_idle(const ip_endpoint& address);
+    boost::asio::awaitable<result<void>> connect(session& opened, ip_endpoint address,
+                                                 time_point deadline);
 
     boost::asio::io_context& io_;
+    socket_deadlines deadlines_;
     std::map<ip_endpoint, std::vector<std::unique_ptr<session>>> idle_;
     counter& opened_;
     counter& reused_;
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace galenaturn::http {
@@ -13,6 +16,8 @@
 class session_pool_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(session_pool_test);
     CPPUNIT_TEST(requests_arrive_whole_over_one_connection);
+    CPPUNIT_TEST(exchange_ends_at_its_deadline);
+    CPPUNIT_TEST(deadline_of_an_ended_exchange_closes_no_connection);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context io_;
@@ -56,6 +61,59 @@
             metrics_.make_counter("galenaturn_http_sessions_total", {{"use", "reused"}});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, reused.value());
     }
+
+    asio::awaitable<void> wait_for_answer(ip_endpoint address, duration limit, bool& answered)
+    {
+        const auto reply = co_await pool_.exchange(address, make_request(verb::get, "/wait"),
+                                                   monotonic_now() + limit);
+        answered = reply.has_value();
+    }
+
+    /** Sends a request with this time to its deadline. Returns whether it was answered. */
+    bool is_answered(const server& target, duration limit)
+    {
+        bool answered = false;
+        asio::co_spawn(io_, wait_for_answer({"127.0.0.1", target.port()}, limit, answered),
+                       [this](const std::exception_ptr&) { io_.stop(); });
+        io_.restart();
+        io_.run_for(std::chrono::seconds{10});
+        return answered;
+    }
+
+    void exchange_ends_at_its_deadline()
+    {
+        asio::steady_timer never{io_, std::chrono::hours{1}};
+        routes_.add(verb::get, "/wait", [&](call& /*incoming*/) -> asio::awaitable<response> {
+            boost::system::error_code ignored;
+            co_await never.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_return make_response(status::ok, "late", "text/plain");
+        });
+        server target{io_, routes_, {}, metrics_};
+        CPPUNIT_ASSERT(target.listen({"127.0.0.1", 0}).has_value());
+        for (const auto limit : {std::chrono::milliseconds{300}, std::chrono::milliseconds{50}}) {
+            const auto began = monotonic_now();
+            CPPUNIT_ASSERT(!is_answered(target, limit));
+            CPPUNIT_ASSERT(monotonic_now() - began >= limit);
+            CPPUNIT_ASSERT(monotonic_now() - began < limit + std::chrono::milliseconds{200});
+        }
+    }
+
+    void deadline_of_an_ended_exchange_closes_no_connection()
+    {
+        routes_.add(verb::get, "/wait", [](call& /*incoming*/) -> asio::awaitable<response> {
+            co_return make_response(status::ok, "at once", "text/plain");
+        });
+        server target{io_, routes_, {}, metrics_};
+        CPPUNIT_ASSERT(target.listen({"127.0.0.1", 0}).has_value());
+        for (int request = 0; request < 3; ++request) {
+            CPPUNIT_ASSERT(is_answered(target, std::chrono::milliseconds{100}));
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds{150});
+        }
+        const auto& opened =
+            metrics_.make_counter("galenaturn_http_sessions_total", {{"use", "opened"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, opened.value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_pool_test);
