schedule: each place is promised to one run of a leaving worker

Seen: two long-running tasks of a worker that left were stopped although only one of them fitted elsewhere; the other was away until something ended.

Cause: each run was compared with the same free capacity, in one plan and in the plans after it while the first run was still ending.

Change: the places of runs that move, also of those that are being stopped, count as reserved while moves are planned.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -405,32 +405,80 @@
 
 } // namespace
 
+namespace {
+
+/**
+ * Places for runs that move from workers that leave. Each place is promised to one run: it counts
+ * as reserved as long as this object exists.
+ */
+class planned_moves {
+public:
+    planned_moves(job_scheduler& state, time_point now)
+        : state_{state}, now_{now}, candidates_{placement_candidates(state, now)}
+    {
+    }
+    planned_moves(const planned_moves&) = delete;
+    planned_moves& operator=(const planned_moves&) = delete;
+    ~planned_moves()
+    {
+        for (const auto& [worker, reserved] : promised_) {
+            worker->reserved -= reserved;
+            // What has failed meanwhile may fit there.
+            mark_changed(state_, *worker);
+        }
+    }
+
+    /** Returns whether another worker can run the task. */
+    bool find_place(const wire::task_ref& ref)
+    {
+        const auto& job = state_.jobs.at(ref.job);
+        const auto& step = job.spec.steps[ref.step];
+        auto* worker = choose_worker(state_, candidates_, {&job, ref, &step, {}, false}, now_);
+        if (worker == nullptr)
+            return false;
+        worker->reserved += reservation_of(step);
+        promised_.emplace_back(worker, reservation_of(step));
+        return true;
+    }
+
+private:
+    job_scheduler& state_;
+    time_point now_;
+    placement_index candidates_;
+    std::vector<std::pair<job_worker*, resources>> promised_;
+};
+
+} // namespace
+
 void drain_leaving_workers(job_scheduler& state, time_point now)
 {
-    const auto is_leaving = [](const auto& entry) {
-        return entry.second.leaving && !entry.second.runs.empty();
-    };
-    if (std::none_of(state.workers.begin(), state.workers.end(), is_leaving))
-        return;
-    mark_ended_pauses(state, now);
-    auto candidates = placement_candidates(state, now);
-    for (auto& [id, worker] : state.workers) {
+    std::vector<wire::task_ref> running;
+    std::vector<wire::task_ref> moving;
+    for (const auto& [id, worker] : state.workers) {
         if (!worker.leaving)
             continue;
-        const auto runs = worker.runs;
-        for (const auto& [ref, number] : runs) {
-            auto* job = find_job(state, ref.job);
-            auto* task = find_task(state, ref);
-            if (task == nullptr || task->run->phase != run_phase::running)
-                continue;
-            const auto& step = job->spec.steps[ref.step];
+        for (const auto& [ref, number] : worker.runs) {
+            const auto* task = find_task(state, ref);
             // A finite task ends before the worker leaves; a long-running one moves as soon as
             // another worker can run it.
-            if (step.long_running &&
-                choose_worker(state, candidates, {job, ref, &step, {}, false}, now) != nullptr)
-                stop_run(state, ref, *task, stop_cause::worker_leaving, now);
+            if (task == nullptr || !state.jobs.at(ref.job).spec.steps[ref.step].long_running)
+                continue;
+            if (task->run->phase == run_phase::running)
+                running.push_back(ref);
+            else if (task->run->cause == stop_cause::worker_leaving)
+                moving.push_back(ref);
         }
     }
+    if (running.empty())
+        return;
+    mark_ended_pauses(state, now);
+    planned_moves moves{state, now};
+    for (const auto& ref : moving)
+        moves.find_place(ref);
+    for (const auto& ref : running) {
+        if (moves.find_place(ref))
+            stop_run(state, ref, *find_task(state, ref), stop_cause::worker_leaving, now);
+    }
 }
 
 namespace {
--- a/tests/schedule/startsreviewtest.cpp
+++ b/tests/schedule/startsreviewtest.cpp
@@ -274,6 +274,11 @@
         on_worker_announcement(state_, leaving);
         drain_leaving_workers(state_, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+        // The place stays promised until the run that moves has ended.
+        drain_leaving_workers(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, plan_stops(state_, now_).size());
+        // Promised places are reserved only while moves are planned.
+        CPPUNIT_ASSERT(state_.workers.at(worker_id{"w2"}).reserved.processors == millicores{});
     }
 
     /** Records the items in the ledger, and passes the result to the scheduler. */
