schedule: the next life of a worker inherits its unanswered starts

Seen: a worker left while a start to it had no answer, and came back under its name: the next life got a lease at once, so that a start that was carried out late could run beside the one that had replaced it.

Cause: what a worker may still carry out was forgotten with the worker when it left; only a crash passed it on.

Change: such starts are kept by the worker's name until its next life appears, or a minute has passed, and are stopped there before it gets a lease.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -460,6 +460,8 @@
     std::map<orphan_run, orphan_stops> orphans;
     /** The same, by the time of the next stop. */
     deadline_queue<orphan_run> orphan_stops_due;
+    /** Doubtful starts of workers that are gone, by name, until their next lives appear. */
+    std::map<std::string, std::vector<doubtful_start>> departed_starts;
     /** All workers with doubtful starts, and some that had any. */
     std::set<worker_id> workers_in_doubt;
     /** No lease of a worker with runs expires before this time. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t min_adopted_pace_percent = 10;
 /** Pause before a worker with that many failures gets new tasks. */
 constexpr duration failing_worker_pause = std::chrono::seconds{6};
+/** No start is carried out later than this after it was sent. */
+constexpr duration max_start_delay = std::chrono::seconds{60};
 
 using completion_items = std::vector<wire::record_completions::item>;
 
@@ -272,8 +274,40 @@
                           *run.confirmed_at <= worker.lost->at);
 }
 
+/** Passes on the starts that a worker which is gone may carry out in this life. */
+void inherit_departed_starts(job_scheduler& state, job_worker& worker)
+{
+    auto departed = state.departed_starts.extract(name_of(worker.record.id));
+    if (departed.empty())
+        return;
+    auto& starts = departed.mapped();
+    worker.doubtful_starts.insert(worker.doubtful_starts.end(), starts.begin(), starts.end());
+    state.workers_in_doubt.insert(worker.record.id);
+}
+
+/** Keeps the starts that the next life of a worker which is gone may carry out. */
+void keep_departed_starts(job_scheduler& state, const job_worker& worker)
+{
+    if (incarnation_of(worker.record.id) == incarnation{})
+        return;
+    auto starts = worker.doubtful_starts;
+    for (const auto& [ref, number] : worker.runs) {
+        const auto& run = *find_task(state, ref)->run;
+        if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
+            starts.push_back({ref, number, run.phase_since, std::nullopt, 0});
+    }
+    if (starts.empty())
+        return;
+    const auto latest = starts.back().since;
+    std::erase_if(state.departed_starts, [&](const auto& entry) {
+        return latest - entry.second.back().since > max_start_delay;
+    });
+    auto& kept = state.departed_starts[name_of(worker.record.id)];
+    kept.insert(kept.end(), starts.begin(), starts.end());
+}
+
 /** Moves the runs that the next life of the worker may have, or may still get. */
-void begin_next_life(job_scheduler& state, const job_worker& earlier, const worker_id& next,
+void begin_next_life(job_scheduler& state, job_worker& earlier, const worker_id& next,
                      time_point now)
 {
     const auto [found, added] = state.workers.try_emplace(next);
@@ -289,6 +323,7 @@
     // A command names the worker only, so the next life may carry it out.
     worker.doubtful_starts.insert(worker.doubtful_starts.end(), earlier.doubtful_starts.begin(),
                                   earlier.doubtful_starts.end());
+    earlier.doubtful_starts.clear();
     if (!worker.doubtful_starts.empty())
         state.workers_in_doubt.insert(next);
     const auto runs = earlier.runs;
@@ -345,6 +380,8 @@
         return;
     worker.record = presence.worker;
     worker.leaving = presence.leaving;
+    if (added)
+        inherit_departed_starts(state, worker);
     mark_changed(state, worker);
 }
 
@@ -365,6 +402,7 @@
     if (worker == state.workers.end())
         return;
     state.counts.lost += worker->second.runs.size();
+    keep_departed_starts(state, worker->second);
     end_all_runs(state, worker->second);
     state.workers.erase(worker);
 }
