wire: a second frame does not wait for a round either

Only the first frame to a peer in a round of the event loop was written at once: the end of its write is handled in the next round, and frames sent until then waited for it, so that a heartbeat or a vote could wait behind any other frame.

A frame is now written without an asynchronous operation; only what finds no room in the socket's buffer waits for it. second_frame_is_written_without_a_further_round failed before and passes. test_wire: 18 passed.

--- a/src/libwire/connection.cpp
+++ b/src/libwire/connection.cpp
@@ -45,6 +45,7 @@
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay{true}, ignored);
     set_user_timeout(socket_);
+    socket_.non_blocking(true, ignored);
 }
 
 bool connection::send(const frame& outgoing)
@@ -53,31 +54,51 @@
         counters_.frames_dropped.add();
         return false;
     }
-    queue_.push_back(encode_frame(outgoing));
-    queued_bytes_ += queue_.back().size();
     counters_.frames_sent.add();
-    if (!writing_)
-        write_queue();
+    auto encoded = encode_frame(outgoing);
+    if (!writing_) {
+        write(std::move(encoded));
+        return true;
+    }
+    queued_bytes_ += encoded.size();
+    queue_.push_back(std::move(encoded));
     return true;
 }
 
-void connection::write_queue()
+void connection::write(std::string text)
 {
+    boost::system::error_code error;
+    const auto written = socket_.write_some(asio::buffer(text), error);
+    counters_.bytes_sent.add(written);
+    if (error && error != asio::error::would_block)
+        return close();
+    if (written == text.size())
+        return;
+    text.erase(0, written);
+    batch_ = std::move(text);
+    queued_bytes_ += batch_.size();
     writing_ = true;
-    batch_.clear();
+    asio::async_write(socket_, asio::buffer(batch_),
+                      [self = shared_from_this()](const boost::system::error_code& write_error,
+                                                  std::size_t size) {
+                          self->writing_ = false;
+                          self->queued_bytes_ -= self->batch_.size();
+                          self->counters_.bytes_sent.add(size);
+                          if (write_error)
+                              self->close();
+                          else
+                              self->write_queue();
+                      });
+}
+
+void connection::write_queue()
+{
+    std::string text;
     for (const auto& encoded : std::exchange(queue_, {}))
-        batch_ += encoded;
-    asio::async_write(
-        socket_, asio::buffer(batch_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t written) {
-            self->writing_ = false;
-            self->queued_bytes_ -= self->batch_.size();
-            self->counters_.bytes_sent.add(written);
-            if (error)
-                self->close();
-            else if (!self->queue_.empty())
-                self->write_queue();
-        });
+        text += encoded;
+    queued_bytes_ -= text.size();
+    if (!text.empty())
+        write(std::move(text));
 }
 
 asio::awaitable<result<frame>> connection::receive()
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -24,9 +24,9 @@
 boost::asio::ip::tcp::endpoint to_tcp(const ip_endpoint& address);
 
 /**
- * One open connection. A frame is written at once, or together with others while a write is in
- * progress; frames that have arrived together are read together. So a frame does not wait for a
- * whole round of a busy event loop at each step.
+ * One open connection. A frame is written at once unless an earlier one waits for room; frames that
+ * have arrived together are read together. So a frame does not wait for a whole round of a busy
+ * event loop at each step.
  */
 class connection : public std::enable_shared_from_this<connection> {
 public:
@@ -41,6 +41,9 @@
     [[nodiscard]] bool closed() const { return closed_; }
 
 private:
+    /** Writes as much as possible at once, and the rest as soon as there is room for it. */
+    void write(std::string text);
+    /** Writes the frames that have been queued meanwhile. */
     void write_queue();
     /** Returns the next frame if it has arrived completely. */
     std::optional<result<frame>> take_frame();
@@ -51,7 +54,7 @@
     channel_counters& counters_;
     std::deque<std::string> queue_;
     std::size_t queued_bytes_{0};
-    /** The frames that are being written. */
+    /** What waits for room in the socket's buffer. */
     std::string batch_;
     bool writing_{false};
     /** Bytes that have arrived, from the beginning of a frame. */
