--- a/src/libschedule/jobruns.h
+++ b/src/libschedule/jobruns.h
@@ -58,6 +58,8 @@
 void mark_begun(job_scheduler& state, const submission_id& job, time_point now);
 /** Records that the worker has started the run. */
 void confirm_run(job_scheduler& state, const wire::task_ref& ref, task_run& run, time_point now);
+/** Forgets the starts of departed workers that can no longer be carried out. */
+void forget_departed_starts(job_scheduler& state, time_point now);
 /** Records that the start has begun, has ended or can no longer be carried out. */
 void settle_doubtful_start(job_scheduler& state, job_worker& worker, const wire::task_ref& ref,
                            std::uint32_t run);
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -298,10 +298,6 @@
     }
     if (starts.empty())
         return;
-    const auto latest = starts.back().since;
-    std::erase_if(state.departed_starts, [&](const auto& entry) {
-        return latest - entry.second.back().since > max_start_delay;
-    });
     auto& kept = state.departed_starts[name_of(worker.record.id)];
     kept.insert(kept.end(), starts.begin(), starts.end());
 }
@@ -370,6 +366,13 @@
 
 } // namespace
 
+void forget_departed_starts(job_scheduler& state, time_point now)
+{
+    std::erase_if(state.departed_starts, [&](const auto& entry) {
+        return now - entry.second.back().since > max_start_delay;
+    });
+}
+
 void on_worker_announcement(job_scheduler& state, const wire::worker_presence& presence)
 {
     if (presence.left)
