schedule: urgent jobs stay urgent at the limits of a slice

Seen in tests of a review: urgent jobs beyond the limit of a slice got their turn behind the less urgent job that the pass had reached; the rest of an urgent job that was cut by the limit of starts waited for the next pass; a job that was urgent when a pass began waited for the pause after the beginning; and as many urgent starts as a slice may have kept the pass from proceeding.

A job that used up its slice without starting anything continues in the pass, so that it keeps no other urgent job waiting.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -5,6 +5,7 @@
 #include "workercrashes.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <set>
 #include <utility>
@@ -494,7 +495,7 @@
     if (pass.turns.empty() || (pass.active && pass.next_turn >= pass.turns.size()))
         return all;
     // The turns are in order, also those of the last pass.
-    const auto most_urgent = pass.turns.front().priority + 1;
+    const auto most_urgent = std::min(pass.turns.front().priority, all - 1) + 1;
     return pass.active ? std::max(most_urgent, pass.turns[pass.next_turn].priority) : most_urgent;
 }
 
@@ -523,9 +524,17 @@
     std::set<submission_id> waiting;
     for (auto turn = next; turn != pass.turns.end(); ++turn)
         waiting.insert(turn->id);
+    const auto limit = urgent_below(state);
     for (const auto& id : std::exchange(state.changed_jobs, {})) {
         const auto* job = find_job(state, id);
-        if (job == nullptr || job->ending || waiting.contains(id))
+        if (job == nullptr || job->ending)
+            continue;
+        // Those that did not get their turn in this slice remain urgent.
+        if (job->queue.priority < limit) {
+            state.changed_jobs.insert(id);
+            continue;
+        }
+        if (waiting.contains(id))
             continue;
         const auto from = pass.turns.begin() + static_cast<std::ptrdiff_t>(pass.next_turn);
         const auto position = std::upper_bound(
@@ -556,8 +565,14 @@
             return;
         slice.state.changed_jobs.erase(job->id);
         task_position position;
-        if ((runs_known || !job->inherited) && !start_ready_tasks(slice, *job, position))
-            return continue_in_turn(slice.state.pass, *job, position);
+        if ((!runs_known && job->inherited) || start_ready_tasks(slice, *job, position))
+            continue;
+        // What is started makes progress, and remains urgent.
+        if (slice.commands.size() >= slice.limits.starts)
+            slice.state.changed_jobs.insert(job->id);
+        else
+            continue_in_turn(slice.state.pass, *job, position);
+        return;
     }
 }
 
@@ -589,6 +604,7 @@
 void begin_pass(job_scheduler& state, time_point now)
 {
     ++state.counts.passes;
+    forget_departed_starts(state, now);
     update_changed_forecasts(state);
     mark_ended_pauses(state, now);
     state.pass = {};
@@ -616,10 +632,12 @@
         return commands;
     add_turns(state);
     validate_candidates(state, pass.candidates, now);
-    pass_slice slice{state, now, wall, pass.candidates,        limits, std::move(commands),
+    pass_slice slice{state, now, wall, pass.candidates,        limits, {},
                      false, {},  0,    state.counts.candidates};
     pass.active = !place_in_turn(slice);
-    return std::move(slice.commands);
+    commands.insert(commands.end(), std::make_move_iterator(slice.commands.begin()),
+                    std::make_move_iterator(slice.commands.end()));
+    return commands;
 }
 
 bool has_urgent_changes(const job_scheduler& state)
--- a/src/libschedule/passtiming.cpp
+++ b/src/libschedule/passtiming.cpp
@@ -34,15 +34,14 @@
 
 slice_result run_slice(job_scheduler& state, pass_timing& timing, time_point now, wall_time wall)
 {
-    slice_result slice;
-    const bool in_pass = state.pass.active;
-    if (!in_pass && timing.wanted && now >= timing.next_pass) {
+    if (!state.pass.active && timing.wanted && now >= timing.next_pass) {
         timing.wanted = false;
         timing.pass_time = {};
         drain_leaving_workers(state, now);
         begin_pass(state, now);
-        return slice;
     }
+    slice_result slice;
+    const bool in_pass = state.pass.active;
     slice.starts = continue_pass(state, now, wall, timing.limits);
     slice.ends_pass = in_pass && !state.pass.active;
     return slice;
--- a/src/libschedule/passtiming.h
+++ b/src/libschedule/passtiming.h
@@ -42,8 +42,7 @@
 /** Returns when the next slice is to run; nothing while there is nothing to place. */
 std::optional<time_point> next_slice_at(const job_scheduler& state, const pass_timing& timing);
 
-/** Runs the slice that is due: it begins a pass, or places what is urgent and continues the pass.
- */
+/** Runs the slice that is due. It begins a pass if that is due, and places what is urgent first. */
 slice_result run_slice(job_scheduler& state, pass_timing& timing, time_point now, wall_time wall);
 
 /** Records the time that the slice took, from which the pauses after it follow. */
