schedule: a new leader keeps the newest run of a task

Failing test: listed_runs_test::run_is_kept_while_the_end_of_an_earlier_one_is_recorded_again, assertion: expected 0 stops, actual 1; newer_run_replaces_an_older_one_that_was_listed_first (stopped w2, expected w1) and planned_start_gives_way_to_a_listed_run failed as well.

Two runs of one task for about 290 ms, and the work of the first one was lost.

Cause: ends that a worker may not forget yet are listed again to the next leader, which records them again. Until then, any run of the task that another worker listed counted as an orphan. Which run was kept depended on the order of the reports, not on the numbers of the runs.

Evidence: the order of the two reports decides whether the test fails on the code before, and in the case only tasks whose earlier worker reported first were started twice.

Why this works: a listed run is adopted whether or not an end of the task is being recorded, unless that end is a success. Of two runs that are listed, the one with the higher number is kept and the other one is stopped; a start that has not been sent gives way to a run that is under way.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -117,6 +117,8 @@
      * stopped until then.
      */
     std::uint32_t recording{0};
+    /** A run of it has succeeded; the ledger may not have recorded that yet. */
+    bool success_read{false};
     /** A crash under it is being recorded; it is not started until then. */
     bool recording_crash{false};
     /** Workers where the task failed: the next attempt avoids them if it can. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -32,6 +32,11 @@
     std::size_t listed_tasks{0};
 };
 
+bool is_run(const task_run& run, const job_worker& worker, std::uint32_t number)
+{
+    return run.number == number && run.worker == worker.record.id;
+}
+
 open_task* find_task_of(open_job* job, const wire::task_ref& ref)
 {
     const auto position = job == nullptr ? std::nullopt : wire::position_of(job->spec, ref);
@@ -73,17 +78,23 @@
     ++context.state.counts.adopted;
 }
 
-void mark_orphan(report_context& context, const worker_report::running_task& listed)
+void mark_orphan(job_scheduler& state, job_worker& worker, const wire::task_ref& ref,
+                 std::uint32_t run, time_point now)
 {
-    ++context.state.counts.orphans;
-    context.worker.has_orphans = true;
-    const orphan_run orphan{context.worker.record.id, listed.task, listed.run};
-    const auto [stops, added] = context.state.orphans.try_emplace(orphan);
+    ++state.counts.orphans;
+    worker.has_orphans = true;
+    const orphan_run orphan{worker.record.id, ref, run};
+    const auto [stops, added] = state.orphans.try_emplace(orphan);
     if (added) {
-        stops->second.first_listed_at = context.now;
-        context.state.orphan_stops_due.set(orphan, context.now);
+        stops->second.first_listed_at = now;
+        state.orphan_stops_due.set(orphan, now);
     }
-    stops->second.last_listed_at = context.now;
+    stops->second.last_listed_at = now;
+}
+
+void mark_orphan(report_context& context, const worker_report::running_task& listed)
+{
+    mark_orphan(context.state, context.worker, listed.task, listed.run, context.now);
 }
 
 /** Forgets the orphans of the worker that were not listed since `listed_since`. */
@@ -102,15 +113,40 @@
     }
 }
 
+/**
+ * Clears the run of a task of which the worker lists another one, if that one is to be kept: it
+ * runs while the other start was not sent, or it is the newer of two that are listed.
+ */
+void give_way_to(report_context& context, const worker_report::running_task& listed,
+                 open_task& task)
+{
+    const auto& run = *task.run;
+    const bool is_newer = run.listed && listed.run > run.number;
+    if (!is_unsent(run.phase) && !is_newer)
+        return;
+    const auto worker = context.state.workers.find(run.worker);
+    // A worker has one run of a task at most.
+    const bool still_runs = run.listed && run.worker != context.worker.record.id;
+    if (still_runs && worker != context.state.workers.end())
+        mark_orphan(context.state, worker->second, listed.task, run.number, context.now);
+    clear_run(context.state, listed.task, task);
+}
+
 void apply_to_task(report_context& context, const worker_report::running_task& listed,
                    open_job& job, open_task& task)
 {
     if (task.succeeded)
         return mark_orphan(context, listed);
     task.last_run = std::max(task.last_run, listed.run);
-    if (!task.run && !job.ending && task.recording == 0)
+    const bool is_stopped_as_orphan =
+        context.state.orphans.contains({context.worker.record.id, listed.task, listed.run});
+    // An end that is being recorded says nothing about a run that is listed as running.
+    const bool may_adopt = !job.ending && !task.success_read && !is_stopped_as_orphan;
+    if (may_adopt && task.run && !is_run(*task.run, context.worker, listed.run))
+        give_way_to(context, listed, task);
+    if (may_adopt && !task.run)
         adopt(context, listed, job, task);
-    if (!task.run || task.run->worker != context.worker.record.id || task.run->number != listed.run)
+    if (!task.run || !is_run(*task.run, context.worker, listed.run))
         return mark_orphan(context, listed);
     auto& run = *task.run;
     run.listed = true;
@@ -161,6 +197,7 @@
     auto member = ended.task;
     for (member.index = 0; member.index < job.spec.steps[member.step].count; ++member.index) {
         auto* task = find_task(context.state, member);
+        task->success_read = true;
         if (task->run && task->run->number == ended.run)
             clear_run(context.state, member, *task);
         else if (task->run)
@@ -199,8 +236,7 @@
     task->last_run = std::max(task->last_run, ended.run);
     if (!ended.checkpoint.empty())
         task->checkpoint = ended.checkpoint;
-    const bool is_current = task->run && task->run->number == ended.run &&
-                            task->run->worker == context.worker.record.id;
+    const bool is_current = task->run && is_run(*task->run, context.worker, ended.run);
     const auto& step = job->spec.steps[ended.task.step];
     if (is_current)
         clear_run(context.state, ended.task, *task);
@@ -210,6 +246,8 @@
         ended.outcome == run_outcome::succeeded || ended.outcome == run_outcome::failed;
     if (!is_final_outcome || step.long_running || task->succeeded || job->ending)
         return forget_if_ended(context.state, ended.task.job);
+    if (ended.outcome == run_outcome::succeeded)
+        task->success_read = true;
     if (step.gang && ended.outcome == run_outcome::succeeded)
         end_gang(context, *job, ended);
     // Another run of the task may be in flight elsewhere; the task is done nevertheless.
