schedule: a task waits for the end of its stopped orphan

Failing test, on the commit before: orphans_test::task_waits_for_the_end_of_an_orphan_that_is_stopped, assertion: plan().empty(); job_handed_in_again_waits_for_the_runs_of_the_earlier_one and task_does_not_wait_for_a_worker_that_is_gone failed as well.

Cause: whether a task needs a run was decided without its orphans. A stop that had been sent to an orphan counted as done, whether the orphan belonged to the job or to an earlier one of its name.

Why this works: each open task counts its orphans and starts only without any. An orphan counts until a report of its worker does not list it, the worker is gone, or its lease has certainly expired; then its task is placed at once.

--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -105,7 +105,8 @@
 
 bool needs_run(const open_task& task)
 {
-    return !task.succeeded && !task.run && task.recording == 0 && !task.recording_crash;
+    return !task.succeeded && !task.run && task.recording == 0 && !task.recording_crash &&
+           task.orphans == 0;
 }
 
 millicores claimed_processors(const task_run& run)
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -119,6 +119,9 @@
     std::uint32_t recording{0};
     /** A run of it has succeeded; the ledger may not have recorded that yet. */
     bool success_read{false};
+    /** Number of its runs among `job_scheduler::orphans`; it is not started until they have ended.
+     */
+    std::uint32_t orphans{0};
     /** A crash under it is being recorded; it is not started until then. */
     bool recording_crash{false};
     /** Workers where the task failed: the next attempt avoids them if it can. */
@@ -458,7 +461,11 @@
     deadline_queue<wire::task_ref> stops_due;
     /** Tasks whose runs are to change pace, by the time of the next command, until confirmed. */
     deadline_queue<wire::task_ref> paces_due;
-    /** Runs that belong to no open task, such as those of ended jobs, while reports list them. */
+    /**
+     * Runs that belong to no open task, such as those of ended jobs, or beside which another run of
+     * their task is kept. They have not ended while reports list them, until the lease of their
+     * worker has expired.
+     */
     std::map<orphan_run, orphan_stops> orphans;
     /** The same, by the time of the next stop. */
     deadline_queue<orphan_run> orphan_stops_due;
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -91,6 +91,17 @@
     job.ranked_by_size = !is_underserved(queue, job.work);
 }
 
+/** Counts the runs of an earlier job of that name which have not ended. */
+void count_orphans(const job_scheduler& state, open_job& job)
+{
+    for (const auto& [orphan, stops] : state.orphans) {
+        const auto position =
+            orphan.task.job == job.id ? wire::position_of(job.spec, orphan.task) : std::nullopt;
+        if (position)
+            ++job.tasks[*position].orphans;
+    }
+}
+
 /** Calls `visit(ref, crashes)` for each recorded start whose crash has not been recorded. */
 template <class Visit>
 void for_each_suspect_start(const std::map<submission_id, wire::job_record>& jobs,
@@ -147,6 +158,7 @@
         return;
     auto job = make_job(record, now);
     count_job(state, job);
+    count_orphans(state, job);
     state.jobs.emplace(record.id, std::move(job));
     state.changed_jobs.insert(record.id);
 }
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -85,11 +85,17 @@
     worker.has_orphans = true;
     const orphan_run orphan{worker.record.id, ref, run};
     const auto [stops, added] = state.orphans.try_emplace(orphan);
-    if (added) {
-        stops->second.first_listed_at = now;
-        state.orphan_stops_due.set(orphan, now);
-    }
     stops->second.last_listed_at = now;
+    if (!added)
+        return;
+    stops->second.first_listed_at = now;
+    state.orphan_stops_due.set(orphan, now);
+    if (auto* task = find_task(state, ref))
+        ++task->orphans;
+    // The lease may be that of an earlier leader.
+    worker.lease_expires_at =
+        std::max(worker.lease_expires_at, now + certain_expiry(state.settings.lease));
+    state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
 }
 
 void mark_orphan(report_context& context, const worker_report::running_task& listed)
@@ -108,11 +114,22 @@
             ++orphan;
             continue;
         }
+        if (auto* task = find_task(state, orphan->first.task)) {
+            --task->orphans;
+            // It may start now.
+            state.changed_jobs.insert(orphan->first.task.job);
+        }
         state.orphan_stops_due.erase(orphan->first);
         orphan = state.orphans.erase(orphan);
     }
 }
 
+bool has_known_orphans(const job_scheduler& state, const worker_id& worker)
+{
+    const auto orphan = state.orphans.lower_bound({worker, {}, 0});
+    return orphan != state.orphans.end() && orphan->first.worker == worker;
+}
+
 /**
  * Clears the run of a task of which the worker lists another one, if that one is to be kept: it
  * runs while the other start was not sent, or it is the newer of two that are listed.
@@ -582,7 +599,7 @@
         return;
     state.next_lease_expiry = time_point::max();
     for (auto& [id, worker] : state.workers) {
-        if (worker.runs.empty())
+        if (worker.runs.empty() && !has_known_orphans(state, id))
             continue;
         if (now <= worker.lease_expires_at) {
             state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
@@ -597,6 +614,7 @@
         }
         keep_doubtful_starts(state, worker, now);
         end_all_runs(state, worker);
+        forget_orphans(state, id, time_point::max());
     }
 }
 
--- a/tests/schedule/jobschedulerfixture.h
+++ b/tests/schedule/jobschedulerfixture.h
@@ -60,6 +60,7 @@
 
     completions report(const std::string& id, const worker_report& reported)
     {
+        now_ += std::chrono::milliseconds{10};
         record_reply(state_, worker_id{id}, now_);
         return on_worker_report(state_, worker_id{id}, reported, now_, now_);
     }
