ledger: a failure that is read late counts as an attempt

Failing test, on the commit before: job_record_test::a_failure_read_after_that_of_a_later_run_counts, assertion: the job is open after both of its two attempts have failed.

What callers see: a task may start once more than its queue allows.

Cause: a failed run counted as a duplicate when its number was not above that of the last recorded run. That covers ends that are listed again, but also an end that is read after that of a later run: one beyond the part of the ends that its worker had listed, or on a worker that was cut off.

Why this works: the ledger keeps the numbers of the failed runs it has counted, so each counts once in any order; max_attempts bounds their number. A late end no longer replaces the checkpoint of a newer run.

--- a/src/libledger/applyjobs.cpp
+++ b/src/libledger/applyjobs.cpp
@@ -19,6 +19,7 @@
     job.spec.text.shrink_to_fit();
     std::vector<wire::task_progress>{}.swap(job.tasks);
     job.crashes.clear();
+    job.failed_runs.clear();
     context.state.ended_jobs.push_back(job.id);
 }
 
@@ -41,6 +42,15 @@
         job.tasks[member].succeeded = true;
 }
 
+/** Returns whether the failure of the run was counted already, as far as is known. */
+bool is_counted(const wire::task_progress& task, const std::vector<std::uint32_t>& failed_runs,
+                std::uint32_t run)
+{
+    if (std::find(failed_runs.begin(), failed_runs.end(), run) != failed_runs.end())
+        return true;
+    return failed_runs.size() < task.failures && run <= task.last_run;
+}
+
 void record_completion(apply_context& context, job_record& job,
                        const wire::record_completions::item& item, wall_time now)
 {
@@ -49,19 +59,25 @@
         return;
     const auto& step = job.spec.steps[item.task.step];
     // A gang fails and succeeds as a whole; its runs and failures are counted at its first member.
-    auto& task = job.tasks[step.gang ? *position - item.task.index : *position];
-    // This run or a later one was recorded already: a failure may be a duplicate.
-    const bool may_be_duplicate = item.run <= task.last_run && !item.succeeded;
-    if (may_be_duplicate || task.succeeded)
+    const auto counted_at = step.gang ? *position - item.task.index : *position;
+    auto& task = job.tasks[counted_at];
+    if (task.succeeded)
         return;
-    task.last_run = std::max(task.last_run, item.run);
-    if (!item.checkpoint.empty())
-        task.checkpoint = item.checkpoint;
     const bool long_running = step.long_running;
+    if (!item.succeeded && !long_running) {
+        // Failures may be listed several times, and later than those of later runs.
+        auto& failed_runs = job.failed_runs[static_cast<std::uint32_t>(counted_at)];
+        if (is_counted(task, failed_runs, item.run))
+            return;
+        failed_runs.push_back(item.run);
+        ++task.failures;
+    }
+    // The checkpoint of an older run has less of the work.
+    if (!item.checkpoint.empty() && item.run >= task.last_run)
+        task.checkpoint = item.checkpoint;
+    task.last_run = std::max(task.last_run, item.run);
     if (item.succeeded && !long_running)
         mark_succeeded(job, item.task, *position);
-    if (!item.succeeded && !long_running)
-        ++task.failures;
     context.change.jobs.push_back(job.id);
     if (!item.succeeded && !long_running && task.failures >= job.queue.max_attempts)
         return end_job(context, job, job_phase::failed, now);
--- a/src/libledger/statesnapshot.cpp
+++ b/src/libledger/statesnapshot.cpp
@@ -63,9 +63,21 @@
     }
 };
 
+/** A job as of version 3: without the numbers of its failed runs. */
+struct job_v3 {
+    wire::job_record job;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(job.id, job.queue, job.spec, job.submitted, job.phase, job.ended, job.tasks,
+                job.crashes);
+    }
+};
+
 /**
  * The content of version 1, followed by jobs, queues and workers. Version 2 with job_v2, version 3
- * with wire::job_record.
+ * with job_v3, version 4 with wire::job_record.
  */
 template <class Job>
 struct snapshot_with_jobs {
@@ -136,6 +148,11 @@
     return job.job;
 }
 
+wire::job_record& record_of(job_v3& job)
+{
+    return job.job;
+}
+
 wire::job_record& record_of(wire::job_record& job)
 {
     return job;
@@ -204,6 +221,8 @@
         return make_error_code(ledger_error::corrupted);
     if (version == snapshot_version)
         return read_with_jobs<wire::job_record>(snapshot.substr(header_size));
+    if (version == 3)
+        return read_with_jobs<job_v3>(snapshot.substr(header_size));
     if (version == 2)
         return read_with_jobs<job_v2>(snapshot.substr(header_size));
     if (version == 1)
--- a/src/libwire/jobs.h
+++ b/src/libwire/jobs.h
@@ -162,11 +162,16 @@
     /** By position in `tasks`, only for tasks under which a worker has crashed; empty once ended.
      */
     std::map<std::uint32_t, task_crashes> crashes;
+    /**
+     * Numbers of the failed runs that are counted, by position in `tasks`; empty once ended. Those
+     * that a snapshot of version 3 counted are not known.
+     */
+    std::map<std::uint32_t, std::vector<std::uint32_t>> failed_runs;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(id, queue, spec, submitted, phase, ended, tasks, crashes);
+        archive(id, queue, spec, submitted, phase, ended, tasks, crashes, failed_runs);
     }
 };
 
--- a/tests/ledger/jobrecordtest.cpp
+++ b/tests/ledger/jobrecordtest.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(a_job_is_accepted_once);
     CPPUNIT_TEST(a_job_succeeds_when_all_its_tasks_have_succeeded);
     CPPUNIT_TEST(a_completion_reported_twice_counts_once);
+    CPPUNIT_TEST(a_failure_read_after_that_of_a_later_run_counts);
+    CPPUNIT_TEST(a_failure_that_an_earlier_version_counted_counts_once);
+    CPPUNIT_TEST(an_older_run_does_not_replace_the_checkpoint_of_a_newer_one);
     CPPUNIT_TEST(a_job_fails_when_its_last_attempt_fails);
     CPPUNIT_TEST(a_gang_fails_and_succeeds_as_a_whole);
     CPPUNIT_TEST(an_ended_job_is_not_changed);
@@ -24,7 +27,9 @@
     CPPUNIT_TEST(crashes_that_a_task_survived_the_start_of_do_not_count);
     CPPUNIT_TEST(crashes_under_a_task_that_has_succeeded_do_not_count);
     CPPUNIT_TEST(a_snapshot_restores_crashes);
+    CPPUNIT_TEST(a_snapshot_restores_failed_runs);
     CPPUNIT_TEST(a_snapshot_of_version_2_is_read);
+    CPPUNIT_TEST(a_snapshot_of_version_3_is_read);
     CPPUNIT_TEST_SUITE_END();
 
     ledger_state state_;
@@ -50,11 +55,12 @@
         return body;
     }
 
-    wire::command_response end(std::uint32_t index, std::uint32_t run_number, bool succeeded)
+    wire::command_response end(std::uint32_t index, std::uint32_t run_number, bool succeeded,
+                               const std::string& checkpoint = "saved")
     {
         wire::record_completions body;
         body.items.push_back(
-            {{submission_id{"0123456789abcdef"}, 0, 0, index}, run_number, succeeded, "saved"});
+            {{submission_id{"0123456789abcdef"}, 0, 0, index}, run_number, succeeded, checkpoint});
         return run(body);
     }
 
@@ -94,6 +100,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"saved"}, record().tasks[0].checkpoint);
     }
 
+    /** It was taken for a duplicate, so that the task started once more than it may. */
+    void a_failure_read_after_that_of_a_later_run_counts()
+    {
+        run(job(2));
+        end(0, 2, false);
+        end(0, 1, false);
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::failed);
+    }
+
+    void a_failure_that_an_earlier_version_counted_counts_once()
+    {
+        auto submitted = job(2);
+        submitted.queue.max_attempts = 3;
+        run(submitted);
+        end(0, 1, false);
+        state_.jobs.begin()->second.failed_runs.clear();
+        end(0, 1, false);
+        end(0, 2, false);
+        end(0, 2, false);
+        CPPUNIT_ASSERT_EQUAL(2U, record().tasks[0].failures);
+    }
+
+    void an_older_run_does_not_replace_the_checkpoint_of_a_newer_one()
+    {
+        auto submitted = job(2);
+        submitted.queue.max_attempts = 3;
+        run(submitted);
+        end(0, 2, false, "newer");
+        end(0, 1, false, "older");
+        CPPUNIT_ASSERT_EQUAL(std::string{"newer"}, record().tasks[0].checkpoint);
+    }
+
     void a_job_fails_when_its_last_attempt_fails()
     {
         run(job(2));
@@ -217,22 +255,49 @@
         CPPUNIT_ASSERT_EQUAL(2U, record().crashes.at(0).started_run);
     }
 
-    void a_snapshot_of_version_2_is_read()
+    void a_snapshot_restores_failed_runs()
     {
         run(job(2));
-        end(1, 3, true);
-        run(wire::publish_queues{4, "four"});
-        // Version 2 has no crashes at the end of each job.
+        end(1, 3, false);
+        const auto read = decode_snapshot(encode_snapshot(state_)).value();
+        CPPUNIT_ASSERT(read.jobs.begin()->second.failed_runs == record().failed_runs);
+        CPPUNIT_ASSERT_EQUAL(3U, record().failed_runs.at(1).front());
+    }
+
+    /** Returns a snapshot of one job without the last bytes of its record. */
+    std::string snapshot_without(std::size_t last_bytes, std::uint32_t version)
+    {
         auto snapshot = encode_snapshot(state_);
         const auto after_jobs = wire::encode(state_.ended_jobs) + wire::encode(state_.queues) +
                                 wire::encode(std::vector<wire::worker_record>{});
-        const auto crashes_size = wire::encode(record().crashes).size();
-        snapshot.erase(snapshot.size() - after_jobs.size() - crashes_size, crashes_size);
-        snapshot.replace(0, sizeof(std::uint32_t), wire::encode(std::uint32_t{2}));
-        const auto read = decode_snapshot(snapshot).value();
+        snapshot.erase(snapshot.size() - after_jobs.size() - last_bytes, last_bytes);
+        snapshot.replace(0, sizeof(std::uint32_t), wire::encode(version));
+        return snapshot;
+    }
+
+    void a_snapshot_of_version_2_is_read()
+    {
+        run(job(2));
+        end(1, 3, true);
+        run(wire::publish_queues{4, "four"});
+        // Version 2 has neither crashes nor failed runs at the end of each job.
+        const auto last_bytes =
+            wire::encode(record().crashes).size() + wire::encode(record().failed_runs).size();
+        const auto read = decode_snapshot(snapshot_without(last_bytes, 2)).value();
         CPPUNIT_ASSERT_EQUAL(3U, read.jobs.begin()->second.tasks[1].last_run);
         CPPUNIT_ASSERT_EQUAL(std::string{"four"}, read.queues.document);
     }
+
+    void a_snapshot_of_version_3_is_read()
+    {
+        run(job(2));
+        end(1, 3, false);
+        crash(1, wire::crash_suspicion::suspect);
+        const auto last_bytes = wire::encode(record().failed_runs).size();
+        const auto read = decode_snapshot(snapshot_without(last_bytes, 3)).value();
+        CPPUNIT_ASSERT_EQUAL(1U, read.jobs.begin()->second.tasks[1].failures);
+        CPPUNIT_ASSERT(read.jobs.begin()->second.crashes == record().crashes);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_record_test);
