schedule: an end that is listed again is not counted again

What callers see: after a change of leader a sound worker gets no tasks for 6 s, tasks wait for ends that the ledger has already, and the counts of succeeded and failed runs grow once for each leader.

Cause: completion numbers start at 0 with each leader, so all ends that a worker may not forget yet were counted, added to its streak of failures and recorded again.

Why this works: the leader knows from the ledger which runs have failed and which tasks have succeeded. Such an end still frees its run and keeps the next attempt off its worker, and nothing else. Ends that are never recorded count only once the first report of a worker has been read. Failures that an earlier leader read but did not record still count.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -108,6 +108,8 @@
 struct open_task {
     bool succeeded{false};
     std::uint32_t failures{0};
+    /** Numbers of the failed runs that the ledger has recorded; for a gang at its first member. */
+    std::vector<std::uint32_t> failed_runs;
     /** The highest known run number that any leader assigned. */
     std::uint32_t last_run{0};
     std::string checkpoint;
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -53,6 +53,8 @@
         task.failures = recorded.failures;
         job.begun = job.begun || recorded.succeeded || recorded.failures > 0;
     }
+    for (const auto& [position, failed_runs] : record.failed_runs)
+        job.tasks[position].failed_runs = failed_runs;
     for (const auto& [position, crashes] : record.crashes) {
         auto& task = job.tasks[position];
         if (crashes.count > task.crashes)
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -222,6 +222,33 @@
     }
 }
 
+/** Returns whether the ledger has recorded the end, so that it was applied by an earlier leader. */
+bool is_recorded(const open_job& job, const worker_report::ended_run& ended)
+{
+    auto counted_at = ended.task;
+    if (job.spec.steps[ended.task.step].gang)
+        counted_at.index = 0;
+    const auto& task = job.tasks[*wire::position_of(job.spec, counted_at)];
+    if (ended.outcome == run_outcome::succeeded)
+        return task.succeeded;
+    return ended.outcome == run_outcome::failed &&
+           std::find(task.failed_runs.begin(), task.failed_runs.end(), ended.run) !=
+               task.failed_runs.end();
+}
+
+/**
+ * Returns whether an earlier leader may have counted the end. Ends that the ledger does not record
+ * are listed again to each leader until they are acknowledged, which its first report tells.
+ */
+bool may_be_counted(const report_context& context, const open_job& job,
+                    const worker_report::ended_run& ended)
+{
+    const bool is_never_recorded =
+        job.spec.steps[ended.task.step].long_running ||
+        (ended.outcome != run_outcome::succeeded && ended.outcome != run_outcome::failed);
+    return is_recorded(job, ended) || (is_never_recorded && !context.worker.report_read);
+}
+
 void update_failure_streak(report_context& context, run_outcome outcome)
 {
     if (outcome == run_outcome::succeeded)
@@ -242,12 +269,15 @@
 void apply_ended(report_context& context, const worker_report::ended_run& ended)
 {
     settle_doubtful_start(context.state, context.worker, ended.task, ended.run);
-    count_outcome(context.state.counts, ended.outcome);
-    update_failure_streak(context, ended.outcome);
     auto* job = find_job(context.state, ended.task.job);
     auto* task = find_task_of(job, ended.task);
+    // The ends of a job are counted until it has no runs left.
     if (task == nullptr)
         return;
+    if (!may_be_counted(context, *job, ended)) {
+        count_outcome(context.state.counts, ended.outcome);
+        update_failure_streak(context, ended.outcome);
+    }
     clear_if_survived(context.worker, *task);
     mark_begun(context.state, ended.task.job, context.now);
     task->last_run = std::max(task->last_run, ended.run);
@@ -261,7 +291,8 @@
         task->failed_on.insert(context.worker.record.id);
     const bool is_final_outcome =
         ended.outcome == run_outcome::succeeded || ended.outcome == run_outcome::failed;
-    if (!is_final_outcome || step.long_running || task->succeeded || job->ending)
+    if (!is_final_outcome || step.long_running || task->succeeded || job->ending ||
+        is_recorded(*job, ended))
         return forget_if_ended(context.state, ended.task.job);
     if (ended.outcome == run_outcome::succeeded)
         task->success_read = true;
