schedule: an older checkpoint does not replace a newer one

What callers see: a task resumes from the checkpoint of an older run and does the work since then again.

Cause: each listed end set the checkpoint of its task, in the order in which reports were read. A gang took the checkpoint of its first member that had one.

Why this works: the checkpoint is kept with the number of its run, and that of an older run is left out. A gang starts from the newest one of its members.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -200,13 +200,18 @@
     const auto& step = job.spec.steps[first.step];
     std::uint32_t run_number = 0;
     std::string checkpoint;
+    std::uint32_t checkpoint_run = 0;
     bool suspect = false;
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const auto& member = job.tasks[position + index];
         suspect = suspect || is_suspect(member);
         run_number = std::max(run_number, member.last_run + 1);
-        if (checkpoint.empty())
+        // All members start from one checkpoint.
+        if (!member.checkpoint.empty() &&
+            (checkpoint.empty() || member.checkpoint_run > checkpoint_run)) {
             checkpoint = member.checkpoint;
+            checkpoint_run = member.checkpoint_run;
+        }
     }
     const auto commands_before = slice.commands.size();
     std::vector<std::pair<job_worker*, recent_starts>> starts_before;
@@ -215,6 +220,7 @@
         ref.index = index;
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
+        member.checkpoint_run = checkpoint_run;
         const placement_request request{&job, ref, &step, rack, false, false, suspect};
         auto* worker = choose_worker(slice.state, slice.candidates, request, slice.now);
         if (worker != nullptr) {
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -112,7 +112,9 @@
     std::vector<std::uint32_t> failed_runs;
     /** The highest known run number that any leader assigned. */
     std::uint32_t last_run{0};
+    /** The newest known checkpoint, and the run that wrote it. */
     std::string checkpoint;
+    std::uint32_t checkpoint_run{0};
     std::optional<task_run> run;
     /**
      * Number of completions that are being recorded in the ledger; the task is neither started nor
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -73,8 +73,10 @@
     job.spec = record.spec;
     job.arrived = now;
     job.tasks.resize(record.tasks.size());
-    for (std::size_t position = 0; position < record.tasks.size(); ++position)
+    for (std::size_t position = 0; position < record.tasks.size(); ++position) {
         job.tasks[position].checkpoint = record.tasks[position].checkpoint;
+        job.tasks[position].checkpoint_run = record.tasks[position].last_run;
+    }
     update_remaining(job);
     set_objective(job);
     job.work = job.remaining_work;
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -37,6 +37,15 @@
     return run.number == number && run.worker == worker.record.id;
 }
 
+/** Keeps the checkpoint, unless that of a newer run is known. */
+void update_checkpoint(open_task& task, std::uint32_t run, const std::string& checkpoint)
+{
+    if (checkpoint.empty() || run < task.checkpoint_run)
+        return;
+    task.checkpoint = checkpoint;
+    task.checkpoint_run = run;
+}
+
 open_task* find_task_of(open_job* job, const wire::task_ref& ref)
 {
     const auto position = job == nullptr ? std::nullopt : wire::position_of(job->spec, ref);
@@ -167,8 +176,7 @@
         return mark_orphan(context, listed);
     auto& run = *task.run;
     run.listed = true;
-    if (!listed.checkpoint.empty())
-        task.checkpoint = listed.checkpoint;
+    update_checkpoint(task, listed.run, listed.checkpoint);
     const bool withdrawn = run.phase == run_phase::withdrawn;
     if (is_unconfirmed(run.phase) || run.phase == run_phase::unknown || withdrawn)
         confirm_run(context.state, listed.task, run, context.now);
@@ -281,8 +289,7 @@
     clear_if_survived(context.worker, *task);
     mark_begun(context.state, ended.task.job, context.now);
     task->last_run = std::max(task->last_run, ended.run);
-    if (!ended.checkpoint.empty())
-        task->checkpoint = ended.checkpoint;
+    update_checkpoint(*task, ended.run, ended.checkpoint);
     const bool is_current = task->run && is_run(*task->run, context.worker, ended.run);
     const auto& step = job->spec.steps[ended.task.step];
     if (is_current)
