schedule, platform: a part of a worker's ends is not taken for all of them

A change of leader is not needed, a leader that pauses for 0.4 s is enough.

Cause: a worker lists its ends 500 at a time, and each report was taken for complete. A run that was neither listed as running nor among these ends counted as lost, and its task started again; after a change of leader the worker counted as read with its first report.

Why this works: the adapter of the platform says whether a report is complete. Until it is, runs that are not listed keep their places, unanswered starts and orphans stay as they are, and a new leader goes on waiting for the worker. What is listed is applied at once, so that the next part can be acknowledged. A run known to have ended is no suspect when its worker crashes afterwards. Counted in galenaturn_worker_reports_incomplete_total.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -63,6 +63,7 @@
     counters_.add(name, {{"event", "lapsed"}}, counts_.expired);
     counters_.add(name, {{"event", "lost"}}, counts_.lost);
     counters_.add(name, {{"event", "unlisted"}}, counts_.unlisted);
+    counters_.add("galenaturn_worker_reports_incomplete_total", {}, counts_.incomplete_reports);
     counters_.add(name, {{"event", "adopted"}}, counts_.adopted);
     counters_.add(name, {{"event", "stray"}}, counts_.orphans);
     counters_.add(name, {{"event", "relieved"}}, counts_.stopped_for_tail);
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -190,6 +190,13 @@
     const auto now = monotonic_now();
     schedule::record_reply(scheduler_, worker, requested_at);
     log_completions(worker, read_up_to, polled.report, token_);
+    if (!polled.report.complete)
+        log_event(log_level::info, "report_incomplete",
+                  {{"worker", worker},
+                   {"running", polled.report.running.size()},
+                   {"ended", polled.report.ended.size()},
+                   {"read_up_to", read_up_to},
+                   {"token", token_}});
     auto items = schedule::on_worker_report(scheduler_, worker, polled.report, requested_at, now);
     send_due_commands();
     if (!items.empty()) {
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -92,8 +92,14 @@
         run_outcome outcome{run_outcome::stopped};
         std::string checkpoint;
     };
+    /** All runs that have not ended. */
     std::vector<running_task> running;
     std::vector<ended_run> ended;
+    /**
+     * All ends that are not acknowledged are listed. Otherwise more of them follow once these are:
+     * a run that is not listed may be one of them.
+     */
+    bool complete{true};
 };
 
 /** Builds the state of a new leader from the open jobs and the workers in the ledger. */
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -84,6 +84,8 @@
     std::optional<time_point> confirmed_at;
     /** A report of the worker has listed it. */
     bool listed{false};
+    /** It has ended, but the end is not among those that the worker has listed so far. */
+    bool end_unread{false};
     /** When a report of the worker last listed its task. */
     time_point task_listed_at;
     /** When it was decided to stop it, and the number of stops sent since. */
@@ -291,7 +293,7 @@
     bool leaving{false};
     /** Recorded in the ledger, so that the next leader polls it too. */
     bool admitted{false};
-    /** A report was read in the term of this leader. */
+    /** A complete report was read in the term of this leader. */
     bool report_read{false};
     /** All its runs have certainly ended by then, unless the lease is extended. */
     time_point lease_expires_at;
@@ -382,6 +384,8 @@
     std::uint64_t lost{0};
     /** Runs that their worker no longer listed, without a known end. */
     std::uint64_t unlisted{0};
+    /** Reports that listed a part of the ends. */
+    std::uint64_t incomplete_reports{0};
     /** Workers that crashed, and runs that may have caused it. */
     std::uint64_t worker_crashes{0};
     std::uint64_t crash_suspects{0};
@@ -479,7 +483,10 @@
     std::set<worker_id> workers_in_doubt;
     /** No lease of a worker with runs expires before this time. */
     time_point next_lease_expiry{time_point::max()};
-    /** Workers that may run what an earlier leader started, until their reports were read. */
+    /**
+     * Workers that may run, or have ended, what an earlier leader started, until complete reports
+     * of them were read.
+     */
     std::set<worker_id> unread_workers;
     /** All leases granted by an earlier leader have expired by then. */
     time_point inherited_runs_expire_at;
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -332,7 +332,10 @@
     return unlisted;
 }
 
-/** Clears runs that the report should list, as running or as ended, and does not. */
+/**
+ * Clears runs that the report should list, as running or as ended, and does not. If it lists a part
+ * of the ends, these runs keep their places until theirs are read.
+ */
 void clear_unlisted(report_context& context, const worker_report& report)
 {
     if (context.listed_tasks == context.worker.runs.size())
@@ -345,6 +348,10 @@
         if (task->run->phase_since >= context.requested_at)
             continue;
         const auto phase = task->run->phase;
+        if (!report.complete) {
+            task->run->end_unread = phase == run_phase::running || phase == run_phase::stopped;
+            continue;
+        }
         if (phase == run_phase::running || phase == run_phase::stopped) {
             ++context.state.counts.unlisted;
             clear_run(context.state, ref, *task);
@@ -596,12 +603,18 @@
     }
     for (const auto& running : report.running)
         apply_running(context, running);
-    forget_orphans(state, id, now);
+    if (report.complete)
+        forget_orphans(state, id, now);
     clear_unlisted(context, report);
     control_tail_latency(state, worker->second, context.listed, now);
     mark_changed(state, worker->second);
-    worker->second.report_read = true;
-    state.unread_workers.erase(id);
+    if (report.complete) {
+        worker->second.report_read = true;
+        state.unread_workers.erase(id);
+    }
+    else {
+        ++state.counts.incomplete_reports;
+    }
     if (!context.to_record.empty())
         worker->second.recording.insert(worker->second.completions_read);
     if (worker->second.recording.empty())
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -117,7 +117,7 @@
         const auto& run = *task->run;
         const bool never_arrived = is_unsent(run.phase) || (!run.confirmed_at && worker.lost &&
                                                             run.commanded_at > worker.lost->at);
-        if (never_arrived)
+        if (never_arrived || run.end_unread)
             continue;
         const bool cleared = outlived_crash_window(run, worker.alive_at);
         if (cleared && task->crashes == 0)
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -19,10 +19,29 @@
     CPPUNIT_TEST(stops_to_one_worker_do_not_wait_for_each_others_replies);
     CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
     CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
+    CPPUNIT_TEST(tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
 
+    /** The runs whose ends were not listed yet counted as lost, and their tasks ran twice. */
+    void tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists()
+    {
+        constexpr std::size_t tasks = 150;
+        test_leader leader{4};
+        leader.limit_listed_ends(20);
+        leader.submit_tasks("job", tasks);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == tasks; }));
+        leader.stall_completions();
+        leader.end_all_runs();
+        // Long enough for further polls and a pass.
+        leader.run_for(std::chrono::milliseconds{1500});
+        leader.resume_completions();
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.has_succeeded("job"); }));
+        leader.run_for(std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(tasks, leader.starts().size());
+    }
+
 public:
     /** Stops waited for the next pass, so that tasks of cancelled jobs ran on for seconds. */
     void stop_of_a_cancelled_job_does_not_wait_for_a_pass()
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -78,7 +78,10 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         poll_reply polled;
         polled.reply = accepted();
-        polled.report.ended = leader_.ended_[worker.id];
+        const auto& all = leader_.ended_[worker.id];
+        const auto listed = std::min(all.size(), leader_.max_listed_ends_);
+        polled.report.ended.assign(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(listed));
+        polled.report.complete = listed < leader_.max_listed_ends_;
         for (const auto& [task, run] : leader_.runs_[worker.id])
             polled.report.running.push_back({task, run, "", 50, 0});
         co_return polled;
@@ -141,15 +144,29 @@
 test_leader::~test_leader() = default;
 
 void test_leader::submit(const std::string& name, bool long_running)
+{
+    wire::job_step step;
+    step.demand.processors = millicores{1000};
+    step.long_running = long_running;
+    submit_step(name, std::move(step));
+}
+
+void test_leader::submit_tasks(const std::string& name, std::uint32_t count)
+{
+    wire::job_step step;
+    step.count = count;
+    step.demand.processors = millicores{10};
+    submit_step(name, std::move(step));
+}
+
+void test_leader::submit_step(const std::string& name, wire::job_step step)
 {
     wire::submit_job body;
     body.id = submission_id{name};
     body.queue.name = "desk";
     body.queue.service = service_id{"desk"};
     body.submitted = wall_now();
-    auto& step = body.spec.steps.emplace_back();
-    step.demand.processors = millicores{1000};
-    step.long_running = long_running;
+    body.spec.steps.push_back(std::move(step));
     apply(std::move(body));
 }
 
@@ -171,6 +188,15 @@
     polls_since_end_ = 0;
 }
 
+void test_leader::end_all_runs()
+{
+    for (auto& [worker, runs] : runs_) {
+        for (const auto& [ref, number] : std::exchange(runs, {}))
+            ended_[worker].push_back(
+                {++last_completion_, ref, number, schedule::run_outcome::succeeded, ""});
+    }
+}
+
 bool test_leader::run_until(const std::function<bool()>& condition, duration limit)
 {
     const auto deadline = monotonic_now() + limit;
@@ -206,6 +232,11 @@
     return shared_.metrics.make_latency("galenaturn_job_pass_seconds").count();
 }
 
+bool test_leader::has_succeeded(const std::string& name) const
+{
+    return state_.jobs.at(submission_id{name}).phase == wire::job_phase::succeeded;
+}
+
 std::size_t test_leader::running() const
 {
     std::size_t count = 0;
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -6,6 +6,7 @@
 #include <galenaturn/ledger.h>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <vector>
@@ -33,8 +34,14 @@
     /** Accepts a job with one task. */
     void submit(const std::string& name, bool long_running = true);
     void cancel(const std::string& name);
+    /** Accepts a job with one step of this many tasks. */
+    void submit_tasks(const std::string& name, std::uint32_t count);
     /** Lets a run on any worker succeed. */
     void end_a_run();
+    /** Lets all runs succeed at the same time. */
+    void end_all_runs();
+    /** Workers list this many ends at a time. */
+    void limit_listed_ends(std::size_t most) { max_listed_ends_ = most; }
     /** From now on the ledger does not answer commands that record completions. */
     void stall_completions() { completions_stalled_ = true; }
     void resume_completions() { completions_stalled_ = false; }
@@ -59,6 +66,8 @@
     void hold_start_replies(bool hold) { start_replies_held_ = hold; }
     void hold_stop_replies(bool hold) { stop_replies_held_ = hold; }
 
+    /** The ledger has recorded that all tasks of the job have succeeded. */
+    [[nodiscard]] bool has_succeeded(const std::string& name) const;
     /** Tasks that run on any worker. */
     [[nodiscard]] std::size_t running() const;
     [[nodiscard]] const std::vector<received_stop>& stops() const { return stops_; }
@@ -74,6 +83,7 @@
     class workers_in_process;
 
     void apply(wire::command body);
+    void submit_step(const std::string& name, wire::job_step step);
 
     daemon::context shared_;
     control_hub hub_;
@@ -92,6 +102,7 @@
     std::vector<schedule::start_command> starts_;
     std::uint64_t rounds_{0};
     bool leads_{true};
+    std::size_t max_listed_ends_{std::numeric_limits<std::size_t>::max()};
     bool start_replies_held_{false};
     bool stop_replies_held_{false};
     std::unique_ptr<job_service> service_;
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(a_worker_report_names_the_life_of_its_worker);
     CPPUNIT_TEST(reads_a_worker_report);
     CPPUNIT_TEST(rejects_incomplete_worker_reports);
+    CPPUNIT_TEST(report_with_as_many_ends_as_are_listed_at_a_time_is_not_complete);
     CPPUNIT_TEST(a_malformed_report_leaves_the_other_fields_of_the_reply);
     CPPUNIT_TEST(reads_a_report_that_exceeds_the_buffer_of_a_document);
     CPPUNIT_TEST(commands_have_the_fencing_token_and_the_lease);
@@ -159,6 +160,21 @@
         CPPUNIT_ASSERT(report->report.ended.front().outcome == schedule::run_outcome::succeeded);
     }
 
+    /** The first 500 ends of a worker were taken for all of them. */
+    void report_with_as_many_ends_as_are_listed_at_a_time_is_not_complete()
+    {
+        for (const std::size_t ends : {0, 1, 499, 500}) {
+            std::string rows;
+            for (std::size_t number = 1; number <= ends; ++number)
+                rows += (number > 1 ? "," : "") + ("[" + std::to_string(number) +
+                                                   R"(,"0123456789abcdef.0.0.0",1,"done",""])");
+            const auto read = read_report(R"({"running":[],"endedRuns":[)" + rows + "]}");
+            CPPUNIT_ASSERT(read);
+            CPPUNIT_ASSERT_EQUAL(ends, read->report.ended.size());
+            CPPUNIT_ASSERT_EQUAL(ends < 500, read->report.complete);
+        }
+    }
+
     void rejects_incomplete_worker_reports()
     {
         for (const char* body :
