tests: ends that are listed in parts and again, with leaders that change and pause

A start after a success that is recorded only later counts as doubled too, as the rule has it; before, it counted only if the success had been recorded by then.

--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -121,6 +121,8 @@
 struct task_history {
     std::uint32_t crashes{0};
     std::uint32_t starts_after_limit{0};
+    bool has_failed{false};
+    time_point last_start;
     bool success_recorded{false};
 };
 
@@ -128,6 +130,8 @@
     time_point at;
     wire::job_spec spec;
     bool crashes{false};
+    /** Each task fails in its first run. */
+    bool fails{false};
     bool counted{false};
     bool cancelled{false};
     time_point cancelled_at;
@@ -175,7 +179,7 @@
             announce();
             if (options_.processor_share > 0)
                 lead_with_limited_processor();
-            else
+            else if (now_ >= paused_until_)
                 lead();
             count_ended_jobs();
             if (options_.bad_input)
@@ -323,6 +327,11 @@
         run.ends_at = is_crashing(command.task) ? now_ + crash_delay
                       : step.long_running       ? time_point::max()
                                                 : now_ + step.estimate;
+        if (job.fails && !std::exchange(history_[command.task].has_failed, true)) {
+            run.outcome = run_outcome::failed;
+            run.ends_at = now_ + step.estimate / 3;
+            ++counts_.failed_runs;
+        }
         worker.runs[command.task] = run;
         ++counts_.starts;
         return command_result::accepted;
@@ -331,6 +340,7 @@
     void check_start(const simulated_job_worker& worker, const wire::task_ref& ref)
     {
         auto& history = history_[ref];
+        history.last_start = now_;
         if (is_crashing(ref) && history.crashes >= crashes_before_limit &&
             ++history.starts_after_limit > tolerated_starts)
             ++counts_.starts_beyond_crash_limit;
@@ -405,6 +415,8 @@
             change_capacity(draw_worker());
         if (options_.cancels_per_minute > 0 && per_minute(options_.cancels_per_minute))
             cancel_any_job();
+        if (options_.leader_pauses_per_minute > 0 && per_minute(options_.leader_pauses_per_minute))
+            paused_until_ = now_ + draw_span(400, 1200);
         if (term_active_ && per_minute(options_.leader_losses_per_minute))
             lose_leader();
     }
@@ -578,6 +590,8 @@
         job.at = now_;
         job.spec = body.spec;
         job.crashes = !long_running && chance(options_.crashing_job_percent);
+        job.fails = !long_running && options_.failing_job_percent > 0 &&
+                    chance(options_.failing_job_percent);
         // The caller resends until the job is accepted, so the submission does not get lost.
         apply(std::move(body));
         if (!long_running)
@@ -783,6 +797,11 @@
                 retire(id, accepts_commands_to(worker, id) ? present : worker_id{});
                 continue;
             }
+            if (options_.lost_poll_percent > 0 && chance(options_.lost_poll_percent)) {
+                worker.next_poll = now_ + command_timeout;
+                record_contact_loss(state_, id, now_, false);
+                continue;
+            }
             worker.next_poll = now_ + poll_interval;
             last_polled_ = id;
             charge(processor_time::report);
@@ -801,9 +820,12 @@
             if (ended.number > acknowledged)
                 return false;
             // After the lease has expired the task may rightly have been started again.
-            if (ended.outcome == run_outcome::succeeded &&
-                worker.lapsed_at < worker.ended_at.at(ended.number))
-                history_[ended.task].success_recorded = true;
+            const auto ended_at = worker.ended_at.at(ended.number);
+            if (ended.outcome == run_outcome::succeeded && worker.lapsed_at < ended_at) {
+                auto& history = history_[ended.task];
+                counts_.doubled_starts += history.last_start > ended_at ? 1 : 0;
+                history.success_recorded = true;
+            }
             return true;
         });
     }
@@ -817,7 +839,12 @@
         worker.token = generation_;
         forget_acknowledged(worker, id);
         worker_report report;
+        const auto most = options_.max_listed_ends;
+        report.complete = most == 0 || worker.ended.size() < most;
         report.ended = worker.ended;
+        if (!report.complete)
+            report.ended.resize(most);
+        counts_.incomplete_reports += report.complete ? 0 : 1;
         for (const auto& [ref, run] : worker.runs)
             report.running.push_back({ref, run.number, "", 50, 0});
         record_reply(state_, id, now_);
@@ -1164,6 +1191,7 @@
     bool term_active_{false};
     std::uint64_t generation_{0};
     time_point next_term_at_;
+    time_point paused_until_;
     const time_point began_at_{now_};
     /** The current loss of the leader is a fault, and when the latest one was over. */
     bool lost_by_fault_{false};
@@ -1182,6 +1210,19 @@
 
 } // namespace
 
+job_fault_options listed_ends_options(std::uint64_t seed)
+{
+    job_fault_options options;
+    options.seed = seed;
+    options.workers = 8;
+    options.max_listed_ends = 2;
+    options.leader_losses_per_minute = 10;
+    options.leader_pauses_per_minute = 20;
+    options.lost_poll_percent = 5;
+    options.failing_job_percent = 40;
+    return options;
+}
+
 job_fault_options late_command_options(std::uint64_t seed)
 {
     job_fault_options options;
--- a/tests/schedule/jobfaultsimulation.h
+++ b/tests/schedule/jobfaultsimulation.h
@@ -32,6 +32,14 @@
     /** Share of the commands that get no response and are carried out 2 to 12 s later. */
     int late_command_percent{0};
     int cancels_per_minute{0};
+    /** Workers list this many ends at a time; 0: all. */
+    std::size_t max_listed_ends{0};
+    /** Pauses of the leader, during which it does nothing. */
+    int leader_pauses_per_minute{0};
+    /** Share of the polls that are lost: ends stay listed although they are recorded. */
+    int lost_poll_percent{0};
+    /** Share of the finite jobs of which each task fails once. */
+    int failing_job_percent{0};
     /**
      * Share of a processor that the leader has. Its work then takes time, during which it does
      * nothing else. Zero: its work takes no time.
@@ -62,13 +70,15 @@
     /** Starts of a task beyond the second one after three workers have crashed under it. */
     std::uint64_t starts_beyond_crash_limit{0};
     /**
-     * Starts while another run of the task was alive, or after its success was recorded without a
-     * lapse of the worker's lease between the two.
+     * Starts while another run of the task was alive, or after a success that was recorded, then
+     * or later, without a lapse of the worker's lease between the two.
      */
     std::uint64_t doubled_starts{0};
     /** Starts that exceed the capacity which the worker announced 4 s before or later. */
     std::uint64_t oversized_starts{0};
     std::uint64_t late_commands{0};
+    std::uint64_t incomplete_reports{0};
+    std::uint64_t failed_runs{0};
     std::uint64_t cancels{0};
     /** Starts that were sent although the cancellation of the job was recorded. */
     std::uint64_t starts_after_cancel{0};
@@ -104,6 +114,12 @@
 /** Options of a run in which commands wait behind others that get no response. */
 job_fault_options late_command_options(std::uint64_t seed);
 
+/**
+ * Options of a run in which workers list a part of their ends, also to leaders to whom they have
+ * listed them before.
+ */
+job_fault_options listed_ends_options(std::uint64_t seed);
+
 /**
  * Options of a run with a leader short of processor time and bad input: a job of 5,000 tasks, a
  * step wider than the fleet, 1,000 cancellations within a second, a worker that refuses every stop,
--- a/tests/schedule/jobfaultsimulationtest.cpp
+++ b/tests/schedule/jobfaultsimulationtest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(waiting_jobs_are_counted_while_starts_wait_and_are_carried_out_late);
     CPPUNIT_TEST(no_task_runs_twice_while_starts_wait_and_are_carried_out_late);
     CPPUNIT_TEST(nothing_starts_after_its_job_was_cancelled);
+    CPPUNIT_TEST(no_task_runs_twice_while_ends_are_listed_in_parts_and_again);
     CPPUNIT_TEST_SUITE_END();
 
     using count = std::uint64_t job_fault_counts::*;
@@ -114,6 +115,23 @@
         }
     }
 
+    /** Leaders change and pause while ends wait, and tasks fail that then run on other workers. */
+    void no_task_runs_twice_while_ends_are_listed_in_parts_and_again()
+    {
+        std::uint64_t leader_losses = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            const auto counts = run_job_fault_simulation(listed_ends_options(seed));
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, counts.incomplete_reports > 0);
+            CPPUNIT_ASSERT_MESSAGE(message, counts.failed_runs > 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.doubled_starts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{0}, counts.oversized_starts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, counts.sound_jobs, counts.sound_jobs_succeeded);
+            leader_losses += counts.leader_losses;
+        }
+        CPPUNIT_ASSERT(leader_losses > 0);
+    }
+
     void nothing_starts_after_its_job_was_cancelled()
     {
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
