--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -165,6 +165,7 @@
         return mark_orphan(context, listed);
     task.last_run = std::max(task.last_run, listed.run);
     const bool is_stopped_as_orphan =
+        task.orphans > 0 &&
         context.state.orphans.contains({context.worker.record.id, listed.task, listed.run});
     // An end that is being recorded says nothing about a run that is listed as running.
     const bool may_adopt = !job.ending && !task.success_read && !is_stopped_as_orphan;
--- a/tests/schedule/soak/main.cpp
+++ b/tests/schedule/soak/main.cpp
@@ -17,11 +17,12 @@
 
 using galenaturn::schedule::job_fault_counts;
 
-/** Adds what went wrong in a run with late commands to the sum, and prints it. */
-void add_late_commands(job_fault_counts& sum, std::uint64_t seed)
+/** Runs the workers of jobs with faults, adds what went wrong to the sum, and prints it. */
+void add_job_faults(job_fault_counts& sum, const galenaturn::schedule::job_fault_options& options)
 {
     using count = std::uint64_t job_fault_counts::*;
-    const auto counts = run_job_fault_simulation(galenaturn::schedule::late_command_options(seed));
+    const auto seed = options.seed;
+    const auto counts = run_job_fault_simulation(options);
     const std::pair<const char*, count> broken[] = {
         {"doubled_starts", &job_fault_counts::doubled_starts},
         {"oversized_starts", &job_fault_counts::oversized_starts},
@@ -37,6 +38,8 @@
     sum.starts += counts.starts;
     sum.late_commands += counts.late_commands;
     sum.cancels += counts.cancels;
+    sum.incomplete_reports += counts.incomplete_reports;
+    sum.leader_losses += counts.leader_losses;
     sum.sound_jobs += counts.sound_jobs;
     sum.sound_jobs_succeeded += counts.sound_jobs_succeeded;
     sum.sound_job_seconds += counts.sound_job_seconds;
@@ -129,7 +132,8 @@
         if (placed.missed_starts + placed.oversized_starts > 0)
             std::cout << "seed " << seed << ": missed_starts=" << placed.missed_starts
                       << " oversized_starts=" << placed.oversized_starts << std::endl;
-        add_late_commands(faults, seed);
+        add_job_faults(faults, schedule::late_command_options(seed));
+        add_job_faults(faults, schedule::listed_ends_options(seed));
         ++seed;
     } while (monotonic_now() < end);
     std::cout << "runs=" << seed - FLAGS_seed << " finished=" << sum.finished
@@ -140,7 +144,9 @@
               << " missed_starts=" << placements.missed_starts
               << " oversized_starts=" << placements.oversized_starts << "\n"
               << "late_commands=" << faults.late_commands << " starts=" << faults.starts
-              << " cancels=" << faults.cancels << " sound_jobs=" << faults.sound_jobs
+              << " cancels=" << faults.cancels
+              << " incomplete_reports=" << faults.incomplete_reports
+              << " leader_losses=" << faults.leader_losses << " sound_jobs=" << faults.sound_jobs
               << " succeeded=" << faults.sound_jobs_succeeded
               << " sound_job_seconds=" << faults.sound_job_seconds
               << " doubled_starts=" << faults.doubled_starts
