--- a/tests/schedule/incompletereportstest.cpp
+++ b/tests/schedule/incompletereportstest.cpp
@@ -68,13 +68,7 @@
 
     void orphan_whose_end_is_not_listed_yet_holds_its_task()
     {
-        for (const auto* id : {"w1", "w2", "w3"})
-            add_worker(id);
-        submit();
-        change_leader();
-        report("w2", runs(task(), 2));
-        report("w1", runs(task(), 1));
-        report("w3", {});
+        list_an_orphan();
         record("w2", report("w2", ends(1, task(), 2, run_outcome::failed)));
         report("w1", part_of({}));
         CPPUNIT_ASSERT(plan().empty());
--- a/tests/schedule/jobschedulerfixture.h
+++ b/tests/schedule/jobschedulerfixture.h
@@ -104,6 +104,18 @@
         state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
     }
 
+    /** Run 1 on w1 is an orphan, because run 2 on w2 is kept; w3 is idle. */
+    void list_an_orphan()
+    {
+        for (const auto* id : {"w1", "w2", "w3"})
+            add_worker(id);
+        submit();
+        change_leader();
+        report("w2", runs(task(), 2));
+        report("w1", runs(task(), 1));
+        report("w3", {});
+    }
+
     /** Confirms the stops that are due. Returns their number. */
     std::size_t stop_due()
     {
--- a/tests/schedule/orphanstest.cpp
+++ b/tests/schedule/orphanstest.cpp
@@ -15,13 +15,7 @@
     /** Run 1 on w1 is an orphan, because run 2 is kept; run 2 then fails. */
     void leave_an_orphan()
     {
-        for (const auto* id : {"w1", "w2", "w3"})
-            add_worker(id);
-        submit();
-        change_leader();
-        report("w2", runs(task(), 2));
-        report("w1", runs(task(), 1));
-        report("w3", {});
+        list_an_orphan();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stop_due());
         record("w2", report("w2", ends(1, task(), 2, run_outcome::failed)));
     }
