--- a/src/libledger/storage.cpp
+++ b/src/libledger/storage.cpp
@@ -1,11 +1,10 @@
 #include "storage.h"
 
-#include <xxhash.h>
+#include "posixfolder.h"
 
-#include <unistd.h>
+#include <xxhash.h>
 
 #include <algorithm>
-#include <filesystem>
 
 namespace galenaturn::ledger {
 
@@ -13,7 +12,7 @@
 
 constexpr const char* log_file_prefix = "log-";
 constexpr const char* snapshot_file_prefix = "image-";
-constexpr const char* temporary_suffix = ".new";
+constexpr const char* identity_file = "identity";
 constexpr std::size_t checksum_bytes = 8;
 /** Digits of the number in a file name; zero-padded, so that names sort by number. */
 constexpr std::size_t file_number_digits = 20;
@@ -44,17 +43,6 @@
     return body;
 }
 
-/** Returns the last file name with `prefix` that is not a temporary file. */
-std::string newest_file(const std::string& folder, const std::string& prefix)
-{
-    std::string found;
-    for (const auto& name : list_folder(folder)) {
-        if (name.starts_with(prefix) && !name.ends_with(temporary_suffix))
-            found = name;
-    }
-    return found;
-}
-
 struct snapshot_file {
     log_index index;
     term index_term;
@@ -70,24 +58,18 @@
 
 } // namespace
 
-result<storage> storage::open(const std::string& folder, findings& found)
+result<storage> storage::open(const std::string& path, findings& found)
+{
+    auto folder = posix_folder::open(path, found);
+    if (!folder)
+        return folder.error();
+    return open(std::move(folder).value(), found);
+}
+
+result<storage> storage::open(std::unique_ptr<disk_folder> folder, findings& found)
 {
     storage opened;
-    opened.folder_ = folder;
-    std::error_code error;
-    std::filesystem::create_directories(folder, error);
-    if (error) {
-        found.add({folder, 0, 0}, "the data folder cannot be created: " + error.message(),
-                  "check 'data_folder' and its permissions");
-        return make_error_code(ledger_error::folder_unusable);
-    }
-    auto lock = lock_file(folder + "/lock");
-    if (!lock) {
-        found.add({folder, 0, 0}, lock.error().message(),
-                  "stop the other process or set another 'data_folder'");
-        return lock.error();
-    }
-    opened.lock_ = std::move(lock).value();
+    opened.folder_ = std::move(folder);
     if (auto loaded = opened.load(found); !loaded)
         return loaded.error();
     return opened;
@@ -108,19 +90,19 @@
 
 result<void> storage::load_identity(findings& found)
 {
-    const auto path = folder_ + "/identity";
-    if (!std::filesystem::exists(path)) {
-        if (newest_file(folder_, log_file_prefix).empty() &&
-            newest_file(folder_, snapshot_file_prefix).empty())
+    const auto names = folder_->names();
+    if (std::find(names.begin(), names.end(), identity_file) == names.end()) {
+        if (newest_file(log_file_prefix).empty() && newest_file(snapshot_file_prefix).empty())
             return success();
-        found.add({path, 0, 0}, "the file is missing although the folder has a log or a snapshot",
+        found.add({path_of(identity_file), 0, 0},
+                  "the file is missing although the folder has a log or a snapshot",
                   replace_voter_advice);
         return make_error_code(ledger_error::corrupted);
     }
-    const auto data = read_file(path);
+    const auto data = folder_->read(identity_file);
     const auto body = data ? verify_checksum(data.value()) : std::nullopt;
     if (!body) {
-        found.add({path, 0, 0}, "the file is damaged", replace_voter_advice);
+        found.add({path_of(identity_file), 0, 0}, "the file is damaged", replace_voter_advice);
         return make_error_code(ledger_error::corrupted);
     }
     stored_.voter = voter_id{*body};
@@ -129,15 +111,15 @@
 
 result<void> storage::load_snapshot(findings& found)
 {
-    const auto name = newest_file(folder_, snapshot_file_prefix);
+    const auto name = newest_file(snapshot_file_prefix);
     if (name.empty())
         return success();
-    const auto data = read_file(folder_ + "/" + name);
+    const auto data = folder_->read(name);
     const auto body = data ? verify_checksum(data.value()) : std::nullopt;
     auto snapshot = body ? wire::decode<snapshot_file>(*body)
                          : result<snapshot_file>{make_error_code(ledger_error::corrupted)};
     if (!snapshot) {
-        found.add({folder_ + "/" + name, 0, 0}, "the snapshot is damaged", replace_voter_advice);
+        found.add({path_of(name), 0, 0}, "the snapshot is damaged", replace_voter_advice);
         return make_error_code(ledger_error::corrupted);
     }
     auto& read = snapshot.value();
@@ -148,11 +130,11 @@
 
 result<void> storage::load_log(findings& found)
 {
-    log_name_ = newest_file(folder_, log_file_prefix);
+    log_name_ = newest_file(log_file_prefix);
     if (log_name_.empty())
         return success();
-    const auto path = folder_ + "/" + log_name_;
-    const auto data = read_file(path);
+    const auto path = path_of(log_name_);
+    const auto data = folder_->read(log_name_);
     if (!data) {
         found.add({path, 0, 0}, "the log cannot be read", replace_voter_advice);
         return data.error();
@@ -164,8 +146,8 @@
     if (read.valid_bytes < data.value().size()) {
         log_event(log_level::warning, "log_torn_end_cut",
                   {{"file", path}, {"bytes", data.value().size() - read.valid_bytes}});
-        if (::truncate(path.c_str(), static_cast<off_t>(read.valid_bytes)) != 0)
-            return make_error_code(ledger_error::write_failed);
+        if (auto cut = folder_->truncate(log_name_, read.valid_bytes); !cut)
+            return cut;
     }
     log_number_ = std::stoull(log_name_.substr(std::string{log_file_prefix}.size()));
     sequence_ = read.last_sequence;
@@ -180,13 +162,13 @@
     if (!stored_.snapshot) {
         if (log.base().value() == 0)
             return success();
-        found.add({folder_, 0, 0}, "the snapshot on which the log builds is missing",
+        found.add({folder_->path(), 0, 0}, "the snapshot on which the log builds is missing",
                   replace_voter_advice);
         return make_error_code(ledger_error::corrupted);
     }
     const auto& snapshot = *stored_.snapshot;
     if (snapshot.index < log.base()) {
-        found.add({folder_, 0, 0},
+        found.add({folder_->path(), 0, 0},
                   "the log begins at " + std::to_string(log.base().value()) +
                       ", after the snapshot at " + std::to_string(snapshot.index.value()),
                   replace_voter_advice);
@@ -203,11 +185,11 @@
 {
     if (log_name_.empty())
         log_name_ = numbered_name(log_file_prefix, log_number_);
-    auto file = open_for_append(folder_ + "/" + log_name_);
+    auto file = folder_->open_for_append(log_name_);
     if (!file)
         return file.error();
     log_file_ = std::move(file).value();
-    return sync_folder(folder_);
+    return folder_->sync();
 }
 
 result<void> storage::note_failure(result<void> outcome)
@@ -219,7 +201,7 @@
 result<void> storage::write_identity(const voter_id& voter)
 {
     stored_.voter = voter;
-    return note_failure(replace_file(folder_, "identity", add_checksum(voter.value())));
+    return note_failure(replace_file(*folder_, identity_file, add_checksum(voter.value())));
 }
 
 result<void> storage::append(const std::vector<log_batch>& batches)
@@ -228,10 +210,10 @@
         return make_error_code(ledger_error::write_failed);
     const auto record = encode_record(++sequence_, batches);
     bytes_written_ += record.size();
-    if (auto written = note_failure(log_file_.write(record)); !written)
+    if (auto written = note_failure(log_file_->write(record)); !written)
         return written;
     ++syncs_;
-    return note_failure(log_file_.sync());
+    return note_failure(log_file_->sync());
 }
 
 result<void> storage::write_snapshot(const state_snapshot& snapshot)
@@ -242,7 +224,7 @@
     const snapshot_file file{snapshot.index, snapshot.index_term, snapshot.voters, snapshot.data};
     ++syncs_;
     const auto written =
-        note_failure(replace_file(folder_, name, add_checksum(wire::encode(file))));
+        note_failure(replace_file(*folder_, name, add_checksum(wire::encode(file))));
     if (written)
         remove_other_files(snapshot_file_prefix, name);
     return written;
@@ -256,7 +238,7 @@
     ++syncs_;
     const auto record = encode_record(++sequence_, {std::move(batch)});
     bytes_written_ += record.size();
-    if (auto written = note_failure(replace_file(folder_, name, record)); !written)
+    if (auto written = note_failure(replace_file(*folder_, name, record)); !written)
         return written;
     ++log_number_;
     log_name_ = name;
@@ -266,11 +248,26 @@
     return success();
 }
 
+std::string storage::newest_file(const std::string& prefix) const
+{
+    std::string found;
+    for (const auto& name : folder_->names()) {
+        if (name.starts_with(prefix) && !name.ends_with(temporary_suffix))
+            found = name;
+    }
+    return found;
+}
+
+std::string storage::path_of(const std::string& name) const
+{
+    return folder_->path() + "/" + name;
+}
+
 void storage::remove_other_files(const std::string& prefix, const std::string& kept)
 {
-    for (const auto& name : list_folder(folder_)) {
+    for (const auto& name : folder_->names()) {
         if (name.starts_with(prefix) && name != kept)
-            ::unlink((folder_ + "/" + name).c_str());
+            folder_->remove(name);
     }
 }
 
--- a/src/libledger/storage.h
+++ b/src/libledger/storage.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "diskfolder.h"
 #include "logfile.h"
-#include "posixfile.h"
 #include "replica.h"
 
 namespace galenaturn::ledger {
@@ -24,8 +24,9 @@
  */
 class storage {
 public:
-    /** Opens and locks `folder`; creates it if it does not exist. Adds problems to `found`. */
-    static result<storage> open(const std::string& folder, findings& found);
+    /** Opens and locks `path`; creates it if it does not exist. Adds problems to `found`. */
+    static result<storage> open(const std::string& path, findings& found);
+    static result<storage> open(std::unique_ptr<disk_folder> folder, findings& found);
 
     /** Returns the content of the folder when it was opened. */
     [[nodiscard]] stored_ledger& stored() { return stored_; }
@@ -51,11 +52,13 @@
     result<void> align_log_with_snapshot(findings& found);
     result<void> open_log();
     result<void> note_failure(result<void> outcome);
+    /** Returns the last file name with `prefix` that is not a temporary file. */
+    [[nodiscard]] std::string newest_file(const std::string& prefix) const;
+    [[nodiscard]] std::string path_of(const std::string& name) const;
     void remove_other_files(const std::string& prefix, const std::string& kept);
 
-    std::string folder_;
-    posix_file lock_;
-    posix_file log_file_;
+    std::unique_ptr<disk_folder> folder_;
+    std::unique_ptr<append_file> log_file_;
     std::string log_name_;
     std::uint64_t log_number_{0};
     std::uint64_t sequence_{0};
