ledger: a folder whose log has no record yet is a new one

The next lost disk, which is to be borne, ended the ledger: every read was answered with 503.

Cause: the first start creates the log file before it writes the identity. A start that found a log and no identity took that for damage, although the log had no record.

Evidence: storage_crash_test::a_process_killed_at_its_first_start_starts_again stops the process at each operation on its folder, with the last one missing, torn and whole and with five kinds of loss of power.

It is durable before the first record is written, so a folder without both has never acknowledged anything. Either order of the two files is accepted, and so are folders that earlier versions left behind.

--- a/src/libledger/storage.cpp
+++ b/src/libledger/storage.cpp
@@ -91,14 +91,8 @@
 result<void> storage::load_identity(findings& found)
 {
     const auto names = folder_->names();
-    if (std::find(names.begin(), names.end(), identity_file) == names.end()) {
-        if (newest_file(log_file_prefix).empty() && newest_file(snapshot_file_prefix).empty())
-            return success();
-        found.add({path_of(identity_file), 0, 0},
-                  "the file is missing although the folder has a log or a snapshot",
-                  replace_voter_advice);
-        return make_error_code(ledger_error::corrupted);
-    }
+    if (std::find(names.begin(), names.end(), identity_file) == names.end())
+        return success();
     const auto data = folder_->read(identity_file);
     const auto body = data ? verify_checksum(data.value()) : std::nullopt;
     if (!body) {
@@ -109,11 +103,23 @@
     return success();
 }
 
+result<void> storage::require_identity(findings& found) const
+{
+    if (!stored_.voter.empty())
+        return success();
+    found.add({path_of(identity_file), 0, 0},
+              "the file is missing although the folder has a log or a snapshot",
+              replace_voter_advice);
+    return make_error_code(ledger_error::corrupted);
+}
+
 result<void> storage::load_snapshot(findings& found)
 {
     const auto name = newest_file(snapshot_file_prefix);
     if (name.empty())
         return success();
+    if (auto known = require_identity(found); !known)
+        return known;
     const auto data = folder_->read(name);
     const auto body = data ? verify_checksum(data.value()) : std::nullopt;
     auto snapshot = body ? wire::decode<snapshot_file>(*body)
@@ -143,6 +149,10 @@
     if (!content)
         return content.error();
     auto& read = content.value();
+    if (read.valid_bytes > 0) {
+        if (auto known = require_identity(found); !known)
+            return known;
+    }
     if (read.valid_bytes < data.value().size()) {
         log_event(log_level::warning, "log_torn_end_cut",
                   {{"file", path}, {"bytes", data.value().size() - read.valid_bytes}});
--- a/src/libledger/storage.h
+++ b/src/libledger/storage.h
@@ -20,7 +20,7 @@
  * The data folder of one voter: the file `identity` with the voter's id, `image-N` with the
  * snapshot of the state up to log index N, and `log-N` with the log; its N counts rewrites of the
  * log. Only one process can have the folder open. After a failed write or sync all later ones fail
- * too.
+ * too. A folder that a killed process or a loss of power left half written is opened and mended.
  */
 class storage {
 public:
@@ -47,6 +47,8 @@
     storage() = default;
     result<void> load(findings& found);
     result<void> load_identity(findings& found);
+    /** The identity is written before the first record, so a log without one may lack it. */
+    result<void> require_identity(findings& found) const;
     result<void> load_snapshot(findings& found);
     result<void> load_log(findings& found);
     result<void> align_log_with_snapshot(findings& found);
