--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -241,7 +241,7 @@
     last_snapshot_bytes_ = snapshot.data.size();
     disk_job job;
     job.snapshot = std::move(snapshot);
-    job.new_log = whole_log_batch();
+    job.new_log = ledger::whole_log_batch(replica_->log, replica_->hard);
     jobs_.push_back(std::move(job));
 }
 
@@ -342,21 +342,10 @@
               {{"index", index}, {"bytes", snapshot.data.size()}});
     disk_job job;
     job.snapshot = std::move(snapshot);
-    job.new_log = whole_log_batch();
+    job.new_log = ledger::whole_log_batch(replica_->log, replica_->hard);
     jobs_.push_back(std::move(job));
 }
 
-ledger::log_batch replica_runner::whole_log_batch() const
-{
-    const auto& log = replica_->log;
-    ledger::log_batch batch;
-    batch.start = ledger::log_start{log.base(), log.base_term(), log.voters_at(log.base())};
-    batch.hard = replica_->hard;
-    for (auto index = log.base().next(); index <= log.last_index(); index = index.next())
-        batch.entries.push_back(log.at(index));
-    return batch;
-}
-
 void replica_runner::schedule_tick()
 {
     // Maximum wait, since a received message may bring the next tick forward.
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -99,7 +99,6 @@
     static result<void> write(ledger::storage& disk, const std::deque<disk_job>& jobs);
     void send(const ledger::peer_message& message);
     void compact_log_if_large();
-    [[nodiscard]] ledger::log_batch whole_log_batch() const;
     void schedule_tick();
     [[nodiscard]] std::vector<process_id> founders() const;
     [[nodiscard]] ledger::voter_plan_input voter_plan_input() const;
--- a/src/libledger/logfile.cpp
+++ b/src/libledger/logfile.cpp
@@ -53,10 +53,31 @@
     return false;
 }
 
-bool apply_batch(log_content& content, log_batch batch)
+replica_log log_after(const log_start& start)
+{
+    return {start.base, start.base_term, start.voters};
+}
+
+bool continues(const replica_log& log, const log_entry& entry)
+{
+    return entry.index == log.last_index().next() && entry.entry_term >= log.last_term();
+}
+
+/** Returns whether the log contains the last entry that the snapshot covers. */
+bool reaches(const replica_log& log, const log_start& snapshot)
+{
+    return log.has_term_of(snapshot.base) && log.term_of(snapshot.base) == snapshot.base_term;
+}
+
+bool follows(const log_start& snapshot, const log_entry& entry)
+{
+    return entry.index == snapshot.base.next() && entry.entry_term >= snapshot.base_term;
+}
+
+bool apply_batch(log_content& content, log_batch batch, const std::optional<log_start>& snapshot)
 {
     if (batch.start)
-        content.log = replica_log{batch.start->base, batch.start->base_term, batch.start->voters};
+        content.log = log_after(*batch.start);
     if (batch.hard)
         content.hard = *batch.hard;
     if (batch.truncate_after) {
@@ -65,9 +86,9 @@
         content.log.truncate_after(*batch.truncate_after);
     }
     for (auto& entry : batch.entries) {
-        const bool follows = entry.index == content.log.last_index().next() &&
-                             entry.entry_term >= content.log.last_term();
-        if (!follows)
+        if (snapshot && follows(*snapshot, entry) && !reaches(content.log, *snapshot))
+            content.log = log_after(*snapshot);
+        if (!continues(content.log, entry))
             return false;
         if (entry.kind == entry_kind::voters && !wire::decode<voter_set>(entry.payload))
             return false;
@@ -76,13 +97,14 @@
     return true;
 }
 
-bool apply_record(log_content& content, std::string_view body)
+bool apply_record(log_content& content, std::string_view body,
+                  const std::optional<log_start>& snapshot)
 {
     auto batches = wire::decode<std::vector<log_batch>>(body);
     if (!batches)
         return false;
     for (auto& batch : batches.value()) {
-        if (!apply_batch(content, std::move(batch)))
+        if (!apply_batch(content, std::move(batch), snapshot))
             return false;
     }
     return true;
@@ -111,7 +133,10 @@
     return target + body;
 }
 
-result<log_content> read_log(std::string_view data, const std::string& file, findings& found)
+namespace {
+
+result<log_content> read_records(std::string_view data, const std::string& file, findings& found,
+                                 const std::optional<log_start>& snapshot)
 {
     log_content content;
     std::size_t offset = 0;
@@ -125,7 +150,7 @@
         }
         if (next->sequence != content.last_sequence + 1 && offset != 0)
             return report_damage(file, offset, "record out of sequence", found);
-        if (!apply_record(content, next->body))
+        if (!apply_record(content, next->body, snapshot))
             return report_damage(file, offset, "record does not continue the log before it", found);
         content.last_sequence = next->sequence;
         offset += record_header_bytes + next->body.size();
@@ -134,4 +159,32 @@
     return content;
 }
 
+} // namespace
+
+log_batch whole_log_batch(const replica_log& log, const hard_state& hard)
+{
+    log_batch batch;
+    batch.start = log_start{log.base(), log.base_term(), log.voters_at(log.base())};
+    batch.hard = hard;
+    for (auto index = log.base().next(); index <= log.last_index(); index = index.next())
+        batch.entries.push_back(log.at(index));
+    return batch;
+}
+
+result<log_content> read_log(std::string_view data, const std::string& file, findings& found,
+                             const std::optional<log_start>& snapshot)
+{
+    findings problems;
+    auto content = read_records(data, file, problems, std::nullopt);
+    if (snapshot && (!content || !reaches(content.value().log, *snapshot))) {
+        findings ignored;
+        auto after_snapshot = read_records(data, file, ignored, snapshot);
+        if (after_snapshot && reaches(after_snapshot.value().log, *snapshot))
+            return after_snapshot;
+    }
+    for (const auto& problem : problems.items())
+        found.add(problem.place, problem.problem, problem.fix);
+    return content;
+}
+
 } // namespace galenaturn::ledger
--- a/src/libledger/logfile.h
+++ b/src/libledger/logfile.h
@@ -56,10 +56,16 @@
     std::size_t valid_bytes{0};
 };
 
+/** Returns a whole log as the first batch of a new log file. */
+log_batch whole_log_batch(const replica_log& log, const hard_state& hard);
+
 /**
  * Reads a log file. Ignores an incomplete last record, as a crash between write and sync leaves it.
  * Damage before a valid record is an error: returns corrupted and reports its offset in `found`.
+ * Entries that do not continue the log but follow `snapshot` replace the log before them: a
+ * received snapshot may have been stored without the log that begins after it.
  */
-result<log_content> read_log(std::string_view data, const std::string& file, findings& found);
+result<log_content> read_log(std::string_view data, const std::string& file, findings& found,
+                             const std::optional<log_start>& snapshot = std::nullopt);
 
 } // namespace galenaturn::ledger
--- a/src/libledger/storage.cpp
+++ b/src/libledger/storage.cpp
@@ -145,7 +145,10 @@
         found.add({path, 0, 0}, "the log cannot be read", replace_voter_advice);
         return data.error();
     }
-    auto content = read_log(data.value(), path, found);
+    std::optional<log_start> after_snapshot;
+    if (const auto& snapshot = stored_.snapshot)
+        after_snapshot = log_start{snapshot->index, snapshot->index_term, snapshot->voters};
+    auto content = read_log(data.value(), path, found, after_snapshot);
     if (!content)
         return content.error();
     auto& read = content.value();
@@ -184,15 +187,24 @@
                   replace_voter_advice);
         return make_error_code(ledger_error::corrupted);
     }
-    // A crash after writing a received snapshot, before rewriting the log, leaves the old log.
-    if (!log.has_term_of(snapshot.index) || log.term_of(snapshot.index) != snapshot.index_term)
-        log = replica_log{snapshot.index, snapshot.index_term, snapshot.voters};
-    log.compact(snapshot.index);
-    return success();
+    // A vote in the term of the snapshot would have been stored with that term.
+    if (stored_.hard.current_term < snapshot.index_term)
+        stored_.hard = hard_state{snapshot.index_term, voter_id{}};
+    if (log.has_term_of(snapshot.index) && log.term_of(snapshot.index) == snapshot.index_term) {
+        log.compact(snapshot.index);
+        return success();
+    }
+    // A process that stopped after writing a received snapshot leaves a log that does not reach it.
+    log = replica_log{snapshot.index, snapshot.index_term, snapshot.voters};
+    log_event(log_level::warning, "log_replaced_by_image",
+              {{"folder", folder_->path()}, {"index", snapshot.index}});
+    return rewrite_log(whole_log_batch(log, stored_.hard));
 }
 
 result<void> storage::open_log()
 {
+    if (log_file_)
+        return success();
     if (log_name_.empty())
         log_name_ = numbered_name(log_file_prefix, log_number_);
     auto file = folder_->open_for_append(log_name_);
@@ -252,6 +264,7 @@
         return written;
     ++log_number_;
     log_name_ = name;
+    log_file_.reset();
     if (auto opened = note_failure(open_log()); !opened)
         return opened;
     remove_other_files(log_file_prefix, name);
--- a/tests/ledger/storagetest.cpp
+++ b/tests/ledger/storagetest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(damage_before_valid_records_is_reported_with_its_offset);
     CPPUNIT_TEST(random_damage_never_yields_entries_that_were_not_written);
     CPPUNIT_TEST(a_snapshot_replaces_the_log_before_it);
+    CPPUNIT_TEST(a_log_that_goes_on_after_a_received_snapshot_is_read);
     CPPUNIT_TEST(after_a_failed_write_every_later_write_fails);
     CPPUNIT_TEST(a_snapshot_of_a_newer_version_is_refused_with_its_own_error);
     CPPUNIT_TEST(mutated_snapshots_are_refused_or_decoded_without_a_crash);
@@ -145,6 +146,32 @@
         CPPUNIT_ASSERT_EQUAL(log_index{10}, disk.stored().log.last_index());
     }
 
+    /**
+     * Earlier versions appended to the old log after a crash between a received snapshot and its
+     * log. The old log may end before the snapshot, or at an entry that the snapshot replaced.
+     */
+    void a_log_that_goes_on_after_a_received_snapshot_is_read()
+    {
+        for (const std::uint64_t last : {3U, 20U, 25U}) {
+            std::filesystem::remove_all(folder_);
+            {
+                auto disk = open_new();
+                CPPUNIT_ASSERT(disk.append({entries(1, last)}));
+                CPPUNIT_ASSERT(disk.write_snapshot({log_index{20}, term{2}, {}, "state"}));
+                auto later = entries(21, 22);
+                for (auto& entry : later.entries)
+                    entry.entry_term = term{2};
+                CPPUNIT_ASSERT(disk.append({later}));
+            }
+            for (int start = 0; start < 2; ++start) {
+                auto disk = open_new();
+                CPPUNIT_ASSERT_EQUAL(log_index{20}, disk.stored().log.base());
+                CPPUNIT_ASSERT_EQUAL(log_index{22}, disk.stored().log.last_index());
+                CPPUNIT_ASSERT_EQUAL(term{2}, disk.stored().hard.current_term);
+            }
+        }
+    }
+
     void after_a_failed_write_every_later_write_fails()
     {
         auto disk = open_new();
