ledger: a start syncs the log that it has read

Cause: a process killed between a write and its sync leaves a complete record that its next start reads and acknowledges without a sync. A loss of power before its next write then loses a vote or an entry that others rely on.

Change: the log is synced once when the folder is opened, before the replica exists that could acknowledge it.

--- a/src/libledger/storage.cpp
+++ b/src/libledger/storage.cpp
@@ -85,7 +85,11 @@
         return step;
     if (auto step = align_log_with_snapshot(found); !step)
         return step;
-    return open_log();
+    if (auto step = open_log(); !step)
+        return step;
+    // A process that was killed between a write and its sync leaves records that are readable but
+    // not durable. What was read is acknowledged from here on.
+    return log_file_->sync();
 }
 
 result<void> storage::load_identity(findings& found)
--- a/tests/ledger/storagecrashtest.cpp
+++ b/tests/ledger/storagecrashtest.cpp
@@ -167,6 +167,8 @@
     CPPUNIT_TEST_SUITE(storage_crash_test);
     CPPUNIT_TEST(a_process_killed_at_its_first_start_starts_again);
     CPPUNIT_TEST(a_process_killed_while_it_stores_a_snapshot_starts_again_and_again);
+    CPPUNIT_TEST(a_process_killed_while_it_recovers_starts_again_and_again);
+    CPPUNIT_TEST(what_a_start_has_read_survives_a_loss_of_power);
     CPPUNIT_TEST_SUITE_END();
 
     std::string failed_;
