control: nothing of one life of a worker reaches the next

Cause: commands name a worker and not its life, and replies to starts and stops have no start time. The next life carries out a start meant for the former one; its clock has begun anew, so the deadline lies far ahead and the lease becomes the longest that the platform grants, 10 s, while the leader counts 7.5 s and takes the reply for one of the former life. If the worker is then cut off, its tasks start elsewhere before its lease has ended. The same holds for starts and polls that arrive late, for acknowledged completion numbers, and for a leader that begins without knowing of such a life; the ledger had neither life of a worker for up to a heartbeat.

Evidence: worker_lives_test has workers with lives of their own on the real clock.

Change: the fencing token rises with each life of a worker, so what was meant for a former life is rejected once the present one has received a command of its own. Until then, and wherever a command may have reached another life, the lease counts as lease_limit. A reply whose clock is not that of the life addressed counts as none, and the worker is asked for its life at once. After a silence a poll brings no lease and acknowledges nothing. One ledger command retires a life and admits the next, without capacity until that has announced itself.

Workers that do not say when they started are treated as before.

--- a/include/galenaturn/schedule.h
+++ b/include/galenaturn/schedule.h
@@ -18,3 +18,4 @@
 #include "libschedule/steward.h"
 #include "libschedule/stewardmessages.h"
 #include "libschedule/taskchart.h"
+#include "libschedule/workerlives.h"
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -50,6 +50,7 @@
 
     /** Connection state of one worker in the current term. */
     struct worker_connection {
+        /** The clock of the worker; empty while it is not known whose clock it would be. */
         std::optional<std::chrono::milliseconds> clock;
         time_point clock_read_at;
         time_point last_reply_at;
@@ -123,8 +124,20 @@
     void retire_worker(const worker_id& worker, const char* cause);
     /** Handles that another worker responded in its place, or `next`, its next life. */
     void on_worker_crash(const worker_id& worker, const worker_id& next = {});
-    void forget_worker(const worker_id& worker);
+    /** Retires the worker in the ledger, which admits others in the same step. */
+    void forget_worker(const worker_id& worker, std::vector<wire::worker_record> admitted = {});
+    /** Handles that a later life of the worker has replied to a call to an earlier one. */
+    void on_other_life(const worker_id& worker, incarnation life);
     void update_clock(worker_connection& connection, const command_reply& reply);
+    /**
+     * Takes the clock from the reply to a command. Where the clock is that of another life, the
+     * reply says nothing of the life that was addressed: its result becomes `none`, and the worker
+     * is asked at once which life it is in.
+     */
+    void check_clock(const worker_id& worker, time_point requested_at, command_reply& reply);
+    /** Asks the worker in which life it is. Such a poll is harmless in any life. */
+    static boost::asio::awaitable<void> probe_life(job_service* self, worker_id worker,
+                                                   std::uint64_t generation);
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     lease_for(const worker_connection& connection) const;
     /**
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -44,6 +44,9 @@
 /** Pause before completions that the ledger did not accept are submitted again. */
 constexpr duration record_retry_pause = std::chrono::milliseconds{50};
 constexpr duration record_timeout = std::chrono::seconds{3};
+/** How far the clock of a worker may differ from what is expected of it. */
+constexpr std::chrono::milliseconds max_clock_error{250};
+constexpr int max_clock_drift_percent = 4;
 
 worker_target target_of(const schedule::job_worker& worker)
 {
@@ -147,6 +150,63 @@
     connection.last_reply_at = connection.clock_read_at;
 }
 
+void job_service::check_clock(const worker_id& worker, time_point requested_at,
+                              command_reply& reply)
+{
+    const auto connection = connections_.find(worker);
+    if (connection == connections_.end() || !reply.clock)
+        return;
+    const auto now = monotonic_now();
+    const auto& known = connection->second;
+    const auto since_reading =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - known.clock_read_at);
+    const auto tolerance =
+        max_clock_error + since_reading * max_clock_drift_percent / 100 +
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - requested_at);
+    const auto difference =
+        known.clock ? *reply.clock - (*known.clock + since_reading) : std::chrono::milliseconds{0};
+    if (incarnation_of(worker) == incarnation{} || std::chrono::abs(difference) <= tolerance)
+        return update_clock(connection->second, reply);
+    log_event(log_level::info, "worker_clock_of_other_life",
+              {{"worker", worker},
+               {"clock_ms", reply.clock->count()},
+               {"difference_ms", difference.count()},
+               {"answer", schedule::to_string(reply.result)},
+               {"token", token_}});
+    connection->second.clock.reset();
+    reply.result = command_result::none;
+    reply.reason = "the clock is that of another life";
+    schedule::extend_lease_to_limit(scheduler_, worker, now);
+    asio::co_spawn(shared_.io, probe_life(this, worker, generation_), asio::detached);
+}
+
+asio::awaitable<void> job_service::probe_life(job_service* self, worker_id worker,
+                                              std::uint64_t generation)
+{
+    const auto found = self->scheduler_.workers.find(worker);
+    if (found == self->scheduler_.workers.end())
+        co_return;
+    command_header header;
+    header.token = schedule::token_for(self->scheduler_, self->token_, worker);
+    header.reply_deadline = monotonic_now() + command_timeout;
+    auto target = target_of(found->second);
+    const auto polled =
+        co_await self->commands_->poll(std::move(target), 0, std::chrono::milliseconds{0}, header);
+    const auto connection = self->connections_.find(worker);
+    if (!self->in_term(generation) || connection == self->connections_.end())
+        co_return;
+    if (polled.reply.result == command_result::other_incarnation)
+        co_return self->on_other_life(worker, polled.life);
+    if (polled.reply.result == command_result::accepted)
+        self->update_clock(connection->second, polled.reply);
+}
+
+void job_service::on_other_life(const worker_id& worker, incarnation life)
+{
+    const bool is_next_life = life > incarnation_of(worker);
+    on_worker_crash(worker, is_next_life ? make_worker_id(name_of(worker), life) : worker_id{});
+}
+
 asio::awaitable<bool> job_service::poll_once(worker_id worker, std::uint64_t generation)
 {
     const auto found = scheduler_.workers.find(worker);
@@ -160,26 +220,35 @@
     auto target = target_of(found->second);
     const auto read_up_to = found->second.completions_read;
     command_header header;
-    header.token = token_;
-    if (schedule::may_extend_lease(scheduler_, worker))
+    header.token = schedule::token_for(scheduler_, token_, worker);
+    // After a silence the next life may be there: its clock and its numbers are others.
+    const bool may_be_other_life = found->second.lost && incarnation_of(worker) != incarnation{};
+    const auto acknowledged = may_be_other_life ? 0 : found->second.completions_acknowledged;
+    if (!may_be_other_life && schedule::may_extend_lease(scheduler_, worker))
         header.lease_until = lease_for(connections_[worker]);
     const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
     header.reply_deadline = requested_at + wait + command_timeout;
     if (header.lease_until)
         schedule::extend_lease(scheduler_, worker, requested_at);
-    const auto polled = co_await commands_->poll(
-        std::move(target), found->second.completions_acknowledged, wait, header);
+    const auto polled = co_await commands_->poll(std::move(target), acknowledged, wait, header);
     const auto connection = connections_.find(worker);
     if (!in_term(generation) || connection == connections_.end())
         co_return false;
     if (polled.reply.result == command_result::other_incarnation) {
-        const bool is_next_life = polled.life > incarnation_of(worker);
-        on_worker_crash(worker,
-                        is_next_life ? make_worker_id(name_of(worker), polled.life) : worker_id{});
+        log_event(log_level::info, "poll_reached_other_life",
+                  {{"worker", worker},
+                   {"life", polled.life},
+                   {"token", header.token},
+                   {"acknowledged", acknowledged},
+                   {"lease_until_ms", header.lease_until ? header.lease_until->count() : 0},
+                   {"clock_ms", polled.reply.clock ? polled.reply.clock->count() : 0}});
+        on_other_life(worker, polled.life);
         co_return false;
     }
     update_clock(connection->second, polled.reply);
     if (polled.reply.result != command_result::accepted) {
+        if (header.lease_until)
+            schedule::on_poll_unanswered(scheduler_, worker, monotonic_now());
         schedule::record_contact_loss(scheduler_, worker, monotonic_now(), polled.reply.closed);
         log_event(log_level::debug, "worker_silent",
                   {{"worker", worker},
@@ -328,16 +397,21 @@
     if (!crash.items.empty())
         asio::co_spawn(shared_.io, record_crash(this, std::move(crash), generation_),
                        asio::detached);
-    forget_worker(worker);
+    // In one command, so that each leader knows of a life that may have runs.
+    std::vector<wire::worker_record> admitted;
+    const auto found = scheduler_.workers.find(next);
+    if (found != scheduler_.workers.end())
+        admitted.push_back(found->second.record);
+    forget_worker(worker, std::move(admitted));
 }
 
-void job_service::forget_worker(const worker_id& worker)
+void job_service::forget_worker(const worker_id& worker, std::vector<wire::worker_record> admitted)
 {
     connections_.erase(worker);
     const auto found = announcements_.find(worker);
     if (found != announcements_.end())
         found->second.presence.left = true;
-    update_ledger_workers({}, {worker});
+    update_ledger_workers(std::move(admitted), {worker});
     schedule_due_commands();
     schedule_pass();
 }
@@ -415,7 +489,7 @@
     if (found == scheduler_.workers.end())
         co_return;
     command_header header;
-    header.token = token_;
+    header.token = schedule::token_for(scheduler_, token_, worker);
     header.lease_until = lease_for(connection);
     const auto requested_at = monotonic_now();
     header.reply_deadline = requested_at + command_timeout;
@@ -428,9 +502,10 @@
     schedule::on_start_sent(scheduler_, command, requested_at);
     connection.starting = run_key{command.task, command.run};
     auto target = target_of(found->second);
-    const auto reply = co_await commands_->start(std::move(target), command, header);
+    auto reply = co_await commands_->start(std::move(target), command, header);
     if (!in_term(generation))
         co_return;
+    check_clock(worker, requested_at, reply);
     const auto current_connection = connections_.find(worker);
     if (current_connection != connections_.end())
         current_connection->second.starting.reset();
@@ -438,10 +513,8 @@
     schedule::on_start_result(scheduler_, command, reply.result, monotonic_now());
     if (reply.result == command_result::other_incarnation)
         co_return on_worker_crash(worker);
-    if (current_connection != connections_.end()) {
-        update_clock(current_connection->second, reply);
+    if (current_connection != connections_.end())
         send_commands(worker);
-    }
     if (reply.result == command_result::none)
         drop_queued_starts(worker);
     // A run that starts slowed gets its pace now.
@@ -483,13 +556,15 @@
     const auto found = scheduler_.workers.find(worker);
     if (found == scheduler_.workers.end())
         co_return std::nullopt;
+    const auto requested_at = monotonic_now();
     command_header header;
-    header.token = token_;
-    header.reply_deadline = monotonic_now() + command_timeout;
+    header.token = schedule::token_for(scheduler_, token_, worker);
+    header.reply_deadline = requested_at + command_timeout;
     auto target = target_of(found->second);
     auto reply = co_await ((*commands_).*method)(std::move(target), std::move(command), header);
     if (!in_term(generation))
         co_return std::nullopt;
+    check_clock(worker, requested_at, reply);
     co_return std::move(reply);
 }
 
--- a/src/controld/workercommands.h
+++ b/src/controld/workercommands.h
@@ -10,8 +10,7 @@
 
 /** Fields common to all commands to a worker. */
 struct command_header {
-    /** The leader's fencing token. */
-    term token;
+    fencing_token token;
     /**
      * End of the lease by the worker's own clock: until then its runs continue without contact to a
      * leader.
--- a/src/libcore/ids.h
+++ b/src/libcore/ids.h
@@ -104,6 +104,9 @@
 
 /** Fencing token: a process that has seen a higher epoch rejects commands of a lower one. */
 using epoch = strong_number<struct epoch_tag>;
+/** Token of a command to a worker, which does nothing for one lower than the highest it has seen.
+ */
+using fencing_token = strong_number<struct fencing_token_tag>;
 /** Election number of the ledger's leader. */
 using term = strong_number<struct term_tag>;
 using log_index = strong_number<struct log_index_tag>;
--- a/src/libcore/settings.h
+++ b/src/libcore/settings.h
@@ -41,6 +41,8 @@
 struct job_settings {
     /** How long a worker continues without a message from the scheduler. */
     duration lease{};
+    /** The longest lease that a worker accepts, whatever the scheduler grants. */
+    duration lease_limit{};
     /** Maximum time that a worker takes to stop a task. */
     duration stop_limit{};
     /** How often a worker announces itself. */
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -3,6 +3,7 @@
 #include "jobpriority.h"
 #include "jobruns.h"
 #include "workercrashes.h"
+#include "workerlives.h"
 
 #include <algorithm>
 #include <iterator>
@@ -758,6 +759,7 @@
     }
     if (outcome == command_result::none) {
         ++state.counts.unanswered;
+        extend_lease_to_limit(state, command.worker, now);
         if (is_unconfirmed(run.phase))
             set_phase(run, run_phase::unknown, now);
         return;
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -298,6 +298,8 @@
     /** All its runs have certainly ended by then, unless the lease is extended. */
     time_point lease_expires_at;
     time_point last_reply_at;
+    /** A report of it was read in the term of this leader, complete or not. */
+    bool has_reported{false};
     /** No new tasks are placed there before this time. */
     time_point avoid_until;
     /** When it last responded. */
@@ -323,6 +325,13 @@
     std::uint64_t completions_acknowledged{0};
 };
 
+/** The lives of one worker to which this leader has sent commands. */
+struct worker_lives {
+    incarnation latest;
+    /** Number of lives before the latest one. */
+    std::uint64_t earlier{0};
+};
+
 /** A run that this leader neither started nor adopted, to be stopped. */
 struct orphan_run {
     worker_id worker;
@@ -479,6 +488,8 @@
     deadline_queue<orphan_run> orphan_stops_due;
     /** Doubtful starts of workers that are gone, by name, until their next lives appear. */
     std::map<std::string, std::vector<doubtful_start>> departed_starts;
+    /** Lives of each worker that says when it started, by name. */
+    std::map<std::string, worker_lives> known_lives;
     /** All workers with doubtful starts, and some that had any. */
     std::set<worker_id> workers_in_doubt;
     /** No lease of a worker with runs expires before this time. */
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "jobruns.h"
 
 #include "jobpriority.h"
+#include "workerlives.h"
 
 #include <algorithm>
 
@@ -128,7 +129,12 @@
 {
     job_scheduler state;
     state.settings = settings;
-    state.inherited_runs_expire_at = now + certain_expiry(settings.lease);
+    const bool any_may_restart =
+        std::any_of(workers.begin(), workers.end(), [](const auto& worker) {
+            return incarnation_of(worker.first) != incarnation{};
+        });
+    state.inherited_runs_expire_at =
+        any_may_restart ? last_possible_expiry(state, now) : now + certain_expiry(settings.lease);
     for (const auto& [id, record] : jobs) {
         if (record.phase != wire::job_phase::open)
             continue;
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -2,6 +2,7 @@
 #include "jobruns.h"
 #include "orphans.h"
 #include "workercrashes.h"
+#include "workerlives.h"
 
 #include <algorithm>
 
@@ -61,9 +62,10 @@
     if (added) {
         worker.record = earlier.record;
         worker.record.id = next;
+        // It may be of another size, and gets no tasks before it has announced itself.
+        worker.record.capacity = {};
     }
-    worker.lease_expires_at =
-        std::max(worker.lease_expires_at, now + certain_expiry(state.settings.lease));
+    extend_lease_to_limit(state, next, now);
     if (state.unread_workers.erase(earlier.record.id) > 0 && !worker.report_read)
         state.unread_workers.insert(next);
     // A command names the worker only, so the next life may carry it out.
--- a/src/libschedule/runreports.cpp
+++ b/src/libschedule/runreports.cpp
@@ -3,8 +3,10 @@
 #include "orphans.h"
 #include "tailcontrol.h"
 #include "workercrashes.h"
+#include "workerlives.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace galenaturn::schedule {
 
@@ -327,6 +329,10 @@
     report_context context{state, worker->second, requested_at, now, {}, {}, 0};
     context.listed.reserve(report.running.size());
     record_alive(worker->second, now);
+    // It has seen the token of this leader for its present life, so earlier commands can no longer
+    // extend its lease.
+    if (!std::exchange(worker->second.has_reported, true))
+        extend_lease_to_limit(state, id, now);
     worker->second.has_orphans = false;
     // Completions first: a task that ended and runs again is in both lists.
     for (const auto& ended : report.ended) {
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -16,7 +16,7 @@
 /** A worker replies to a poll after this time; none of its runs ends by itself. */
 constexpr duration poll_span = std::chrono::milliseconds{300};
 
-process_settings leader_settings()
+process_settings leader_settings(job_settings jobs)
 {
     process_settings settings;
     settings.self.id = process_id{"control-a"};
@@ -24,10 +24,31 @@
     settings.self.domain = failure_domain_id{"hall-a"};
     settings.members = {settings.self};
     settings.charts_folder = GALENATURN_SOURCE_DIR "/charts";
-    settings.jobs.lease = std::chrono::seconds{5};
+    settings.jobs = jobs;
     return settings;
 }
 
+job_settings default_job_settings()
+{
+    job_settings settings;
+    settings.lease = std::chrono::seconds{5};
+    settings.lease_limit = std::chrono::seconds{10};
+    return settings;
+}
+
+wire::record_workers make_fleet(std::size_t workers)
+{
+    wire::record_workers fleet;
+    for (std::size_t number = 0; number < workers; ++number) {
+        auto& worker = fleet.admitted.emplace_back();
+        worker.id = worker_id{"w" + std::to_string(number)};
+        worker.service = service_id{"desk"};
+        worker.address = {"127.0.0.1", 1};
+        worker.capacity = {millicores{64'000}, bytes{std::int64_t{256} << 30}, {}};
+    }
+    return fleet;
+}
+
 } // namespace
 
 class test_leader::workers_in_process : public worker_commands {
@@ -108,11 +129,20 @@
     test_leader& leader_;
 };
 
-test_leader::test_leader(std::size_t workers) : shared_{leader_settings()}, roster_{shared_}
+test_leader::test_leader(std::size_t workers)
+    : test_leader{default_job_settings(), make_fleet(workers), [this](asio::io_context& /*io*/) {
+                      return std::make_unique<workers_in_process>(*this);
+                  }}
+{
+}
+
+test_leader::test_leader(job_settings settings, wire::record_workers fleet,
+                         const worker_factory& make_workers)
+    : shared_{leader_settings(settings)}, roster_{shared_}
 {
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return leads_; };
-    hub_.current_term = [] { return term{1}; };
+    hub_.current_term = [this] { return term{term_}; };
     hub_.leader = [] { return process_id{"control-a"}; };
     hub_.submit = [this](wire::command command,
                          time_point) -> asio::awaitable<wire::command_response> {
@@ -126,23 +156,29 @@
         response.status = wire::command_status::accepted;
         co_return response;
     };
-    wire::record_workers fleet;
-    for (std::size_t number = 0; number < workers; ++number) {
-        auto& worker = fleet.admitted.emplace_back();
-        worker.id = worker_id{"w" + std::to_string(number)};
-        worker.service = service_id{"desk"};
-        worker.address = {"127.0.0.1", 1};
-        worker.capacity = {millicores{64'000}, bytes{std::int64_t{256} << 30}, {}};
-    }
     apply(std::move(fleet));
-    service_ = std::make_unique<job_service>(shared_, hub_, roster_,
-                                             std::make_unique<workers_in_process>(*this),
+    service_ = std::make_unique<job_service>(shared_, hub_, roster_, make_workers(shared_.io),
                                              [](const std::string&) { return queue_table{}; });
-    GN_INVARIANT(service_->start().has_value(), {"workers", workers});
+    GN_INVARIANT(service_->start().has_value(), {"workers", state_.workers.size()});
 }
 
 test_leader::~test_leader() = default;
 
+void test_leader::begin_next_term()
+{
+    for (const auto& listener : hub_.leadership)
+        listener(false);
+    ++term_;
+}
+
+void test_leader::announce(const wire::worker_record& worker)
+{
+    wire::worker_presence presence;
+    presence.worker = worker;
+    presence.sequence = ++announcements_;
+    service_->on_announcement(presence);
+}
+
 void test_leader::submit(const std::string& name, bool long_running)
 {
     wire::job_step step;
@@ -151,11 +187,11 @@
     submit_step(name, std::move(step));
 }
 
-void test_leader::submit_tasks(const std::string& name, std::uint32_t count)
+void test_leader::submit_tasks(const std::string& name, std::uint32_t count, millicores each)
 {
     wire::job_step step;
     step.count = count;
-    step.demand.processors = millicores{10};
+    step.demand.processors = each;
     submit_step(name, std::move(step));
 }
 
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -26,7 +26,12 @@
  */
 class test_leader {
 public:
+    using worker_factory =
+        std::function<std::unique_ptr<worker_commands>(boost::asio::io_context& io)>;
+
     explicit test_leader(std::size_t workers);
+    test_leader(job_settings settings, wire::record_workers fleet,
+                const worker_factory& make_workers);
     ~test_leader();
     test_leader(const test_leader&) = delete;
     test_leader& operator=(const test_leader&) = delete;
@@ -35,7 +40,8 @@
     void submit(const std::string& name, bool long_running = true);
     void cancel(const std::string& name);
     /** Accepts a job with one step of this many tasks. */
-    void submit_tasks(const std::string& name, std::uint32_t count);
+    void submit_tasks(const std::string& name, std::uint32_t count,
+                      millicores each = millicores{10});
     /** Lets a run on any worker succeed. */
     void end_a_run();
     /** Lets all runs succeed at the same time. */
@@ -60,6 +66,11 @@
     void count_rounds();
     [[nodiscard]] std::uint64_t rounds() const { return rounds_; }
 
+    /** The leader is lost; the next one knows what the ledger has recorded. */
+    void begin_next_term();
+    /** A worker announces itself. */
+    void announce(const wire::worker_record& worker);
+
     /** The lease of the leader lapses, or is renewed. */
     void set_leads(bool leads) { leads_ = leads; }
     /** Workers carry out starts and stops at once, but reply only once they are not held. */
@@ -90,6 +101,8 @@
     daemon::roster_service roster_;
     ledger::ledger_state state_;
     std::uint64_t index_{0};
+    std::uint64_t term_{1};
+    std::uint64_t announcements_{0};
     std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
     std::map<worker_id, std::vector<schedule::worker_report::ended_run>> ended_;
     std::vector<received_stop> stops_;
--- /dev/null
+++ b/tests/control/workerlivestest.cpp
@@ -0,0 +1,175 @@
+#include "restartingworkers.h"
+#include "testleader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::controld {
+
+namespace {
+
+constexpr duration lease = std::chrono::milliseconds{4500};
+constexpr duration lease_limit = std::chrono::milliseconds{6500};
+constexpr millicores processors_per_task{20'000};
+constexpr std::uint32_t tasks = 3;
+/** What the clock of a first life shows at its first call: far ahead of that of the next life. */
+constexpr std::chrono::milliseconds first_clock = std::chrono::minutes{2};
+
+job_settings short_leases()
+{
+    job_settings settings;
+    settings.lease = lease;
+    settings.lease_limit = lease_limit;
+    return settings;
+}
+
+wire::worker_record make_worker(const std::string& name, std::uint64_t life)
+{
+    wire::worker_record worker;
+    worker.id = make_worker_id(name, incarnation{life});
+    worker.service = service_id{"desk"};
+    worker.address = {"127.0.0.1", 1};
+    worker.capacity = {millicores{64'000}, bytes{std::int64_t{256} << 30}, {}};
+    return worker;
+}
+
+/** A leader with the workers a and b, each in its first life. At first b cannot be reached. */
+struct two_workers {
+    restarting_workers* workers{nullptr};
+    test_leader leader;
+
+    two_workers()
+        : leader{short_leases(),
+                 {{make_worker("a", 1), make_worker("b", 1)}, {}},
+                 [this](boost::asio::io_context& io) {
+                     auto made = std::make_unique<restarting_workers>(io, lease_limit);
+                     made->begin_life("a", incarnation{1}, first_clock);
+                     made->begin_life("b", incarnation{1}, first_clock);
+                     workers = made.get();
+                     return made;
+                 }}
+    {
+        workers->cut_off("b", true);
+        leader.run_for(std::chrono::milliseconds{300});
+    }
+
+    bool run_until_one_runs_on_a()
+    {
+        return leader.run_until([&] { return workers->running("a") > 0; }, std::chrono::seconds{2});
+    }
+
+    bool run_until_all_run_on_a()
+    {
+        return leader.run_until([&] { return workers->running("a") == tasks; },
+                                std::chrono::seconds{2});
+    }
+
+    /**
+     * Cuts a off, whose runs go on, and makes b reachable. Returns once all tasks have started
+     * there, or long after the longest lease.
+     */
+    bool run_until_all_start_on_b()
+    {
+        workers->cut_off("a", true);
+        workers->cut_off("b", false);
+        return leader.run_until([&] { return workers->starts("b") == tasks; }, 2 * lease_limit);
+    }
+};
+
+} // namespace
+
+/** Tests calls that reach another life of a worker than the one that they are meant for. */
+class worker_lives_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_lives_test);
+    CPPUNIT_TEST(no_task_runs_twice_after_the_next_life_has_accepted_its_start);
+    CPPUNIT_TEST(no_task_runs_twice_after_the_next_life_has_carried_out_a_late_start);
+    CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_knows_the_former_life_only);
+    CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_knows_the_next_life);
+    CPPUNIT_TEST(a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void assert_none_doubled(const two_workers& test)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.workers->doubled().size());
+    }
+
+    /**
+     * Guards against counting a lease by the clock of the former life: the next life accepts it as
+     * the longest that there is.
+     */
+    void no_task_runs_twice_after_the_next_life_has_accepted_its_start()
+    {
+        two_workers test;
+        test.workers->begin_life("a", incarnation{2});
+        test.leader.submit_tasks("job", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_one_runs_on_a());
+        test.leader.run_for(std::chrono::milliseconds{200});
+        CPPUNIT_ASSERT(test.run_until_all_start_on_b());
+        assert_none_doubled(test);
+    }
+
+    /** The same where the start gets no reply, because it arrives late. */
+    void no_task_runs_twice_after_the_next_life_has_carried_out_a_late_start()
+    {
+        two_workers test;
+        test.workers->hold_calls("a", true);
+        test.leader.submit_tasks("job", tasks, processors_per_task);
+        test.leader.run_for(std::chrono::milliseconds{200});
+        test.workers->begin_life("a", incarnation{2});
+        test.workers->carry_out_held_calls("a");
+        CPPUNIT_ASSERT(test.workers->running("a") > 0);
+        CPPUNIT_ASSERT(test.run_until_all_start_on_b());
+        assert_none_doubled(test);
+    }
+
+    /** The same where the leader that sent the start is lost, and the next one cannot ask. */
+    void no_task_runs_twice_where_the_next_leader_knows_the_former_life_only()
+    {
+        two_workers test;
+        test.workers->begin_life("a", incarnation{2});
+        test.leader.submit_tasks("job", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_one_runs_on_a());
+        test.leader.begin_next_term();
+        CPPUNIT_ASSERT(test.run_until_all_start_on_b());
+        assert_none_doubled(test);
+    }
+
+    /** Guards against a time in which the ledger has neither life of a worker. */
+    void no_task_runs_twice_where_the_next_leader_knows_the_next_life()
+    {
+        two_workers test;
+        test.workers->begin_life("a", incarnation{2});
+        test.leader.submit_tasks("job", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_one_runs_on_a());
+        test.leader.run_for(std::chrono::milliseconds{200});
+        test.leader.begin_next_term();
+        CPPUNIT_ASSERT(test.run_until_all_start_on_b());
+        assert_none_doubled(test);
+    }
+
+    /** Guards against numbers of one life that acknowledge ends of the next one. */
+    void a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one()
+    {
+        two_workers test;
+        test.leader.submit_tasks("first", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_all_run_on_a());
+        test.workers->end_runs("a");
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return test.leader.has_succeeded("first"); }));
+        // The next poll acknowledges these ends. It arrives in the next life.
+        test.leader.run_for(std::chrono::milliseconds{100});
+        test.workers->hold_calls("a", true);
+        test.leader.run_for(std::chrono::milliseconds{2500});
+        test.workers->begin_life("a", incarnation{2});
+        test.leader.announce(make_worker("a", 2));
+        test.leader.submit_tasks("second", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_all_run_on_a());
+        test.workers->end_runs("a");
+        test.workers->carry_out_held_calls("a");
+        test.leader.run_for(std::chrono::seconds{1});
+        assert_none_doubled(test);
+        CPPUNIT_ASSERT(test.leader.has_succeeded("second"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_lives_test);
+
+} // namespace galenaturn::controld
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -223,7 +223,7 @@
         command.task = {submission_id{"5c0e7a21d94b36f8"}, 0, 1, 17};
         command.run = 2;
         command.text = "a \"text\"";
-        const auto body = write_start(command, term{7}, std::chrono::milliseconds{486000});
+        const auto body = write_start(command, fencing_token{7}, std::chrono::milliseconds{486000});
         CPPUNIT_ASSERT(body.find(R"("fencingToken":7)") != std::string::npos);
         CPPUNIT_ASSERT(body.find(R"("deadlineMs":486000)") != std::string::npos);
         CPPUNIT_ASSERT(body.find("checkpoint") == std::string::npos);
@@ -238,7 +238,7 @@
         CPPUNIT_ASSERT_EQUAL(
             std::string{
                 R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"percent":40,"fencingToken":7})"},
-            write_pace(command, term{7}));
+            write_pace(command, fencing_token{7}));
     }
 
     void reads_a_configuration()
