control: a lost voter that nothing replaces is reported

A reply counts as that of another life of a worker only if its clock is behind: ahead of what is expected it is after a stop of this process, and then leases only become shorter.

--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -165,7 +165,9 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now - requested_at);
     const auto difference =
         known.clock ? *reply.clock - (*known.clock + since_reading) : std::chrono::milliseconds{0};
-    if (incarnation_of(worker) == incarnation{} || std::chrono::abs(difference) <= tolerance)
+    // The clock of a later life has begun anew, so it is behind. A reading that was read late, as
+    // after a stop of this process, makes it seem ahead, which shortens leases only.
+    if (incarnation_of(worker) == incarnation{} || difference >= -tolerance)
         return update_clock(connection->second, reply);
     log_event(log_level::info, "worker_clock_of_other_life",
               {{"worker", worker},
--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -37,7 +37,8 @@
       term_number{metrics.make_gauge("galenaturn_ledger_term")},
       applied_index{metrics.make_gauge("galenaturn_ledger_applied_index")},
       log_bytes{metrics.make_gauge("galenaturn_ledger_log_bytes")},
-      leader_missing{metrics.make_gauge("galenaturn_ledger_leader_missing")}
+      leader_missing{metrics.make_gauge("galenaturn_ledger_leader_missing")},
+      voters_lost{metrics.make_gauge("galenaturn_ledger_voters_lost")}
 {
 }
 
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -17,6 +17,7 @@
 using ledger_frame = std::variant<ledger::peer_message, ledger::bootstrap_message>;
 
 constexpr duration missing_leader_report_interval = std::chrono::seconds{4};
+constexpr duration lost_voters_report_interval = std::chrono::seconds{4};
 
 /** Metrics of one replica. */
 struct replica_counters {
@@ -32,6 +33,8 @@
     gauge& log_bytes;
     /** 1 while this voter has known no leader for some seconds. */
     gauge& leader_missing;
+    /** Voters that do not respond to this leader and are not replaced yet. */
+    gauge& voters_lost;
 };
 
 /** Callbacks of replica_runner. */
@@ -108,6 +111,8 @@
     [[nodiscard]] std::map<voter_id, process_id> recently_announced() const;
     /** Logs at intervals which voters are missing while there is no leader. */
     void report_missing_leader();
+    /** Logs at intervals which voters do not respond to this leader. */
+    void report_lost_voters();
     void send_bootstrap_message();
     void try_to_form_ledger();
     void make_replica();
@@ -131,6 +136,7 @@
     bool waiting_warning_logged_{false};
     time_point waiting_warning_due_;
     time_point missing_leader_report_due_;
+    time_point lost_voters_report_due_;
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer bootstrap_timer_;
     boost::asio::thread_pool disk_thread_{1};
--- a/src/controld/votermaintenance.cpp
+++ b/src/controld/votermaintenance.cpp
@@ -74,6 +74,27 @@
                {"advice", "see 'Lost quorum' in docs/operators/state.md"}});
 }
 
+void replica_runner::report_lost_voters()
+{
+    const auto now = monotonic_now();
+    const bool may_know = may_read() && shared_.settings.join;
+    const auto lost =
+        may_know ? ledger::lost_voters(voter_plan_input()) : std::map<voter_id, process_id>{};
+    counters_.voters_lost.set(static_cast<double>(lost.size()));
+    // A voter that is replaced in time is no news.
+    if (lost.empty())
+        lost_voters_report_due_ = now + lost_voters_report_interval;
+    if (now < lost_voters_report_due_)
+        return;
+    lost_voters_report_due_ = now + lost_voters_report_interval;
+    for (const auto& [voter, process] : lost)
+        log_event(log_level::warning, "ledger_voter_lost",
+                  {{"voter", voter},
+                   {"process", process},
+                   {"advice", "nothing replaces it; see 'A VM with a lost disk' in "
+                              "docs/operators/state.md"}});
+}
+
 void replica_runner::maintain_voters()
 {
     if (!may_read() || !shared_.settings.join)
@@ -100,6 +121,7 @@
 void replica_runner::announce_bootstrap()
 {
     report_missing_leader();
+    report_lost_voters();
     if (ledger::needs_announcement(*replica_))
         send_bootstrap_message();
     try_to_form_ledger();
--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -204,6 +204,16 @@
     return std::nullopt;
 }
 
+std::map<voter_id, process_id> lost_voters(const voter_plan_input& input)
+{
+    std::map<voter_id, process_id> lost;
+    for (const auto& [voter, process] : input.set.voters) {
+        if (is_lost(input, voter, process))
+            lost.emplace(voter, process);
+    }
+    return lost;
+}
+
 voter_contacts count_contacts(const replica& self, const std::map<voter_id, process_id>& announced)
 {
     voter_contacts contacts;
--- a/src/libledger/voterplan.h
+++ b/src/libledger/voterplan.h
@@ -53,6 +53,9 @@
  */
 std::optional<voter_change> plan_voter_change(const voter_plan_input& input);
 
+/** Returns the voters that are lost, beside which the group tolerates fewer further losses. */
+std::map<voter_id, process_id> lost_voters(const voter_plan_input& input);
+
 /** What a voter without a leader knows of the others. */
 struct voter_contacts {
     std::size_t voters{0};
--- a/tests/ledger/voterplantest.cpp
+++ b/tests/ledger/voterplantest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_learner_for_a_silent_voter_comes_from_its_domain);
     CPPUNIT_TEST(a_candidate_without_a_known_domain_comes_last);
     CPPUNIT_TEST(an_excess_voter_is_never_the_leader);
+    CPPUNIT_TEST(a_voter_that_nothing_replaces_is_lost);
     CPPUNIT_TEST(newcomers_are_added_up_to_the_target_number_of_voters);
     CPPUNIT_TEST(exactly_one_ledger_forms_in_any_message_order);
     CPPUNIT_TEST(a_process_that_is_no_founder_forms_no_ledger);
@@ -197,6 +198,18 @@
         CPPUNIT_ASSERT(change && change->kind == voter_change_kind::promote);
     }
 
+    /** A process that ended at each start was noticed by nobody. */
+    void a_voter_that_nothing_replaces_is_lost()
+    {
+        auto input = three_voters();
+        CPPUNIT_ASSERT(lost_voters(input).empty());
+        input.silence[voter(3)] = max_voter_silence + std::chrono::milliseconds{1};
+        CPPUNIT_ASSERT(!plan_voter_change(input));
+        const auto lost = lost_voters(input);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.size());
+        CPPUNIT_ASSERT_EQUAL(process(3), lost.at(voter(3)));
+    }
+
     void newcomers_are_added_up_to_the_target_number_of_voters()
     {
         auto input = three_voters();
