--- a/tests/voters/voterexchangetest.cpp
+++ b/tests/voters/voterexchangetest.cpp
@@ -223,10 +223,10 @@
                                ended.empty());
     }
 
-    /** Runs until the group tolerates the next loss, for 16 s at most. */
-    static void settle(voter_group& group)
+    /** Runs until the group tolerates the next loss, for `limit` at most. */
+    static void settle(voter_group& group, duration limit)
     {
-        const auto until = group.elapsed() + std::chrono::seconds{16};
+        const auto until = group.elapsed() + limit;
         while (group.elapsed() < until && !group.tolerates_next_loss())
             group.run_for(std::chrono::milliseconds{100});
     }
@@ -249,7 +249,7 @@
                 group.wipe(wiped, std::chrono::seconds{1});
                 group.run_for(std::chrono::milliseconds{1000 + after});
                 group.wipe(wiped, std::chrono::seconds{1});
-                settle(group);
+                settle(group, std::chrono::seconds{12});
                 note_if_ended(group, std::to_string(seed) + "/" + std::to_string(after), ended);
             }
         }
@@ -269,7 +269,7 @@
                 group.remove(leaving);
                 group.run_for(std::chrono::milliseconds{after});
                 group.wipe(successor, std::chrono::seconds{1});
-                settle(group);
+                settle(group, std::chrono::seconds{12});
                 note_if_ended(group, std::to_string(seed) + "/" + std::to_string(after), ended);
             }
         }
@@ -350,7 +350,7 @@
         const auto newest = group.add_process(group.domain_of(lost));
         group.run_for(std::chrono::milliseconds{after});
         inflict(group, next, newest);
-        settle(group);
+        settle(group, std::chrono::seconds{16});
         note_if_ended(group,
                       std::to_string(static_cast<int>(first)) + "/" +
                           std::to_string(static_cast<int>(next)) + "/" + std::to_string(seed) +
