control: a start that found no connection is placed again at once

What callers saw: a task whose start was sent to a worker that had just stopped waited for the longest lease, some 11 s, although nothing had left this process.

Cause: an exchange that could not connect ended like one without a reply, so the start counted as one that may still be carried out.

Change: the session pool says whether a connection was established.

Evidence: exchange_without_a_connection_has_sent_nothing tells a server that accepts and stays silent from one that is closed; start_that_found_no_connection_is_placed_elsewhere_at_once.

--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -74,6 +74,11 @@
     return command;
 }
 
+bool is_unanswered(const command_reply& reply)
+{
+    return reply.result == command_result::none || reply.result == command_result::unreachable;
+}
+
 /** Logs a start command with its result, and how long it had waited until it was sent. */
 void log_start(const schedule::start_command& command, term token, const command_reply& reply,
                duration queued)
@@ -249,7 +254,7 @@
     }
     update_clock(connection->second, polled.reply);
     if (polled.reply.result != command_result::accepted) {
-        if (header.lease_until)
+        if (header.lease_until && polled.reply.result != command_result::unreachable)
             schedule::on_poll_unanswered(scheduler_, worker, monotonic_now());
         schedule::record_contact_loss(scheduler_, worker, monotonic_now(), polled.reply.closed);
         log_event(log_level::debug, "worker_silent",
@@ -517,7 +522,7 @@
         co_return on_worker_crash(worker);
     if (current_connection != connections_.end())
         send_commands(worker);
-    if (reply.result == command_result::none)
+    if (is_unanswered(reply))
         drop_queued_starts(worker);
     // A run that starts slowed gets its pace now.
     send_due_commands();
@@ -618,7 +623,7 @@
                {"answer", schedule::to_string(reply->result)},
                {"reason", reply->reason}});
     schedule::on_stop_result(self->scheduler_, command, reply->result, monotonic_now());
-    if (reply->result == command_result::none)
+    if (is_unanswered(*reply))
         self->drop_queued_starts(worker);
     if (reply->result == command_result::other_incarnation)
         self->on_worker_crash(worker);
--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -1,5 +1,6 @@
 #include "sessionpool.h"
 
+#include "clienterrors.h"
 #include "httpclient.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -128,7 +129,7 @@
         connection = std::make_unique<session>(io_);
         if (auto connected = co_await connect(*connection, address, deadline); !connected) {
             failed_.add();
-            co_return connected.error();
+            co_return client_error::not_connected;
         }
     }
     const socket_deadlines::watch watch{deadlines_, connection->socket, deadline};
--- a/src/libhttp/sessionpool.h
+++ b/src/libhttp/sessionpool.h
@@ -22,7 +22,10 @@
     session_pool(const session_pool&) = delete;
     session_pool& operator=(const session_pool&) = delete;
 
-    /** Sends a request. Returns the complete response, or why there is none by `deadline`. */
+    /**
+     * Sends a request. Returns the complete response, or why there is none by `deadline`:
+     * `not_connected` if nothing was sent.
+     */
     boost::asio::awaitable<result<response>> exchange(ip_endpoint address, request message,
                                                       time_point deadline);
     /** Closes the idle connections to a server. */
--- a/src/libschedule/jobruns.cpp
+++ b/src/libschedule/jobruns.cpp
@@ -271,6 +271,8 @@
         return "refused";
     case command_result::not_sent:
         return "not_sent";
+    case command_result::unreachable:
+        return "unreachable";
     case command_result::none:
         return "none";
     }
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -54,6 +54,8 @@
     refused,
     /** It was not sent, because the lease or the contact with the worker was lost before. */
     not_sent,
+    /** No connection to the worker could be established, so the command did not leave. */
+    unreachable,
     /** No usable reply: whether the command was or will be carried out is unknown. */
     none,
 };
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(requests_arrive_whole_over_one_connection);
     CPPUNIT_TEST(exchange_ends_at_its_deadline);
     CPPUNIT_TEST(deadline_of_an_ended_exchange_closes_no_connection);
+    CPPUNIT_TEST(exchange_without_a_connection_has_sent_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context io_;
@@ -114,6 +116,39 @@
             metrics_.make_counter("galenaturn_http_sessions_total", {{"use", "opened"}});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, opened.value());
     }
+
+    asio::awaitable<error_code> error_of_exchange(ip_endpoint address, time_point deadline)
+    {
+        const auto reply =
+            co_await pool_.exchange(address, make_request(verb::post, "/wait", "body"), deadline);
+        co_return reply ? error_code{} : reply.error();
+    }
+
+    error_code run_exchange(std::uint16_t port)
+    {
+        error_code received;
+        asio::co_spawn(io_,
+                       error_of_exchange({"127.0.0.1", port},
+                                         monotonic_now() + std::chrono::milliseconds{300}),
+                       [&](const std::exception_ptr&, error_code error) {
+                           received = error;
+                           io_.stop();
+                       });
+        io_.restart();
+        io_.run_for(std::chrono::seconds{5});
+        return received;
+    }
+
+    /** Guards against a request that is taken for one which may have arrived, or the reverse. */
+    void exchange_without_a_connection_has_sent_nothing()
+    {
+        asio::ip::tcp::acceptor silent{io_, {asio::ip::make_address("127.0.0.1"), 0}};
+        const auto port = silent.local_endpoint().port();
+        // The system accepts the connection and the request, although nothing reads them.
+        CPPUNIT_ASSERT(run_exchange(port) == error_code{asio::error::timed_out});
+        silent.close();
+        CPPUNIT_ASSERT(run_exchange(port) == make_error_code(client_error::not_connected));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_pool_test);
--- a/tests/schedule/startstest.cpp
+++ b/tests/schedule/startstest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(start_of_a_cancelled_job_is_not_sent);
     CPPUNIT_TEST(start_is_sent_once);
     CPPUNIT_TEST(stop_that_was_refused_is_sent_again);
+    CPPUNIT_TEST(start_that_found_no_connection_is_placed_elsewhere_at_once);
     CPPUNIT_TEST(worker_gets_no_lease_while_a_cleared_start_may_still_begin);
     CPPUNIT_TEST(confirmed_runs_that_expire_leave_no_start_in_doubt);
     CPPUNIT_TEST(stop_of_a_run_that_has_ended_is_not_sent);
@@ -98,7 +99,8 @@
     {
         for (const auto result :
              {command_result::no_capacity, command_result::too_late, command_result::unhealthy,
-              command_result::refused, command_result::not_sent, command_result::none}) {
+              command_result::refused, command_result::not_sent, command_result::unreachable,
+              command_result::none}) {
             state_ = {};
             setUp();
             add_worker("w1");
@@ -208,6 +210,21 @@
                                          plan_starts(state_, now_, wall_).size());
         }
     }
+    /** Guards against waiting for the lease of a worker that has received nothing. */
+    void start_that_found_no_connection_is_placed_elsewhere_at_once()
+    {
+        add_worker("w1");
+        add_job(state_, job(), now_);
+        const auto command = plan_one();
+        on_start_sent(state_, command, now_);
+        add_worker("w2");
+        on_start_result(state_, command, command_result::unreachable, now_);
+        const auto next = plan_one();
+        CPPUNIT_ASSERT(next.worker == worker_id{"w2"});
+        CPPUNIT_ASSERT(next.run > command.run);
+        CPPUNIT_ASSERT(may_extend_lease(state_, command.worker));
+    }
+
     /** Otherwise the start is carried out late, under the new lease, beside the next run. */
     void worker_gets_no_lease_while_a_cleared_start_may_still_begin()
     {
