schedule: a start without a reply outlasts the lease of its worker

Cause: the leader waited for the longest lease that a start without a reply may have been granted, counted from when it was sent. A worker grants the lease when it carries the start out, which may be later than that: the next life has a younger clock and no fencing token, so nothing in the command makes it stale there.

Change: such a start keeps its task until the worker has answered or is known to be gone, or until `start_delay_limit` has passed since it was sent and the longest lease since then. A new leader waits as long for silent workers before it starts what it has taken over. Workers that do not say when they started are treated as before. `lease_expired` and `start_in_doubt` tell this from a lease that was counted wrongly.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -61,6 +61,7 @@
     counters_.add(name, {{"event", "succeeded"}}, counts_.succeeded);
     counters_.add(name, {{"event", "failed"}}, counts_.failed);
     counters_.add(name, {{"event", "lapsed"}}, counts_.expired);
+    counters_.add(name, {{"event", "in_doubt"}}, counts_.in_doubt);
     counters_.add(name, {{"event", "lost"}}, counts_.lost);
     counters_.add(name, {{"event", "unlisted"}}, counts_.unlisted);
     counters_.add("galenaturn_worker_reports_incomplete_total", {}, counts_.incomplete_reports);
@@ -346,11 +347,28 @@
         return;
     send_held_commands();
     const auto now = monotonic_now();
-    schedule::expire_leases(scheduler_, now);
+    log_expired_leases(schedule::expire_leases(scheduler_, now), now);
     queue_commands(schedule::plan_stops(scheduler_, now), &worker_connection::stops);
     queue_commands(schedule::plan_paces(scheduler_, now), &worker_connection::paces);
 }
 
+void job_service::log_expired_leases(const std::vector<schedule::expired_lease>& leases,
+                                     time_point now) const
+{
+    for (const auto& lease : leases) {
+        const auto& worker = scheduler_.workers.at(lease.worker);
+        log_event(log_level::info, "lease_expired",
+                  {{"worker", lease.worker},
+                   {"token", token_},
+                   {"ended", lease.ended},
+                   {"in_doubt", lease.in_doubt.size()},
+                   {"silent_us", (now - worker.last_reply_at).count()}});
+        for (const auto& [task, run] : lease.in_doubt)
+            log_event(log_level::info, "start_in_doubt",
+                      {{"task", task}, {"run", run}, {"worker", lease.worker}, {"token", token_}});
+    }
+}
+
 void job_service::schedule_due_commands()
 {
     if (std::exchange(due_commands_posted_, true))
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -119,6 +119,9 @@
                        std::uint64_t generation);
     /** Waits until the completions of the worker are recorded, but not for long. */
     boost::asio::awaitable<void> await_recording(worker_id worker, std::uint64_t generation);
+    /** Logs the leases that have expired, and the starts that outlast them. */
+    void log_expired_leases(const std::vector<schedule::expired_lease>& leases,
+                            time_point now) const;
     /** Logs the runs that end with the worker. */
     void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
--- a/src/libcore/settings.cpp
+++ b/src/libcore/settings.cpp
@@ -15,6 +15,7 @@
 /** Shorter than the lease limit of each supported platform. */
 constexpr duration default_lease = std::chrono::seconds{8};
 constexpr duration default_lease_limit = std::chrono::seconds{10};
+constexpr duration default_start_delay_limit = std::chrono::seconds{12};
 constexpr duration default_stop_limit = std::chrono::milliseconds{500};
 constexpr duration default_announcement_interval = std::chrono::milliseconds{1500};
 constexpr std::int64_t max_tolerated_disks = 4;
@@ -142,6 +143,7 @@
 {
     settings_.jobs.lease = item.span("lease", default_lease);
     settings_.jobs.lease_limit = item.span("lease_limit", default_lease_limit);
+    settings_.jobs.start_delay_limit = item.span("start_delay_limit", default_start_delay_limit);
     settings_.jobs.stop_limit = item.span("stop_limit", default_stop_limit);
     settings_.jobs.announcement_interval =
         item.span("announcement_interval", default_announcement_interval);
--- a/src/libcore/settings.h
+++ b/src/libcore/settings.h
@@ -43,6 +43,8 @@
     duration lease{};
     /** The longest lease that a worker accepts, whatever the scheduler grants. */
     duration lease_limit{};
+    /** How long after it was sent a worker may still carry out a start that got no reply. */
+    duration start_delay_limit{};
     /** Maximum time that a worker takes to stop a task. */
     duration stop_limit{};
     /** How often a worker announces itself. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -219,8 +219,20 @@
  */
 void acknowledge_completions(job_scheduler& state, const worker_id& worker,
                              std::uint64_t read_up_to);
-/** Ends the runs on workers whose leases have expired. */
-void expire_leases(job_scheduler& state, time_point now);
+/** What became of the runs of a worker when its lease had expired. */
+struct expired_lease {
+    worker_id worker;
+    /** Number of runs that have ended. */
+    std::size_t ended{0};
+    /** Starts without a reply that a next life of the worker may still carry out. */
+    std::vector<std::pair<wire::task_ref, std::uint32_t>> in_doubt;
+};
+
+/**
+ * Ends the runs on workers whose leases have expired. Starts without a reply are kept until no life
+ * of the worker carries them out any more.
+ */
+std::vector<expired_lease> expire_leases(job_scheduler& state, time_point now);
 
 /** Use of the capacity, for operators. */
 struct capacity_summary {
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -84,6 +84,8 @@
     std::optional<time_point> confirmed_at;
     /** A report of the worker has listed it. */
     bool listed{false};
+    /** Its start got no reply, and outlasts the lease of its worker. */
+    bool in_doubt{false};
     /** It has ended, but the end is not among those that the worker has listed so far. */
     bool end_unread{false};
     /** When a report of the worker last listed its task. */
@@ -389,6 +391,8 @@
     std::uint64_t succeeded{0};
     std::uint64_t failed{0};
     std::uint64_t expired{0};
+    /** Starts without a reply that outlasted the leases of their workers. */
+    std::uint64_t in_doubt{0};
     /** Runs that ended with their worker, or starts that were planned there. */
     std::uint64_t lost{0};
     /** Runs that their worker no longer listed, without a known end. */
@@ -499,7 +503,10 @@
      * of them were read.
      */
     std::set<worker_id> unread_workers;
-    /** All leases granted by an earlier leader have expired by then. */
+    /**
+     * All leases granted by an earlier leader have expired by then, and its starts are not carried
+     * out any more.
+     */
     time_point inherited_runs_expire_at;
     /** How best-effort images raise the tail latency of latency-critical images. */
     tail_model interference;
--- a/src/libschedule/jobtable.cpp
+++ b/src/libschedule/jobtable.cpp
@@ -133,8 +133,10 @@
         std::any_of(workers.begin(), workers.end(), [](const auto& worker) {
             return incarnation_of(worker.first) != incarnation{};
         });
+    const auto leases_expire_at = any_may_restart ? last_possible_expiry(settings, now)
+                                                  : now + certain_expiry(settings.lease);
     state.inherited_runs_expire_at =
-        any_may_restart ? last_possible_expiry(state, now) : now + certain_expiry(settings.lease);
+        any_may_restart ? last_possible_end(settings, now) : leases_expire_at;
     for (const auto& [id, record] : jobs) {
         if (record.phase != wire::job_phase::open)
             continue;
@@ -150,7 +152,7 @@
         auto& worker = state.workers[id];
         worker.record = record;
         worker.admitted = true;
-        worker.lease_expires_at = state.inherited_runs_expire_at;
+        worker.lease_expires_at = leases_expire_at;
         state.unread_workers.insert(id);
     }
     for_each_suspect_start(jobs, [&](const wire::task_ref& ref, const wire::task_crashes& start) {
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -44,7 +44,7 @@
     auto starts = worker.doubtful_starts;
     for (const auto& [ref, number] : worker.runs) {
         const auto& run = *find_task(state, ref)->run;
-        if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
+        if (is_unanswered_start(run))
             starts.push_back({ref, number, run.phase_since, std::nullopt, 0});
     }
     if (starts.empty())
@@ -94,16 +94,55 @@
     }
 }
 
-/** Keeps the starts that the worker may still carry out once it has a lease again. */
-void keep_doubtful_starts(job_scheduler& state, job_worker& worker, time_point now)
+/**
+ * Ends the run on a worker whose lease has expired. A start without a reply is kept as one that the
+ * worker may still carry out once it has a lease again.
+ */
+void end_expired_run(job_scheduler& state, job_worker& worker, const wire::task_ref& ref,
+                     std::uint32_t number, time_point now)
 {
-    for (const auto& [ref, number] : worker.runs) {
-        const auto& run = *find_task(state, ref)->run;
-        if (!is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at)
-            worker.doubtful_starts.push_back({ref, number, now, std::nullopt, 0});
-    }
-    if (!worker.doubtful_starts.empty())
+    auto& task = *find_task(state, ref);
+    if (is_unanswered_start(*task.run)) {
+        worker.doubtful_starts.push_back({ref, number, now, std::nullopt, 0});
         state.workers_in_doubt.insert(worker.record.id);
+    }
+    ++state.counts.expired;
+    clear_run(state, ref, task);
+    forget_if_ended(state, ref.job);
+}
+
+/**
+ * Ends the runs of a worker whose lease has expired, but for the starts that its next life may
+ * still carry out.
+ */
+expired_lease end_expired_runs(job_scheduler& state, job_worker& worker, time_point now)
+{
+    expired_lease expired{worker.record.id, 0, {}};
+    // The worker may have crashed or be partitioned; its next response tells.
+    auto items = crash_items(state, worker);
+    const auto runs = worker.runs;
+    for (const auto& [ref, number] : runs) {
+        auto& run = *find_task(state, ref)->run;
+        if (!may_be_in_next_life(state, worker, run, now)) {
+            end_expired_run(state, worker, ref, number, now);
+            ++expired.ended;
+            continue;
+        }
+        state.next_lease_expiry =
+            std::min(state.next_lease_expiry, last_possible_end(state.settings, run.commanded_at));
+        std::erase_if(items, [&ref = ref](const auto& item) { return item.task == ref; });
+        if (!std::exchange(run.in_doubt, true)) {
+            ++state.counts.in_doubt;
+            expired.in_doubt.emplace_back(ref, number);
+        }
+    }
+    for (auto& item : items) {
+        auto* task = find_task(state, item.task);
+        if (task != nullptr && item.suspicion != wire::crash_suspicion::cleared)
+            task->lost_in_silence = true;
+        worker.unexplained.push_back(std::move(item));
+    }
+    return expired;
 }
 
 void end_all_runs(job_scheduler& state, job_worker& worker)
@@ -235,10 +274,11 @@
         worker->second.last_reply_at = std::max(worker->second.last_reply_at, requested_at);
 }
 
-void expire_leases(job_scheduler& state, time_point now)
+std::vector<expired_lease> expire_leases(job_scheduler& state, time_point now)
 {
+    std::vector<expired_lease> expired;
     if (now <= state.next_lease_expiry)
-        return;
+        return expired;
     state.next_lease_expiry = time_point::max();
     for (auto& [id, worker] : state.workers) {
         if (worker.runs.empty() && !has_known_orphans(state, id))
@@ -247,17 +287,10 @@
             state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
             continue;
         }
-        state.counts.expired += worker.runs.size();
-        // The worker may have crashed or be partitioned; its next response tells.
-        worker.unexplained = crash_items(state, worker);
-        for (const auto& item : worker.unexplained) {
-            if (item.suspicion != wire::crash_suspicion::cleared)
-                find_task(state, item.task)->lost_in_silence = true;
-        }
-        keep_doubtful_starts(state, worker, now);
-        end_all_runs(state, worker);
+        expired.push_back(end_expired_runs(state, worker, now));
         forget_orphans(state, id, time_point::max());
     }
+    return expired;
 }
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/workerlives.cpp
+++ b/src/libschedule/workerlives.cpp
@@ -16,8 +16,8 @@
 bool has_unconfirmed_start(job_scheduler& state, const job_worker& worker)
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
-        const auto* task = find_task(state, entry.first);
-        return !task->run->confirmed_at && !is_unsent(task->run->phase);
+        const auto& run = *find_task(state, entry.first)->run;
+        return !run.confirmed_at && !is_unsent(run.phase);
     });
 }
 
@@ -43,7 +43,7 @@
     if (worker == state.workers.end() || incarnation_of(id) == incarnation{})
         return;
     worker->second.lease_expires_at =
-        std::max(worker->second.lease_expires_at, last_possible_expiry(state, now));
+        std::max(worker->second.lease_expires_at, last_possible_expiry(state.settings, now));
 }
 
 void on_poll_unanswered(job_scheduler& state, const worker_id& id, time_point now)
@@ -53,9 +53,26 @@
         extend_lease_to_limit(state, id, now);
 }
 
-time_point last_possible_expiry(const job_scheduler& state, time_point now)
+time_point last_possible_expiry(const job_settings& settings, time_point now)
 {
-    return now + certain_expiry(std::max(state.settings.lease, state.settings.lease_limit));
+    return now + certain_expiry(std::max(settings.lease, settings.lease_limit));
+}
+
+bool is_unanswered_start(const task_run& run)
+{
+    return !is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at;
+}
+
+time_point last_possible_end(const job_settings& settings, time_point sent_at)
+{
+    return last_possible_expiry(settings, sent_at + settings.start_delay_limit);
+}
+
+bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                         time_point now)
+{
+    return incarnation_of(worker.record.id) != incarnation{} && is_unanswered_start(run) &&
+           now <= last_possible_end(state.settings, run.commanded_at);
 }
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/workerlives.h
+++ b/src/libschedule/workerlives.h
@@ -21,6 +21,19 @@
 void on_poll_unanswered(job_scheduler& state, const worker_id& worker, time_point now);
 
 /** Returns when every lease that was granted until `now`, to whichever life, has expired. */
-time_point last_possible_expiry(const job_scheduler& state, time_point now);
+time_point last_possible_expiry(const job_settings& settings, time_point now);
+
+/** Returns whether it is not known where the start of the run arrived. */
+bool is_unanswered_start(const task_run& run);
+
+/**
+ * Returns when the next life of a worker can no longer have a run of which the start was sent at
+ * that time: it may be carried out late, and is granted the longest lease then.
+ */
+time_point last_possible_end(const job_settings& settings, time_point sent_at);
+
+/** Returns whether the next life of the worker may carry out the start of the run, or run it. */
+bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                         time_point now);
 
 } // namespace galenaturn::schedule
