schedule: an expired lease is reported once

While starts were in doubt, each look at the leases reported the lease of their worker again, with nothing ended.

--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -287,7 +287,9 @@
             state.next_lease_expiry = std::min(state.next_lease_expiry, worker.lease_expires_at);
             continue;
         }
-        expired.push_back(end_expired_runs(state, worker, now));
+        auto lease = end_expired_runs(state, worker, now);
+        if (lease.ended > 0 || !lease.in_doubt.empty())
+            expired.push_back(std::move(lease));
         forget_orphans(state, id, time_point::max());
     }
     return expired;
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(ends_of_the_next_life_are_read_from_the_first);
     CPPUNIT_TEST(confirmed_run_ends_with_its_life);
     CPPUNIT_TEST(unconfirmed_start_may_be_carried_out_by_the_next_life);
+    CPPUNIT_TEST(start_without_a_reply_outlasts_the_lease_of_its_worker);
     CPPUNIT_TEST(runs_of_a_worker_of_unknown_life_continue_in_the_next_one);
     CPPUNIT_TEST(new_leader_reads_the_next_life_before_it_starts_inherited_tasks);
     CPPUNIT_TEST_SUITE_END();
@@ -157,6 +158,36 @@
         CPPUNIT_ASSERT(!next.front().suspect);
     }
 
+    /** Guards against a second run while the next life of a silent worker may begin the first. */
+    void start_without_a_reply_outlasts_the_lease_of_its_worker()
+    {
+        state_.settings.lease_limit = std::chrono::seconds{10};
+        state_.settings.start_delay_limit = std::chrono::seconds{12};
+        add_worker(life(100));
+        add_job(state_, job("confirmed", 1), now_);
+        start();
+        add_job(state_, job("unanswered", 1), now_);
+        const auto unanswered = plan_starts(state_, now_, wall_).front();
+        on_start_sent(state_, unanswered, now_);
+        on_start_result(state_, unanswered, command_result::none, now_);
+        record_contact_loss(state_, unanswered.worker, now_, false);
+        now_ += std::chrono::seconds{11};
+        const auto expired = expire_leases(state_, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expired.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expired.front().ended);
+        CPPUNIT_ASSERT(expired.front().in_doubt.at(0).first == unanswered.task);
+        now_ += std::chrono::seconds{11};
+        CPPUNIT_ASSERT(expire_leases(state_, now_).empty());
+        add_worker("w2");
+        CPPUNIT_ASSERT(start().at(0).task != unanswered.task);
+        now_ += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expire_leases(state_, now_).size());
+        add_worker("w3");
+        const auto next = start();
+        CPPUNIT_ASSERT(next.at(0).task == unanswered.task);
+        CPPUNIT_ASSERT(next.at(0).run > unanswered.run);
+    }
+
     void start_that_was_not_sent_does_not_continue_in_the_next_life()
     {
         add_worker(life(100));
