schedule: a life that was followed by another is not one that has left

The next leader started the tasks of these workers elsewhere 1.2 s later; one was done and acknowledged when the new life carried out its first start.

Cause: with the announcement of a next life, the former one was marked as left, in the same field as a worker that says so itself. A new leader applies what it has heard before its term, retired the former life as one whose runs have all ended, and so waited neither for it nor for the next life, which it had not read.

Change: the table of announcements says that a life is over apart from what the worker has announced, and a new leader leaves such lives out. The next life then takes the place of the former one, and is waited for. The same holds for a worker that a leader found to be gone and could not retire in the ledger before it lost its term.

Evidence: no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life failed before (3 of 3 tasks start within 2 s) and passes. next_life_of_a_worker_is_a_new_worker named the old field: it now asserts both, and that the former life's announcements stay outdated. The simulation of leaders skipped departures, and so had not shown it; it marks lives as the service does.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -158,7 +158,7 @@
     for (const auto& [id, record] : state.workers)
         open_connection(id);
     for (const auto& [id, announced] : announcements_) {
-        if (now - announced.last_seen < max_announcement_age)
+        if (!announced.over && now - announced.last_seen < max_announcement_age)
             apply_announcement(announced.presence);
     }
 }
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -417,7 +417,7 @@
     connections_.erase(worker);
     const auto found = announcements_.find(worker);
     if (found != announcements_.end())
-        found->second.presence.left = true;
+        found->second.over = true;
     update_ledger_workers(std::move(admitted), {worker});
     schedule_due_commands();
     schedule_pass();
--- a/src/libschedule/announcedworkers.cpp
+++ b/src/libschedule/announcedworkers.cpp
@@ -44,14 +44,15 @@
     const auto found = workers.find(id);
     if (found == workers.end()) {
         // The earlier lives are over; late announcements of them are outdated.
-        for_each_life(workers, name_of(id), [](auto& life) { life.second.presence.left = true; });
+        for_each_life(workers, name_of(id), [](auto& life) { life.second.over = true; });
         workers.emplace(presence.worker.id, announced_worker{presence, now});
         return presence.left ? announcement_effect::departure : announcement_effect::new_worker;
     }
     auto& last = found->second;
     // The announcement of a departure carries no sequence number, and a life that has ended never
     // returns.
-    if (last.presence.left || (!presence.left && presence.sequence < last.presence.sequence))
+    if (last.over || last.presence.left ||
+        (!presence.left && presence.sequence < last.presence.sequence))
         return announcement_effect::outdated;
     const bool changed =
         presence.leaving != last.presence.leaving || presence.left != last.presence.left;
--- a/src/libschedule/announcedworkers.h
+++ b/src/libschedule/announcedworkers.h
@@ -10,6 +10,11 @@
 struct announced_worker {
     wire::worker_presence presence;
     time_point last_seen;
+    /**
+     * A later life has announced itself, or the worker was found to be gone. Unlike one that has
+     * left, it may have been lost with its runs.
+     */
+    bool over{false};
 };
 
 using announced_workers = std::map<worker_id, announced_worker>;
--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_knows_the_next_life);
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_life_carries_out_a_start_after_all_leases);
     CPPUNIT_TEST(no_task_runs_twice_where_the_start_is_one_of_the_former_leader);
+    CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life);
     CPPUNIT_TEST(tasks_of_a_worker_that_never_returns_start_elsewhere);
     CPPUNIT_TEST(a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +203,20 @@
         assert_none_doubled(test);
     }
 
+    /** Guards against taking a life that was followed by another for one that has left. */
+    void no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life()
+    {
+        two_workers test;
+        test.leader.announce(make_worker("a", 1));
+        test.lose_starts_on_a();
+        test.leader.begin_next_term();
+        test.leader.announce(make_worker("a", 2));
+        test.leader.run_for(std::chrono::seconds{2});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, test.workers->starts("b"));
+        CPPUNIT_ASSERT(test.run_until_all_run_after_the_cut());
+        assert_none_doubled(test);
+    }
+
     void tasks_of_a_worker_that_never_returns_start_elsewhere()
     {
         two_workers test;
--- a/tests/schedule/announcedworkerstest.cpp
+++ b/tests/schedule/announcedworkerstest.cpp
@@ -93,7 +93,10 @@
         record(life(100, 9));
         CPPUNIT_ASSERT(record(life(200, 1)) == announcement_effect::new_worker);
         CPPUNIT_ASSERT(record(life(200, 2)) == announcement_effect::unchanged);
-        CPPUNIT_ASSERT(workers_.at(life(100, 9).worker.id).presence.left);
+        const auto& former = workers_.at(life(100, 9).worker.id);
+        CPPUNIT_ASSERT(former.over);
+        CPPUNIT_ASSERT(!former.presence.left);
+        CPPUNIT_ASSERT(record(life(100, 10)) == announcement_effect::outdated);
     }
 
     void announcement_of_an_earlier_life_is_outdated()
--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -724,8 +724,10 @@
         if (std::exchange(lost_by_fault_, false))
             recovered_at_ = now_;
         state_ = take_over(ledger_.jobs, ledger_.workers, settings_, now_, wall_);
-        for (const auto& [id, announced] : announcements_)
-            apply_announcement(announced.presence);
+        for (const auto& [id, announced] : announcements_) {
+            if (!announced.over)
+                apply_announcement(announced.presence);
+        }
     }
 
     void announce()
@@ -764,7 +766,7 @@
         submit_command(std::move(crash), [this, items] { on_crash_recorded(state_, items); });
         const auto announced = announcements_.find(id);
         if (announced != announcements_.end())
-            announced->second.presence.left = true;
+            announced->second.over = true;
         submit_command(wire::record_workers{{}, {id}}, [] {});
     }
 
