schedule: later commands extend the lease of a late start

A task would run twice at once.

Cause: the doubt about a start without a reply ended `start_delay_limit` and the longest lease after that start was sent. A lease is that of the worker, not of a run: a poll or another start that was sent later, and is carried out late too, extends it. A worker that stands still gets such commands for up to 3 s before it is taken for silent.

Change: the doubt counts from the last command with a lease that was sent to any life of the worker.

Evidence: no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start failed before (one task runs twice) and passes now.

--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -299,6 +299,8 @@
     bool report_read{false};
     /** All its runs have certainly ended by then, unless the lease is extended. */
     time_point lease_expires_at;
+    /** When the last command with a lease was sent to any life of it. */
+    time_point lease_sent_at;
     time_point last_reply_at;
     /** A report of it was read in the term of this leader, complete or not. */
     bool has_reported{false};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -65,6 +65,7 @@
         // It may be of another size, and gets no tasks before it has announced itself.
         worker.record.capacity = {};
     }
+    worker.lease_sent_at = std::max(worker.lease_sent_at, earlier.lease_sent_at);
     extend_lease_to_limit(state, next, now);
     if (state.unread_workers.erase(earlier.record.id) > 0 && !worker.report_read)
         state.unread_workers.insert(next);
@@ -129,7 +130,7 @@
             continue;
         }
         state.next_lease_expiry =
-            std::min(state.next_lease_expiry, last_possible_end(state.settings, run.commanded_at));
+            std::min(state.next_lease_expiry, last_possible_end(state, worker, run));
         std::erase_if(items, [&ref = ref](const auto& item) { return item.task == ref; });
         if (!std::exchange(run.in_doubt, true)) {
             ++state.counts.in_doubt;
@@ -262,9 +263,11 @@
 void extend_lease(job_scheduler& state, const worker_id& id, time_point now)
 {
     const auto worker = state.workers.find(id);
-    if (worker != state.workers.end())
-        worker->second.lease_expires_at =
-            std::max(worker->second.lease_expires_at, now + certain_expiry(state.settings.lease));
+    if (worker == state.workers.end())
+        return;
+    worker->second.lease_sent_at = std::max(worker->second.lease_sent_at, now);
+    worker->second.lease_expires_at =
+        std::max(worker->second.lease_expires_at, now + certain_expiry(state.settings.lease));
 }
 
 void record_reply(job_scheduler& state, const worker_id& id, time_point requested_at)
--- a/src/libschedule/workerlives.cpp
+++ b/src/libschedule/workerlives.cpp
@@ -68,11 +68,17 @@
     return last_possible_expiry(settings, sent_at + settings.start_delay_limit);
 }
 
+time_point last_possible_end(const job_scheduler& state, const job_worker& worker,
+                             const task_run& run)
+{
+    return last_possible_end(state.settings, std::max(run.commanded_at, worker.lease_sent_at));
+}
+
 bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
                          time_point now)
 {
     return incarnation_of(worker.record.id) != incarnation{} && is_unanswered_start(run) &&
-           now <= last_possible_end(state.settings, run.commanded_at);
+           now <= last_possible_end(state, worker, run);
 }
 
 } // namespace galenaturn::schedule
--- a/src/libschedule/workerlives.h
+++ b/src/libschedule/workerlives.h
@@ -32,6 +32,13 @@
  */
 time_point last_possible_end(const job_settings& settings, time_point sent_at);
 
+/**
+ * Returns until when the next life of the worker may carry out the start of the run, or run it.
+ * Each command that is carried out after it extends its lease.
+ */
+time_point last_possible_end(const job_scheduler& state, const job_worker& worker,
+                             const task_run& run);
+
 /** Returns whether the next life of the worker may carry out the start of the run, or run it. */
 bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
                          time_point now);
--- a/tests/control/restartingworkers.cpp
+++ b/tests/control/restartingworkers.cpp
@@ -39,17 +39,23 @@
     worker.held_calls = std::move(held);
 }
 
-void restarting_workers::carry_out_held_calls(const std::string& name)
+void restarting_workers::carry_out_held_calls(const std::string& name, time_point sent_until)
 {
-    for (const auto& call : std::exchange(workers_[name].held_calls, {}))
-        call();
+    for (auto& call : std::exchange(workers_[name].held_calls, {})) {
+        if (call.sent_at <= sent_until)
+            call.carry_out();
+        else
+            workers_[name].held_calls.push_back(std::move(call));
+    }
 }
 
-void restarting_workers::end_runs(const std::string& name)
+void restarting_workers::end_runs(const std::string& name, std::size_t count)
 {
     auto& worker = workers_[name];
     expire_lease(worker);
-    for (const auto& [task, run] : std::exchange(worker.running, {})) {
+    for (; count > 0 && !worker.running.empty(); --count) {
+        const auto [task, run] = *worker.running.begin();
+        worker.running.erase(worker.running.begin());
         worker.ended.push_back(
             {++worker.last_completion, task, run, schedule::run_outcome::succeeded, ""});
         succeeded_[task] = name;
@@ -142,11 +148,13 @@
 {
     const auto name = name_of(worker.id);
     auto& state = workers_[name];
-    if (!state.cut && !state.holds_calls)
+    const bool held = state.holds_calls || state.holds_starts;
+    if (!state.cut && !held)
         co_return carry_out_start(name, command, header);
-    if (state.holds_calls)
-        state.held_calls.emplace_back(
-            [this, name, command, header] { carry_out_start(name, command, header); });
+    if (held)
+        state.held_calls.push_back({monotonic_now(), [this, name, command, header] {
+                                        carry_out_start(name, command, header);
+                                    }});
     co_await wait_until(header.reply_deadline);
     co_return command_reply{};
 }
@@ -185,9 +193,10 @@
     const auto life = state.life;
     const auto replies_at = monotonic_now() + wait;
     if (state.holds_calls)
-        state.held_calls.emplace_back([this, name, acknowledged_completions, header] {
-            carry_out_poll(name, acknowledged_completions, header);
-        });
+        state.held_calls.push_back(
+            {monotonic_now(), [this, name, acknowledged_completions, header] {
+                 carry_out_poll(name, acknowledged_completions, header);
+             }});
     const bool arrives = !state.cut && !state.holds_calls;
     if (arrives)
         carry_out_poll(name, acknowledged_completions, header);
--- a/tests/control/restartingworkers.h
+++ b/tests/control/restartingworkers.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,10 +32,16 @@
     void cut_off(const std::string& name, bool cut) { workers_[name].cut = cut; }
     /** Calls are not carried out on their arrival, and get no reply. */
     void hold_calls(const std::string& name, bool hold) { workers_[name].holds_calls = hold; }
-    /** Carries out the calls that were held, in whichever life the worker is now. */
-    void carry_out_held_calls(const std::string& name);
-    /** Lets all runs on the worker succeed. */
-    void end_runs(const std::string& name);
+    /** The same for starts alone: the worker answers everything else. */
+    void hold_starts(const std::string& name, bool hold) { workers_[name].holds_starts = hold; }
+    /**
+     * Carries out the calls that were held and sent until then, in whichever life the worker is
+     * now.
+     */
+    void carry_out_held_calls(const std::string& name, time_point sent_until = time_point::max());
+    /** Lets runs on the worker succeed, all of them or this many. */
+    void end_runs(const std::string& name,
+                  std::size_t count = std::numeric_limits<std::size_t>::max());
 
     [[nodiscard]] std::size_t running(const std::string& name);
     [[nodiscard]] std::uint64_t starts(const std::string& name) { return workers_[name].starts; }
@@ -53,6 +60,11 @@
                                             command_header header) override;
 
 private:
+    struct held_call {
+        time_point sent_at;
+        std::function<void()> carry_out;
+    };
+
     struct worker_state {
         incarnation life;
         time_point began;
@@ -64,7 +76,8 @@
         std::uint64_t starts{0};
         bool cut{false};
         bool holds_calls{false};
-        std::vector<std::function<void()>> held_calls;
+        bool holds_starts{false};
+        std::vector<held_call> held_calls;
     };
 
     [[nodiscard]] static std::chrono::milliseconds clock_of(const worker_state& worker);
--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_life_carries_out_a_start_after_all_leases);
     CPPUNIT_TEST(no_task_runs_twice_where_the_start_is_one_of_the_former_leader);
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life);
+    CPPUNIT_TEST(no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start);
     CPPUNIT_TEST(tasks_of_a_worker_that_never_returns_start_elsewhere);
     CPPUNIT_TEST(a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one);
     CPPUNIT_TEST_SUITE_END();
@@ -217,6 +218,30 @@
         assert_none_doubled(test);
     }
 
+    /**
+     * Guards against counting the lease of a late start alone: each command with a lease that is
+     * carried out after it extends the lease of all runs.
+     */
+    void no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start()
+    {
+        two_workers test;
+        test.workers->hold_calls("a", true);
+        test.leader.submit_tasks("job", tasks, processors_per_task);
+        test.leader.run_for(std::chrono::milliseconds{3500});
+        test.workers->begin_life("a", incarnation{2});
+        test.workers->cut_off("a", true);
+        test.workers->hold_calls("a", false);
+        test.workers->cut_off("b", false);
+        const auto all_start = [&] {
+            constexpr duration delay = start_delay_limit - std::chrono::milliseconds{100};
+            test.workers->carry_out_held_calls("a", monotonic_now() - delay);
+            return test.workers->starts("b") == tasks;
+        };
+        CPPUNIT_ASSERT(test.leader.run_until(all_start, last_end_of_start + lease_limit));
+        CPPUNIT_ASSERT(test.workers->starts("a") > 1);
+        assert_none_doubled(test);
+    }
+
     void tasks_of_a_worker_that_never_returns_start_elsewhere()
     {
         two_workers test;
