control: a poll acknowledges completions only until that is confirmed

A task would start again after its end as done was acknowledged, as in the users' record.

Cause: each poll repeated the highest acknowledged number, so the long poll that was under way when a worker stood still nearly always carried one. Where its next life carries it out after a late start, it forgets the end of that run.

Change: a number is sent until a poll with it is answered by the life it is meant for; polls after that carry none. What remains: a poll with a number that is not confirmed yet. Workers that do not say when they started are treated as before.

Evidence: a_late_poll_forgets_no_ends_of_a_late_start failed before (the task starts again) and passes now.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -59,6 +59,8 @@
         std::deque<schedule::pace_command> paces;
         /** Paces and starts are being sent, one at a time. */
         bool sending{false};
+        /** The worker has confirmed that it may forget the completions up to this number. */
+        std::uint64_t forgotten_up_to{0};
         /** Number of reports of which completions are being recorded. */
         std::size_t recording{0};
         /** Runs while the next poll waits for that. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace galenaturn::controld {
 
 namespace asio = boost::asio;
@@ -229,8 +231,13 @@
     command_header header;
     header.token = schedule::token_for(scheduler_, token_, worker);
     // After a silence the next life may be there: its clock and its numbers are others.
-    const bool may_be_other_life = found->second.lost && incarnation_of(worker) != incarnation{};
-    const auto acknowledged = may_be_other_life ? 0 : found->second.completions_acknowledged;
+    const bool may_restart = incarnation_of(worker) != incarnation{};
+    const bool may_be_other_life = found->second.lost && may_restart;
+    // Each number is sent until it is confirmed: any poll may be carried out late by the next life.
+    const bool is_confirmed = may_restart && found->second.completions_acknowledged ==
+                                                 connections_[worker].forgotten_up_to;
+    const auto acknowledged =
+        may_be_other_life || is_confirmed ? 0 : found->second.completions_acknowledged;
     if (!may_be_other_life && schedule::may_extend_lease(scheduler_, worker))
         header.lease_until = lease_for(connections_[worker]);
     const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
@@ -264,6 +271,7 @@
         co_return false;
     }
     const auto now = monotonic_now();
+    connection->second.forgotten_up_to = std::max(connection->second.forgotten_up_to, acknowledged);
     schedule::record_reply(scheduler_, worker, requested_at);
     log_completions(worker, read_up_to, polled.report, token_);
     if (!polled.report.complete)
--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start);
     CPPUNIT_TEST(tasks_of_a_worker_that_never_returns_start_elsewhere);
     CPPUNIT_TEST(a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one);
+    CPPUNIT_TEST(a_late_poll_forgets_no_ends_of_a_late_start);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_none_doubled(const two_workers& test)
@@ -272,6 +273,38 @@
         assert_none_doubled(test);
         CPPUNIT_ASSERT(test.leader.has_succeeded("second"));
     }
+
+    /** The same where the next life has not received any command with its own token. */
+    void a_late_poll_forgets_no_ends_of_a_late_start()
+    {
+        two_workers test;
+        test.leader.submit_tasks("first", tasks, processors_per_task);
+        CPPUNIT_ASSERT(test.run_until_all_run_on_a());
+        test.workers->end_runs("a");
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return test.leader.has_succeeded("first"); }));
+        // These ends are acknowledged and forgotten before the worker stands still.
+        test.leader.run_for(std::chrono::milliseconds{500});
+        test.workers->hold_starts("a", true);
+        test.leader.submit_tasks("second", 1, processors_per_task);
+        test.leader.run_for(std::chrono::milliseconds{2200});
+        const auto start_sent = monotonic_now();
+        test.workers->hold_calls("a", true);
+        test.leader.run_for(std::chrono::milliseconds{2500});
+        test.workers->begin_life("a", incarnation{2});
+        test.workers->cut_off("a", true);
+        test.workers->carry_out_held_calls("a", start_sent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.workers->running("a"));
+        test.workers->end_runs("a");
+        test.workers->carry_out_held_calls("a");
+        test.workers->hold_starts("a", false);
+        test.workers->hold_calls("a", false);
+        test.workers->cut_off("a", false);
+        test.workers->cut_off("b", false);
+        test.leader.run_until([&] { return test.leader.has_succeeded("second"); },
+                              std::chrono::seconds{5});
+        assert_none_doubled(test);
+        CPPUNIT_ASSERT(test.leader.has_succeeded("second"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_lives_test);
