tests: a start that is carried out after its stop in the former life

Fails: a stop that one life has confirmed says nothing about the next one, which may still carry the start out until it has seen a newer token.

--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -120,6 +120,7 @@
     CPPUNIT_TEST(no_task_runs_twice_where_the_start_is_one_of_the_former_leader);
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life);
     CPPUNIT_TEST(no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start);
+    CPPUNIT_TEST(no_task_runs_twice_where_a_start_is_carried_out_after_its_stop_in_the_former_life);
     CPPUNIT_TEST(tasks_of_a_worker_that_never_returns_start_elsewhere);
     CPPUNIT_TEST(a_late_poll_for_the_former_life_forgets_no_ends_of_the_next_one);
     CPPUNIT_TEST(a_late_poll_forgets_no_ends_of_a_late_start);
@@ -243,6 +244,39 @@
         assert_none_doubled(test);
     }
 
+    /** Guards against taking a stop that one life has confirmed for one of its next life. */
+    void no_task_runs_twice_where_a_start_is_carried_out_after_its_stop_in_the_former_life()
+    {
+        two_workers test;
+        constexpr millicores small{10'000};
+        constexpr std::size_t others = 4;
+        test.leader.submit_tasks("first", others, small);
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return test.workers->running("a") == others; }));
+        test.workers->hold_starts("a", true);
+        test.leader.submit_tasks("second", 1, processors_per_task);
+        test.leader.run_for(std::chrono::seconds{1});
+        const auto sent_until = monotonic_now();
+        // The task does not fit there any more.
+        auto smaller = make_worker("a", 1);
+        smaller.capacity.processors = millicores{1};
+        test.leader.announce(smaller);
+        test.workers->cut_off("b", false);
+        // The worker replies to a poll at once when a run has ended.
+        auto next_end = sent_until;
+        const auto starts_on_b = [&] {
+            if (monotonic_now() >= next_end) {
+                test.workers->end_runs("a", 1);
+                next_end += std::chrono::milliseconds{400};
+            }
+            return test.workers->starts("b") > 0;
+        };
+        CPPUNIT_ASSERT(test.leader.run_until(starts_on_b, last_end_of_start + lease_limit));
+        test.workers->begin_life("a", incarnation{2});
+        test.workers->cut_off("a", true);
+        test.workers->carry_out_held_calls("a", sent_until);
+        assert_none_doubled(test);
+    }
+
     void tasks_of_a_worker_that_never_returns_start_elsewhere()
     {
         two_workers test;
