http: an exchange that has ended leaves nothing to be sent

What callers saw: nothing yet; found in a review of starts that are carried out late.

Cause: a connection on which an exchange timed out was closed in order, so the system went on sending what a partition had held up, for minutes. A start that was given up after 0.8 s could leave long after `start_delay_limit`.

Change: connections of the session pool are reset when they are closed, which drops what has not left.

Evidence: connection_of_an_exchange_that_has_ended_sends_nothing_more failed before (an orderly end) and passes.

--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -96,6 +96,8 @@
     boost::system::error_code ignored;
     opened.socket.set_option(tcp::no_delay{true}, ignored);
     opened.socket.non_blocking(true, ignored);
+    // A request that has not left when its exchange fails must not arrive later, so closing resets.
+    opened.socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     co_return success();
 }
 
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 namespace galenaturn::http {
 
 namespace asio = boost::asio;
@@ -20,6 +22,7 @@
     CPPUNIT_TEST(exchange_ends_at_its_deadline);
     CPPUNIT_TEST(deadline_of_an_ended_exchange_closes_no_connection);
     CPPUNIT_TEST(exchange_without_a_connection_has_sent_nothing);
+    CPPUNIT_TEST(connection_of_an_exchange_that_has_ended_sends_nothing_more);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context io_;
@@ -149,6 +152,21 @@
         silent.close();
         CPPUNIT_ASSERT(run_exchange(port) == make_error_code(client_error::not_connected));
     }
+
+    /** Guards against a command that arrives after it was given up, as when a partition ends. */
+    void connection_of_an_exchange_that_has_ended_sends_nothing_more()
+    {
+        asio::ip::tcp::acceptor silent{io_, {asio::ip::make_address("127.0.0.1"), 0}};
+        CPPUNIT_ASSERT(run_exchange(silent.local_endpoint().port()) ==
+                       error_code{asio::error::timed_out});
+        asio::ip::tcp::socket accepted{io_};
+        boost::system::error_code error;
+        silent.accept(accepted, error);
+        std::array<char, 1024> received{};
+        while (!error)
+            accepted.read_some(asio::buffer(received), error);
+        CPPUNIT_ASSERT(error == error_code{asio::error::connection_reset});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_pool_test);
