schedule: a stop that one life has confirmed does not settle a start for the next

What callers saw: nothing yet; found in a review. A task would run twice at once.

Cause: a worker that answers, but has left one start without a reply, was told to stop that run, and with its confirmation the task started elsewhere, some 2 s after the start. If the worker starts again within the time in which late calls are carried out, the next life knows nothing of the stop.

Change: on workers that say when they started the task waits until `start_delay_limit` after the start was sent, also where a stop was confirmed; and as long as for a silent worker if it falls silent before. The task of an ended job does not wait. `unreachable` never shortens a longer pause of its worker.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -771,7 +771,7 @@
         if (outcome == command_result::no_capacity)
             avoid_until = now + no_capacity_pause;
         if (outcome == command_result::unreachable)
-            avoid_until = now + unresponsive_pause;
+            avoid_until = std::max(avoid_until, now + unresponsive_pause);
         if (outcome == command_result::unhealthy || outcome == command_result::refused)
             avoid_until = now + unhealthy_pause;
     }
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -103,7 +103,7 @@
                      std::uint32_t number, time_point now)
 {
     auto& task = *find_task(state, ref);
-    if (is_unanswered_start(*task.run)) {
+    if (is_unanswered_start(*task.run) && task.run->phase != run_phase::stopped) {
         worker.doubtful_starts.push_back({ref, number, now, std::nullopt, 0});
         state.workers_in_doubt.insert(worker.record.id);
     }
--- a/src/libschedule/runreports.cpp
+++ b/src/libschedule/runreports.cpp
@@ -287,6 +287,16 @@
     return unlisted;
 }
 
+/**
+ * Returns whether the task of a stopped run has to wait: where the start got no reply, a stop that
+ * this life of the worker has confirmed does not keep the next one from carrying it out.
+ */
+bool outlasts_stop(const report_context& context, const wire::task_ref& ref, const task_run& run)
+{
+    return !find_job(context.state, ref.job)->ending &&
+           may_begin_in_next_life(context.state, context.worker, run, context.now);
+}
+
 /**
  * Clears runs that the report should list, as running or as ended, and does not. If it lists a part
  * of the ends, these runs keep their places until theirs are read.
@@ -307,6 +317,8 @@
             task->run->end_unread = phase == run_phase::running || phase == run_phase::stopped;
             continue;
         }
+        if (phase == run_phase::stopped && outlasts_stop(context, ref, *task->run))
+            continue;
         if (phase == run_phase::running || phase == run_phase::stopped) {
             ++context.state.counts.unlisted;
             clear_run(context.state, ref, *task);
--- a/src/libschedule/workerlives.cpp
+++ b/src/libschedule/workerlives.cpp
@@ -16,8 +16,7 @@
 bool has_unconfirmed_start(job_scheduler& state, const job_worker& worker)
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
-        const auto& run = *find_task(state, entry.first)->run;
-        return !run.confirmed_at && !is_unsent(run.phase);
+        return is_unanswered_start(*find_task(state, entry.first)->run);
     });
 }
 
@@ -60,7 +59,7 @@
 
 bool is_unanswered_start(const task_run& run)
 {
-    return !is_unsent(run.phase) && run.phase != run_phase::stopped && !run.confirmed_at;
+    return !is_unsent(run.phase) && !run.confirmed_at;
 }
 
 time_point last_possible_end(const job_settings& settings, time_point sent_at)
@@ -74,6 +73,13 @@
     return last_possible_end(state.settings, std::max(run.commanded_at, worker.lease_sent_at));
 }
 
+bool may_begin_in_next_life(const job_scheduler& state, const job_worker& worker,
+                            const task_run& run, time_point now)
+{
+    return incarnation_of(worker.record.id) != incarnation{} && is_unanswered_start(run) &&
+           now <= run.commanded_at + state.settings.start_delay_limit;
+}
+
 bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
                          time_point now)
 {
--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -263,17 +263,24 @@
         test.workers->cut_off("b", false);
         // The worker replies to a poll at once when a run has ended.
         auto next_end = sent_until;
-        const auto starts_on_b = [&] {
+        const auto carried_out_at =
+            sent_until + start_delay_limit - std::chrono::milliseconds{1500};
+        const auto is_time = [&] {
             if (monotonic_now() >= next_end) {
                 test.workers->end_runs("a", 1);
                 next_end += std::chrono::milliseconds{400};
             }
-            return test.workers->starts("b") > 0;
+            return monotonic_now() >= carried_out_at;
         };
-        CPPUNIT_ASSERT(test.leader.run_until(starts_on_b, last_end_of_start + lease_limit));
+        CPPUNIT_ASSERT(test.leader.run_until(is_time, start_delay_limit));
         test.workers->begin_life("a", incarnation{2});
         test.workers->cut_off("a", true);
         test.workers->carry_out_held_calls("a", sent_until);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.workers->running("a"));
+        assert_none_doubled(test);
+        // It starts elsewhere once the lease that the start has brought is over.
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return test.workers->starts("b") > 0; },
+                                             last_end_of_start + lease_limit));
         assert_none_doubled(test);
     }
 
