control: answers and reads of the queues name version, leader and term

An operator saw changes that were confirmed and not in force, and no line told which version an answer was decided by: job_relayed of a count had neither host nor path, and a read of the configuration was not logged.

- The answer of the leader carries the version of the queues and the term that decided. job_relayed and job_answered name them with host and path, as they were when the request was decided, not when the ledger answered.
- An entry logs the first answer under a newer version, and warns of an older one that decides a request which arrived after that.
- queues_published and queues_read name the leader that decided, the version that the process itself holds, its term and the time taken; queues_in_force the one before, the leader and the place in the log.
- Gauges of the version and since when it is held.

Successful counts are logged by the leader only, as before.

--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -13,6 +13,11 @@
     const auto request_id = request.request;
     const auto verb = request.verb;
     const auto job = request.job;
+    const auto host = request.host;
+    const auto path = request.path;
+    // All of these may have changed once the ledger has answered.
+    const auto version = queues_.version;
+    const auto decided_in = hub_.current_term();
     wire::job_response response;
     const auto* queue = find_queue(queues_, request.host, request.path);
     // The table may be replaced while the ledger request is pending.
@@ -34,6 +39,8 @@
         response.waiting = schedule::jobs_waiting(scheduler_, queue_name);
         log_count(queue_name, response.waiting);
     }
+    response.queues_version = version;
+    response.queues_term = decided_in;
     response_counters_[response.status]->add();
     const auto elapsed = monotonic_now() - arrived;
     if (verb == wire::job_verb::submit) {
@@ -45,10 +52,12 @@
                   {{"request", request_id},
                    {"verb", wire::to_string(verb)},
                    {"job", job},
+                   {"host", host},
+                   {"path", path},
                    {"queue", queue_name},
                    {"status", wire::to_string(response.status)},
-                   {"queues_version", queues_.version},
-                   {"token", token_},
+                   {"queues_version", version},
+                   {"token", decided_in},
                    {"reason", response.reason},
                    {"took_us", elapsed.count()}});
     co_return response;
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -40,6 +40,8 @@
       slice_timer_{shared.io}, share_timer_{shared.io}, open_jobs_{shared.metrics.make_gauge(
                                                             "galenaturn_jobs_open")},
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
+      queues_version_{shared.metrics.make_gauge("galenaturn_queues_version")},
+      queues_since_{shared.metrics.make_gauge("galenaturn_queues_in_force_since_seconds")},
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
       pass_latency_{shared.metrics.make_latency("galenaturn_job_pass_seconds")},
@@ -185,10 +187,18 @@
     const auto& state = hub_.state();
     // A snapshot replaces the whole state, including the queues.
     if (state.queues.version != queues_.version) {
+        const auto previous = queues_.version;
         queues_ = read_queues_(state.queues.document);
         queues_.version = state.queues.version;
+        queues_version_.set(static_cast<double>(queues_.version));
+        queues_since_.set(std::chrono::duration<double>{wall_now().time_since_epoch()}.count());
         log_event(log_level::info, "queues_in_force",
-                  {{"version", queues_.version}, {"queues", queues_.queues.size()}});
+                  {{"version", queues_.version},
+                   {"previous", previous},
+                   {"queues", queues_.queues.size()},
+                   {"index", change.index},
+                   {"leader", hub_.leader()},
+                   {"term", hub_.current_term()}});
     }
     if (!term_active_)
         return asio::post(shared_.io, [this] { begin_term_if_leading(); });
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -252,6 +252,9 @@
     boost::asio::steady_timer share_timer_;
     gauge& open_jobs_;
     gauge& known_workers_;
+    gauge& queues_version_;
+    /** Seconds since 1970. */
+    gauge& queues_since_;
     std::map<wire::job_response_status, counter*> response_counters_;
     latency_summary& accept_latency_;
     latency_summary& record_latency_;
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -53,7 +53,9 @@
             "galenaturn_ledger_commands_total", {{"status", wire::to_string(status)}});
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return runner_.may_read(); };
-    hub_.current_term = [this] { return runner_.state().hard.current_term; };
+    hub_.current_term = [this] {
+        return runner_.running() ? runner_.state().hard.current_term : term{};
+    };
     hub_.leader = [this] { return leader(); };
     hub_.submit = [this](wire::command body, time_point deadline) {
         return submit(std::move(body), deadline);
@@ -211,10 +213,11 @@
     const auto request = wire::decode<wire::command_request>(entry.payload);
     GN_INVARIANT(request.has_value(), {"index", entry.index});
     ledger::applied_change change;
-    const auto response = ledger::apply_command(state_, request.value(), entry.index, change);
+    auto response = ledger::apply_command(state_, request.value(), entry.index, change);
     const auto waiting = proposals_in_flight_.find(entry.index);
     if (waiting != proposals_in_flight_.end()) {
         GN_INVARIANT(waiting->second.request.id == request.value().id, {"index", entry.index});
+        response.leader = leader();
         waiting->second.answer(response);
         proposals_in_flight_.erase(waiting);
     }
--- a/src/controld/main.cpp
+++ b/src/controld/main.cpp
@@ -3,6 +3,7 @@
 #include "gossipservice.h"
 #include "jobservice.h"
 #include "ledgerservice.h"
+#include "queuepublication.h"
 #include "stewardservice.h"
 
 #include "platform/controledge.h"
@@ -30,26 +31,6 @@
     return services;
 }
 
-boost::asio::awaitable<std::optional<wire::publish_queues>>
-newest_queues(daemon::context* shared, controld::control_hub* hub)
-{
-    if (hub->leads()) {
-        const auto& queues = hub->state().queues;
-        co_return queues.version > 0 ? std::optional{queues} : std::nullopt;
-    }
-    wire::query_request request{wire::get_queues{}, false};
-    const auto response =
-        co_await shared->ledger.ask(std::move(request), monotonic_now() + publish_timeout);
-    co_return response.queues;
-}
-
-boost::asio::awaitable<wire::command_response> publish(controld::control_hub* hub,
-                                                       wire::publish_queues queues)
-{
-    wire::command body{std::move(queues)};
-    co_return co_await hub->submit(std::move(body), monotonic_now() + publish_timeout);
-}
-
 /** Returns the services of a process that joins via seeds and runs jobs on platform workers. */
 service_list make_services_with_seeds(daemon::context& shared, controld::control_hub& hub)
 {
@@ -64,9 +45,12 @@
         target->on_announcement(presence);
     };
     handlers.publish = [&hub](wire::publish_queues queues) {
-        return publish(&hub, std::move(queues));
+        return controld::publish_queues(&hub, std::move(queues), monotonic_now() + publish_timeout);
+    };
+    handlers.newest = [&shared, &hub] {
+        return controld::read_newest_queues(&hub, &shared.ledger,
+                                            monotonic_now() + publish_timeout);
     };
-    handlers.newest = [&shared, &hub] { return newest_queues(&shared, &hub); };
     platform::add_control_routes(shared.routes, std::move(handlers), shared.metrics);
     services.push_back(std::move(roster));
     services.push_back(std::move(jobs));
--- a/src/entryd/jobrelay.h
+++ b/src/entryd/jobrelay.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "observedqueues.h"
+
 #include <galenaturn/daemon.h>
 
 #include <boost/asio/awaitable.hpp>
 
 namespace galenaturn::entryd {
 
-/** Forwards job requests of callers to the ledger's leader and returns its replies. Stateless. */
+/** Forwards job requests of callers to the ledger's leader and returns its replies. */
 class job_relay : public daemon::service {
 public:
     /** `roster` outlives the service. */
@@ -21,10 +23,16 @@
 private:
     boost::asio::awaitable<wire::job_response> forward_to_leader(wire::job_request request,
                                                                  time_point deadline);
+    /** Logs when an answer names a newer version of the queues, or an older one than it should. */
+    void note_queues(const wire::job_response& response, const std::string& request,
+                     const process_id& leader, time_point arrived);
 
     daemon::context& shared_;
     daemon::roster_service& roster_;
     std::uint64_t last_request_{0};
+    observed_queues queues_;
+    gauge& queues_version_;
+    counter& queues_regressions_;
     std::map<wire::job_response_status, counter*> response_counters_;
     std::map<wire::job_verb, latency_summary*> latencies_;
 };
--- a/src/libwire/jobs.h
+++ b/src/libwire/jobs.h
@@ -428,11 +428,14 @@
     /** For rejected requests: when to retry. */
     std::chrono::seconds retry_after{0};
     std::string reason;
+    /** The version of the queues that decided, and the term of the leader that held it. */
+    std::uint64_t queues_version{0};
+    term queues_term;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(status, phase, started, waiting, retry_after, reason);
+        archive(status, phase, started, waiting, retry_after, reason, queues_version, queues_term);
     }
 };
 
