ledger: a candidate that hears of its leader votes only after the lease

Callers could be answered by two leaders at once for up to half a second, by the former one from a state without the changes that the other had confirmed.

Cause: a replica that had asked for votes and then received a heartbeat of its leader went back to following with the timer of a candidate, 0.4 to 0.8 s: the timer is set by an action, and the role changes only after the actions. Its response had renewed the lease of the leader for 0.9 s. It withheld its vote from others for 1 s, but not from itself, so with one voter that the leader no longer reached it was elected within the lease.

Evidence: both new tests failed before; in the second one the other replica leads while may_read() of the first holds. With the change the timer is never due before the replica may vote, whichever role sets it.

--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -209,7 +209,10 @@
     // A follower waits for its leader; a candidate only until its votes must have arrived.
     const auto wait =
         context.self.role == "follower" ? options.election_timeout : options.election_spread;
-    context.self.election_due = context.now + wait + spread;
+    // The vote for itself is withheld too. A role changes only after its actions, so the wait of a
+    // candidate that has just heard of its leader would be too short.
+    context.self.election_due =
+        std::max(context.now + wait, context.self.votes_withheld_until) + spread;
 }
 
 void send(step_context& context, const voter_id& to, message_body body)
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
+    CPPUNIT_TEST(a_candidate_that_hears_of_its_leader_votes_only_after_the_lease);
+    CPPUNIT_TEST(no_second_leader_is_elected_within_the_lease_of_the_first);
     CPPUNIT_TEST(a_leader_whose_disk_writes_nothing_steps_down);
     CPPUNIT_TEST(a_leader_with_a_slow_disk_or_nothing_to_write_stays);
     CPPUNIT_TEST(a_previous_leader_that_has_just_voted_counts_as_reachable);
@@ -107,6 +109,67 @@
         CPPUNIT_ASSERT(done.role_changed && !leader.leads);
     }
 
+    append_request heartbeat_of(const replica& leader) const
+    {
+        const auto& log = leader.log;
+        return {log.last_index(), log.last_term(), leader.committed, leader.last_round, 1, {}};
+    }
+
+    /** It campaigned after 0.4 s, and its own vote broke the lease that it had confirmed. */
+    void a_candidate_that_hears_of_its_leader_votes_only_after_the_lease()
+    {
+        auto follower = make("a", {}, true);
+        now_ += std::chrono::seconds{3};
+        tick(follower, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, follower.role);
+        const auto confirmed = now_;
+        from(follower, "b", term{1},
+             append_request{log_index{2}, term{1}, log_index{2}, 1, follower.incarnation, {}});
+        CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, follower.role);
+        while (now_ < confirmed + follower.options.election_timeout) {
+            tick(follower, now_);
+            CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, follower.role);
+            now_ += std::chrono::milliseconds{10};
+        }
+        now_ += follower.options.election_spread;
+        tick(follower, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, follower.role);
+    }
+
+    /** Both answered reads, the first one from a state without the commits of the second. */
+    void no_second_leader_is_elected_within_the_lease_of_the_first()
+    {
+        auto first = make("a");
+        elect(first);
+        acknowledge(first, "a", 2);
+        acknowledge(first, "b", 2);
+        // b and c have heard nothing for longer than the election timeout; b has asked for votes.
+        auto other = make("b");
+        other.hard.current_term = term{2};
+        other.log.append({term{2}, log_index{2}, entry_kind::empty, {}});
+        now_ += std::chrono::seconds{2};
+        tick(other, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, other.role);
+        // A heartbeat reaches b alone, and nothing else passes from then on.
+        first.heartbeat_due = now_;
+        first.progress.at(voter_id{"b"}).last_contact = now_;
+        tick(first, now_);
+        from(other, "a", term{2}, heartbeat_of(first));
+        acknowledge(first, "b", 2);
+        const auto lapses = first.lease_expires;
+        CPPUNIT_ASSERT(may_read(first, now_));
+        for (; now_ < lapses; now_ += std::chrono::milliseconds{10}) {
+            tick(other, now_);
+            if (other.role == "trial")
+                from(other, "c", term{2}, vote_response{true, term{3}, true});
+            if (other.role == "candidate") {
+                from(other, "b", term{3}, vote_response{false, term{3}, true});
+                from(other, "c", term{3}, vote_response{false, term{3}, true});
+            }
+            CPPUNIT_ASSERT(!other.leads);
+        }
+    }
+
     /** Lets time pass while b responds to heartbeats; a syncs nothing. */
     void run_without_own_sync(replica& leader, duration span)
     {
