--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -18,11 +18,12 @@
     // All of these may have changed once the ledger has answered.
     const auto version = queues_.version;
     const auto decided_in = hub_.current_term();
+    const bool leads = term_active_ && hub_.leads();
     wire::job_response response;
     const auto* queue = find_queue(queues_, request.host, request.path);
     // The table may be replaced while the ledger request is pending.
     const auto queue_name = queue == nullptr ? std::string{} : queue->name;
-    if (!term_active_ || !hub_.leads())
+    if (!leads)
         response = wire::unavailable_response("this process does not lead");
     else if (queues_.version == 0)
         response = wire::unavailable_response("no queues were published yet");
@@ -39,8 +40,10 @@
         response.waiting = schedule::jobs_waiting(scheduler_, queue_name);
         log_count(queue_name, response.waiting);
     }
-    response.queues_version = version;
-    response.queues_term = decided_in;
+    if (leads) {
+        response.queues_version = version;
+        response.queues_term = decided_in;
+    }
     response_counters_[response.status]->add();
     const auto elapsed = monotonic_now() - arrived;
     if (verb == wire::job_verb::submit) {
--- a/src/libwire/jobs.h
+++ b/src/libwire/jobs.h
@@ -428,7 +428,7 @@
     /** For rejected requests: when to retry. */
     std::chrono::seconds retry_after{0};
     std::string reason;
-    /** The version of the queues that decided, and the term of the leader that held it. */
+    /** The version of the queues that decided, and the term of the leader; 0 where none led. */
     std::uint64_t queues_version{0};
     term queues_term;
 
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -20,10 +20,27 @@
     CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
     CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
     CPPUNIT_TEST(tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists);
+    CPPUNIT_TEST(an_answer_names_the_version_that_decided_only_while_the_lease_is_valid);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
 
+    /** The version held by a process that does not lead counted as a regression at entries. */
+    void an_answer_names_the_version_that_decided_only_while_the_lease_is_valid()
+    {
+        test_leader leader{1};
+        leader.publish(7);
+        leader.run_for(std::chrono::milliseconds{50});
+        const auto decided = leader.count_jobs();
+        CPPUNIT_ASSERT(decided.status == wire::job_response_status::unknown_queue);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, decided.queues_version);
+        CPPUNIT_ASSERT(decided.queues_term > term{0});
+        leader.set_leads(false);
+        const auto refused = leader.count_jobs();
+        CPPUNIT_ASSERT(refused.status == wire::job_response_status::unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, refused.queues_version);
+    }
+
     /** The runs whose ends were not listed yet counted as lost, and their tasks ran twice. */
     void tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists()
     {
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -1,11 +1,13 @@
 #include "testleader.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace galenaturn::controld {
 
@@ -211,6 +213,19 @@
     apply(wire::cancel_job{submission_id{name}, wall_now()});
 }
 
+wire::job_response test_leader::count_jobs()
+{
+    std::optional<wire::job_response> answer;
+    wire::job_request request;
+    request.verb = wire::job_verb::count;
+    asio::co_spawn(shared_.io, service_->handle_request(std::move(request)),
+                   [&](const std::exception_ptr& /*error*/, wire::job_response response) {
+                       answer = std::move(response);
+                   });
+    run_until([&] { return answer.has_value(); });
+    return answer.value_or(wire::job_response{});
+}
+
 void test_leader::end_a_run()
 {
     const auto busy = std::find_if(runs_.begin(), runs_.end(),
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -36,6 +36,10 @@
     test_leader(const test_leader&) = delete;
     test_leader& operator=(const test_leader&) = delete;
 
+    /** Returns the answer to a caller's request for the number of waiting jobs. */
+    wire::job_response count_jobs();
+    /** The operator publishes a version without any queue. */
+    void publish(std::uint64_t version) { apply(wire::publish_queues{version, {}}); }
     /** Accepts a job with one task. */
     void submit(const std::string& name, bool long_running = true);
     void cancel(const std::string& name);
