schedule: a suspect gets a worker reserved where all get other starts

A lasting task whose worker was lost soon after its start found no worker without recent starts of others, and never started again beside steady traffic.

--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -242,6 +242,7 @@
         header.lease_until = lease_for(connections_[worker]);
     const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
     header.reply_deadline = requested_at + wait + command_timeout;
+    const auto lease_before = found->second.lease_expires_at;
     if (header.lease_until)
         schedule::extend_lease(scheduler_, worker, requested_at);
     const auto polled = co_await commands_->poll(std::move(target), acknowledged, wait, header);
@@ -261,7 +262,9 @@
     }
     update_clock(connection->second, polled.reply);
     if (polled.reply.result != command_result::accepted) {
-        if (header.lease_until && polled.reply.result != command_result::unreachable)
+        if (header.lease_until && polled.reply.result == command_result::unreachable)
+            schedule::withdraw_lease(scheduler_, worker, requested_at, lease_before);
+        else if (header.lease_until)
             schedule::on_poll_unanswered(scheduler_, worker, monotonic_now());
         schedule::record_contact_loss(scheduler_, worker, monotonic_now(), polled.reply.closed);
         log_event(log_level::debug, "worker_silent",
@@ -513,6 +516,7 @@
         obstacle = schedule::drop_reason::no_lease;
     if (obstacle)
         co_return drop_start(command, *obstacle);
+    const auto lease_before = found->second.lease_expires_at;
     schedule::extend_lease(scheduler_, worker, requested_at);
     schedule::on_start_sent(scheduler_, command, requested_at);
     connection.starting = run_key{command.task, command.run};
@@ -520,6 +524,8 @@
     auto reply = co_await commands_->start(std::move(target), command, header);
     if (!in_term(generation))
         co_return;
+    if (reply.result == command_result::unreachable)
+        schedule::withdraw_lease(scheduler_, worker, requested_at, lease_before);
     check_clock(worker, requested_at, reply);
     const auto current_connection = connections_.find(worker);
     if (current_connection != connections_.end())
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -34,6 +34,8 @@
 constexpr duration max_wait_for_full_speed = std::chrono::milliseconds{1500};
 /** Minimum time between runs that oversubscribe a worker below full speed. */
 constexpr duration oversubscription_interval = std::chrono::milliseconds{100};
+/** Time before the end of a lease at which workers are reserved for the suspects it lets go. */
+constexpr duration reservation_lead = crash_window * 3 / 2;
 /** A service has idle capacity while less than this share of its processors is reserved. */
 constexpr std::int64_t max_reserved_percent_of_idle_service = 60;
 
@@ -163,6 +165,39 @@
     return true;
 }
 
+/** Reserves a worker for a suspect that finds none without recent starts of others. */
+void wait_for_others(pass_slice& slice, placement_request request)
+{
+    auto& state = slice.state;
+    request.waits_for_others = true;
+    const bool may_risk = !std::exchange(request.only_isolated, true);
+    const auto& job = request.job->id;
+    if (!may_risk || (has_isolated_worker(state, job, slice.now) &&
+                      choose_worker(state, slice.candidates, request, slice.now) != nullptr))
+        return;
+    request.only_isolated = false;
+    if (auto* worker = choose_worker(state, slice.candidates, request, slice.now))
+        reserve_for_suspect(*worker, job, slice.now);
+}
+
+/** Reserves workers for the runs on silent workers that soon have to start again as suspects. */
+void reserve_before_leases_expire(pass_slice& slice)
+{
+    for (const auto& [id, worker] : slice.state.workers) {
+        const auto left = worker.lease_expires_at - slice.now;
+        if (!worker.lost || left < duration::zero() || left > reservation_lead)
+            continue;
+        for (const auto& item : crash_items(slice.state, worker)) {
+            const auto& job = slice.state.jobs.at(item.task.job);
+            const auto& step = job.spec.steps[item.task.step];
+            if (item.suspicion == wire::crash_suspicion::cleared || step.gang || job.ending)
+                continue;
+            const bool only_isolated = !may_risk_worker(slice.state, slice.now);
+            wait_for_others(slice, {&job, item.task, &step, {}, false, false, true, only_isolated});
+        }
+    }
+}
+
 /** Returns whether further tasks of the step are worth placing in this slice. */
 bool start_task(pass_slice& slice, open_job& job, const wire::task_ref& ref, open_task& task)
 {
@@ -170,17 +205,21 @@
     if (!needs_run(task))
         return true;
     const bool suspect = is_suspect(task);
-    if (suspect && !may_risk_worker(slice.state, slice.now))
+    const bool only_isolated = suspect && !may_risk_worker(slice.state, slice.now);
+    if (only_isolated && !has_isolated_worker(slice.state, job.id, slice.now))
         return true;
-    const placement_request request{&job, ref, &step, {}, slice.starving, false, suspect};
+    const placement_request request{&job,           ref,   &step,   {},
+                                    slice.starving, false, suspect, only_isolated};
     auto* worker = choose_worker(slice.state, slice.candidates, request, slice.now);
     if (worker == nullptr) {
+        if (suspect)
+            wait_for_others(slice, request);
         if (step.long_running && job.last_preemption + preemption_interval <= slice.now) {
             job.last_preemption = slice.now;
             preempt_best_effort(slice.state, request, slice.now);
         }
         // Other tasks of the step may start beside tasks that have just started.
-        if (!step.best_effort || !may_start_slowed(slice, job))
+        if (only_isolated || !step.best_effort || !may_start_slowed(slice, job))
             return suspect;
         if (start_slowed(slice, job, ref, task, false))
             return true;
@@ -194,9 +233,12 @@
     return true;
 }
 
+/** What reserve_gang does with the workers that it has found. */
+enum class gang_use { start, wait_for_others };
+
 /** Reserves a worker for every member of the gang, or for none. */
 bool reserve_gang(pass_slice& slice, open_job& job, const wire::task_ref& first,
-                  std::size_t position, const rack_id& rack)
+                  std::size_t position, const rack_id& rack, gang_use use)
 {
     const auto& step = job.spec.steps[first.step];
     std::uint32_t run_number = 0;
@@ -216,32 +258,44 @@
     }
     const auto commands_before = slice.commands.size();
     std::vector<std::pair<job_worker*, recent_starts>> starts_before;
+    const bool waits = use == gang_use::wait_for_others;
+    const auto take_back = [&] {
+        auto ref = first;
+        for (std::uint32_t placed = 0; placed < starts_before.size(); ++placed) {
+            ref.index = placed;
+            clear_run(slice.state, ref, job.tasks[position + placed]);
+        }
+        while (!starts_before.empty()) {
+            auto& worker_before = *starts_before.back().first;
+            worker_before.starts = starts_before.back().second;
+            restore_bounds(slice.state, slice.candidates, step, worker_before, slice.now);
+            starts_before.pop_back();
+        }
+        slice.commands.resize(commands_before);
+    };
     for (std::uint32_t index = 0; index < step.count; ++index) {
         auto ref = first;
         ref.index = index;
         auto& member = job.tasks[position + index];
         member.checkpoint = checkpoint;
         member.checkpoint_run = checkpoint_run;
-        const placement_request request{&job, ref, &step, rack, false, false, suspect};
+        const placement_request request{&job,  ref,     &step, rack, false,
+                                        false, suspect, false, waits};
         auto* worker = choose_worker(slice.state, slice.candidates, request, slice.now);
         if (worker != nullptr) {
             starts_before.emplace_back(worker, worker->starts);
             start_run(slice, job, ref, member, *worker, run_number);
             continue;
         }
-        for (std::uint32_t placed = 0; placed < index; ++placed) {
-            ref.index = placed;
-            clear_run(slice.state, ref, job.tasks[position + placed]);
-        }
-        while (!starts_before.empty()) {
-            auto& worker_before = *starts_before.back().first;
-            worker_before.starts = starts_before.back().second;
-            restore_bounds(slice.state, slice.candidates, step, worker_before, slice.now);
-            starts_before.pop_back();
-        }
-        slice.commands.resize(commands_before);
+        take_back();
         return false;
     }
+    if (waits) {
+        for (const auto& entry : starts_before)
+            reserve_for_suspect(*entry.first, job.id, slice.now);
+        take_back();
+        return true;
+    }
     if (suspect) {
         for (const auto& entry : starts_before)
             isolate(*entry.first, job.id, slice.now);
@@ -261,12 +315,20 @@
         for (const auto& [id, worker] : slice.state.workers)
             racks.insert(worker.record.rack);
     }
-    if (!step.data_rack.empty() && reserve_gang(slice, job, first, position, step.data_rack))
+    const auto reserve_somewhere = [&](gang_use use) {
+        if (!step.data_rack.empty() &&
+            reserve_gang(slice, job, first, position, step.data_rack, use))
+            return true;
+        return std::any_of(racks.begin(), racks.end(), [&](const auto& rack) {
+            return reserve_gang(slice, job, first, position, rack, use);
+        });
+    };
+    if (reserve_somewhere(gang_use::start) ||
+        !std::any_of(members, members + step.count, is_suspect))
         return;
-    for (const auto& rack : racks) {
-        if (reserve_gang(slice, job, first, position, rack))
-            return;
-    }
+    if (may_risk_worker(slice.state, slice.now) &&
+        !has_isolated_worker(slice.state, job.id, slice.now))
+        reserve_somewhere(gang_use::wait_for_others);
 }
 
 /** Starts tasks of the step at the position. Returns false where the slice is used up before. */
@@ -641,6 +703,7 @@
     validate_candidates(state, pass.candidates, now);
     pass_slice slice{state, now, wall, pass.candidates,        limits, {},
                      false, {},  0,    state.counts.candidates};
+    reserve_before_leases_expire(slice);
     pass.active = !place_in_turn(slice);
     commands.insert(commands.end(), std::make_move_iterator(slice.commands.begin()),
                     std::make_move_iterator(slice.commands.end()));
--- a/src/libschedule/jobplacement.h
+++ b/src/libschedule/jobplacement.h
@@ -20,6 +20,10 @@
     bool slowed{false};
     /** The task may crash its worker. */
     bool suspect{false};
+    /** The suspect gets no worker that isn't isolated for its job yet. */
+    bool only_isolated{false};
+    /** The suspect waits on the worker until the starts of others there are no longer recent. */
+    bool waits_for_others{false};
 };
 
 /** Returns the resources that a run of the step reserves on its worker. */
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -146,6 +146,12 @@
 bool may_extend_lease(const job_scheduler& state, const worker_id& worker);
 /** Extends the worker's lease, just before a command that grants it is sent. */
 void extend_lease(job_scheduler& state, const worker_id& worker, time_point now);
+/**
+ * Takes an extension back, if it is the last one: the command was not sent, and `earlier` is when
+ * the lease expired before.
+ */
+void withdraw_lease(job_scheduler& state, const worker_id& worker, time_point requested_at,
+                    time_point earlier);
 /** Records that the worker replied to a request sent at `requested_at`. */
 void record_reply(job_scheduler& state, const worker_id& worker, time_point requested_at);
 
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -270,6 +270,18 @@
         std::max(worker->second.lease_expires_at, now + certain_expiry(state.settings.lease));
 }
 
+void withdraw_lease(job_scheduler& state, const worker_id& id, time_point requested_at,
+                    time_point earlier)
+{
+    const auto worker = state.workers.find(id);
+    if (worker == state.workers.end() ||
+        worker->second.lease_expires_at != requested_at + certain_expiry(state.settings.lease))
+        return;
+    worker->second.lease_expires_at = earlier;
+    if (!worker->second.runs.empty() || has_known_orphans(state, id))
+        state.next_lease_expiry = std::min(state.next_lease_expiry, earlier);
+}
+
 void record_reply(job_scheduler& state, const worker_id& id, time_point requested_at)
 {
     const auto worker = state.workers.find(id);
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -16,6 +16,9 @@
 constexpr duration joint_loss_span = std::chrono::milliseconds{50};
 constexpr std::ptrdiff_t min_joint_losses = 2;
 constexpr std::size_t max_contact_losses = 256;
+/** A worker reserved for a suspect is kept for it this long; after the crash window it can start.
+ */
+constexpr duration max_wait_for_others = 2 * crash_window;
 
 /** Returns whether so many workers were lost at that moment that no task explains it. */
 bool is_joint_loss(const job_scheduler& state, time_point at)
@@ -47,12 +50,22 @@
 
 bool allows_start(const job_worker& worker, const placement_request& request, time_point now)
 {
-    if (now < worker.isolated_until)
-        return request.suspect && worker.isolated_for == request.job->id;
-    return !request.suspect ||
+    const bool is_isolated = now < worker.isolated_until;
+    if (!request.suspect)
+        return !is_isolated;
+    if (is_isolated ? worker.isolated_for != request.job->id : request.only_isolated)
+        return false;
+    return request.waits_for_others ||
            now - last_start_of_others(worker.starts, request.job->id) >= crash_window;
 }
 
+bool has_isolated_worker(const job_scheduler& state, const submission_id& job, time_point now)
+{
+    return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto& entry) {
+        return now < entry.second.isolated_until && entry.second.isolated_for == job;
+    });
+}
+
 bool may_risk_worker(const job_scheduler& state, time_point now)
 {
     const auto isolated = static_cast<std::size_t>(
@@ -80,6 +93,12 @@
     worker.isolated_until = now + crash_window;
 }
 
+void reserve_for_suspect(job_worker& worker, const submission_id& job, time_point now)
+{
+    worker.isolated_for = job;
+    worker.isolated_until = now + max_wait_for_others;
+}
+
 void record_alive(job_worker& worker, time_point now)
 {
     worker.alive_at = now;
--- a/src/libschedule/workercrashes.h
+++ b/src/libschedule/workercrashes.h
@@ -15,6 +15,8 @@
  * that a crash shows its cause. Tasks of one job are not told apart.
  */
 bool allows_start(const job_worker& worker, const placement_request& request, time_point now);
+/** Returns whether a worker is isolated for suspects of the job. */
+bool has_isolated_worker(const job_scheduler& state, const submission_id& job, time_point now);
 /** Returns whether another worker may be risked for a suspect. */
 bool may_risk_worker(const job_scheduler& state, time_point now);
 /** Returns when a task of another job was last started or planned on the worker. */
@@ -23,6 +25,11 @@
 void record_start(recent_starts& starts, const submission_id& job, time_point now);
 /** Keeps other jobs from starting on the worker within the crash window. */
 void isolate(job_worker& worker, const submission_id& job, time_point now);
+/**
+ * Keeps other jobs from starting on the worker, so that a suspect can start there once their last
+ * starts have survived the crash window.
+ */
+void reserve_for_suspect(job_worker& worker, const submission_id& job, time_point now);
 /** Records that the worker has responded. */
 void record_alive(job_worker& worker, time_point now);
 /** Clears a suspect that the worker, which has responded, outlived. */
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -16,6 +16,11 @@
     CPPUNIT_TEST(task_waits_until_the_crash_is_recorded);
     CPPUNIT_TEST(nothing_starts_beside_a_suspect);
     CPPUNIT_TEST(suspect_waits_until_other_starts_have_survived);
+    CPPUNIT_TEST(suspect_starts_soon_while_all_workers_get_other_starts);
+    CPPUNIT_TEST(suspected_gang_starts_soon_while_all_workers_get_other_starts);
+    CPPUNIT_TEST(suspect_of_a_silent_worker_starts_when_its_lease_has_expired);
+    CPPUNIT_TEST(commands_that_were_not_sent_extend_no_lease);
+    CPPUNIT_TEST(worker_reserved_for_a_suspect_that_is_gone_is_used_again);
     CPPUNIT_TEST(suspects_leave_most_workers_to_others);
     CPPUNIT_TEST(silent_worker_that_responds_again_has_not_crashed);
     CPPUNIT_TEST(crash_found_after_the_lease_expired_is_recorded);
@@ -34,6 +39,8 @@
     using items = std::vector<wire::record_crash::item>;
     static constexpr duration survival = std::chrono::milliseconds{1100};
     static constexpr duration moment = std::chrono::milliseconds{20};
+    static constexpr duration longest_wait = std::chrono::milliseconds{2100};
+    static constexpr duration crash_window = std::chrono::seconds{1};
 
     job_scheduler state_;
     time_point now_{std::chrono::hours{1}};
@@ -234,6 +241,125 @@
         CPPUNIT_ASSERT(!start().empty());
     }
 
+    /** Returns a job of tasks on different workers. */
+    wire::job_record wide_job(const std::string& id, std::uint32_t count, std::uint32_t crashes)
+    {
+        auto record = job(id, count, crashes);
+        record.spec.steps[0].max_per_worker = 1;
+        record.spec.steps[0].demand.processors = millicores{100};
+        return record;
+    }
+
+    void hear_from_workers()
+    {
+        for (const auto& [id, worker] : workers_in_ledger_) {
+            if (state_.workers.at(id).lost)
+                continue;
+            record_reply(state_, id, now_);
+            extend_lease(state_, id, now_);
+        }
+        expire_leases(state_, now_);
+    }
+
+    /** Starts other tasks on all workers every 250 ms until the job has started, or for 10 s. */
+    duration wait_beside_other_starts(const submission_id& suspect)
+    {
+        constexpr duration step = std::chrono::milliseconds{50};
+        constexpr duration limit = std::chrono::seconds{10};
+        std::map<worker_id, time_point> others_at;
+        const auto began = now_;
+        for (int round = 0; now_ - began < limit; ++round, now_ += step) {
+            if (round % 5 == 0)
+                add_job(state_, wide_job("other-" + std::to_string(round), 8, 0), now_);
+            hear_from_workers();
+            bool started = false;
+            for (const auto& command : start()) {
+                const bool is_other = command.task.job != suspect;
+                started = started || !is_other;
+                if (is_other)
+                    others_at[command.worker] = now_;
+                else
+                    CPPUNIT_ASSERT(now_ - others_at[command.worker] >= crash_window);
+            }
+            if (started)
+                return now_ - began;
+        }
+        return limit;
+    }
+
+    void suspect_starts_soon_while_all_workers_get_other_starts()
+    {
+        for (int number = 0; number < 8; ++number)
+            add_worker("w" + std::to_string(number));
+        add_job(state_, wide_job("earlier", 8, 0), now_);
+        start();
+        auto suspect = job("suspect", 1, 1);
+        suspect.spec.steps[0].long_running = true;
+        add_job(state_, suspect, now_);
+        CPPUNIT_ASSERT(wait_beside_other_starts(submission_id{"suspect"}) < longest_wait);
+    }
+
+    void suspected_gang_starts_soon_while_all_workers_get_other_starts()
+    {
+        for (int number = 0; number < 8; ++number)
+            add_worker("w" + std::to_string(number));
+        add_job(state_, wide_job("earlier", 8, 0), now_);
+        start();
+        auto suspect = wide_job("suspect", 2, 1);
+        suspect.spec.steps[0].gang = true;
+        add_job(state_, suspect, now_);
+        CPPUNIT_ASSERT(wait_beside_other_starts(submission_id{"suspect"}) < longest_wait);
+    }
+
+    void suspect_of_a_silent_worker_starts_when_its_lease_has_expired()
+    {
+        constexpr duration certain_lease = std::chrono::milliseconds{8570};
+        for (int number = 0; number < 8; ++number)
+            add_worker("w" + std::to_string(number));
+        auto lasting = job("lasting", 1);
+        lasting.spec.steps[0].long_running = true;
+        add_job(state_, lasting, now_);
+        const auto command = start().front();
+        now_ += moment;
+        record_contact_loss(state_, command.worker, now_, true);
+        const auto waited = wait_beside_other_starts(submission_id{"lasting"});
+        CPPUNIT_ASSERT(waited < certain_lease + std::chrono::milliseconds{100});
+    }
+
+    void commands_that_were_not_sent_extend_no_lease()
+    {
+        add_worker("w1");
+        add_job(state_, job("j", 1), now_);
+        start();
+        const worker_id worker{"w1"};
+        const auto granted = state_.workers.at(worker).lease_expires_at;
+        now_ += std::chrono::seconds{1};
+        extend_lease(state_, worker, now_);
+        withdraw_lease(state_, worker, now_, granted);
+        extend_lease(state_, worker, now_ + moment);
+        withdraw_lease(state_, worker, now_, granted);
+        CPPUNIT_ASSERT(state_.workers.at(worker).lease_expires_at > granted);
+        withdraw_lease(state_, worker, now_ + moment, granted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expire_leases(state_, granted + moment).at(0).ended);
+    }
+
+    void worker_reserved_for_a_suspect_that_is_gone_is_used_again()
+    {
+        add_worker("w1");
+        add_job(state_, job("first", 1), now_);
+        start();
+        auto suspect = job("suspect", 1, 1);
+        add_job(state_, suspect, now_);
+        now_ += moment;
+        CPPUNIT_ASSERT(start().empty());
+        suspect.phase = wire::job_phase::cancelled;
+        on_job_record(state_, suspect, now_);
+        add_job(state_, job("next", 1), now_);
+        CPPUNIT_ASSERT(start().empty());
+        now_ += longest_wait;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start().size());
+    }
+
     void suspects_leave_most_workers_to_others()
     {
         for (int number = 0; number < 8; ++number)
