ledger: the loss of a founder before the formation is borne

The ledger was formed by the founder of the lowest name, once all founders had said at the same time that they were empty: the only step that needed more than a majority of them.

With `join`, each founder now writes the same first entry by itself, under a voter id that follows from its name and the set of founders. From then on it is a voter like any other, so a majority suffices, and the lost founder is exchanged as usual. A process whose disk was lost has form_ledger: false, hence a new id and no vote.

--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t max_log_bytes = std::size_t{4} << 20;
 
 /** Returns a unique voter id: process, wall time and a random number. */
-voter_id new_voter_id(const process_id& process)
+voter_id unique_voter_id(const process_id& process)
 {
     std::random_device device;
     return voter_id{process.value() + "." + std::to_string(wall_now().time_since_epoch().count()) +
@@ -69,11 +69,13 @@
     if (auto opened = open_folder(); !opened)
         return opened;
     make_replica();
+    if (auto written = write_founder_entry(); !written)
+        return written;
     waiting_warning_due_ = monotonic_now() + bootstrap_warning_delay;
     missing_leader_report_due_ = monotonic_now() + missing_leader_report_interval;
     bootstrap_.self = shared_.settings.self.id;
     bootstrap_.voter = replica_->self;
-    bootstrap_.founders = founders();
+    bootstrap_.founders = listed_processes();
     schedule_tick();
     announce_bootstrap();
     return success();
@@ -93,7 +95,7 @@
     }
     disk_ = std::make_unique<ledger::storage>(std::move(opened).value());
     if (disk_->stored().voter.empty()) {
-        if (auto named = disk_->write_identity(new_voter_id(shared_.settings.self.id)); !named)
+        if (auto named = disk_->write_identity(new_voter()); !named)
             return named;
     }
     const auto& snapshot = disk_->stored().snapshot;
@@ -109,6 +111,13 @@
     return success();
 }
 
+voter_id replica_runner::new_voter() const
+{
+    const auto& self = shared_.settings.self.id;
+    const auto processes = founders();
+    return processes.empty() ? unique_voter_id(self) : ledger::founder_voter(self, processes);
+}
+
 void replica_runner::make_replica()
 {
     auto& stored = disk_->stored();
@@ -210,6 +219,9 @@
                    {"committed", replica_->committed}});
         events_.leadership(replica_->leads);
     }
+    if (!done.committed.empty() && std::exchange(founding_, false) && replica_->leads)
+        log_event(log_level::info, "ledger_formed",
+                  {{"voters", replica_->log.voters().voters.size()}});
     for (const auto& entry : done.committed) {
         counters_.commits.add();
         events_.committed(entry);
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace galenaturn::controld {
@@ -103,7 +104,13 @@
     void send(const ledger::peer_message& message);
     void compact_log_if_large();
     void schedule_tick();
-    [[nodiscard]] std::vector<process_id> founders() const;
+    /** Returns the control processes that the settings list. */
+    [[nodiscard]] std::vector<process_id> listed_processes() const;
+    /** Returns the seeds if this process is one of them and forms a new ledger with them. */
+    [[nodiscard]] std::set<process_id> founders() const;
+    [[nodiscard]] voter_id new_voter() const;
+    /** Writes the first entry of a new ledger, if this process is a founder with an empty log. */
+    result<void> write_founder_entry();
     [[nodiscard]] ledger::voter_plan_input voter_plan_input() const;
     /** Announces this process at intervals, as long as the leader does not replicate to it. */
     void announce_bootstrap();
@@ -134,6 +141,8 @@
     bool disk_busy_{false};
     bool failed_{false};
     bool waiting_warning_logged_{false};
+    /** Whether this process is a founder that has seen no commit yet. */
+    bool founding_{false};
     time_point waiting_warning_due_;
     time_point missing_leader_report_due_;
     time_point lost_voters_report_due_;
--- a/src/controld/votermaintenance.cpp
+++ b/src/controld/votermaintenance.cpp
@@ -11,18 +11,11 @@
 
 } // namespace
 
-/** Returns the processes that form a new ledger together if all their disks are empty. */
-std::vector<process_id> replica_runner::founders() const
+std::vector<process_id> replica_runner::listed_processes() const
 {
     std::vector<process_id> processes;
-    const auto& join = shared_.settings.join;
-    if (join) {
-        if (join->form_ledger) {
-            for (const auto& seed : join->seeds)
-                processes.emplace_back(to_string(seed));
-        }
+    if (shared_.settings.join)
         return processes;
-    }
     for (const auto& member : shared_.settings.members) {
         if (member.role == process_role::control)
             processes.push_back(member.id);
@@ -30,6 +23,38 @@
     return processes;
 }
 
+std::set<process_id> replica_runner::founders() const
+{
+    const auto& join = shared_.settings.join;
+    if (!join || !join->form_ledger)
+        return {};
+    std::set<process_id> processes;
+    for (const auto& seed : join->seeds)
+        processes.emplace(to_string(seed));
+    return processes.contains(shared_.settings.self.id) ? processes : std::set<process_id>{};
+}
+
+result<void> replica_runner::write_founder_entry()
+{
+    const auto processes = founders();
+    const auto voters = ledger::founder_voters(processes);
+    const bool formed = replica_->log.last_index().value() > 0;
+    if (formed || !voters.voters.contains(replica_->self))
+        return success();
+    auto batch = ledger::initial_log_batch(voters);
+    // A vote that was given before a restart stays.
+    if (replica_->hard.current_term >= batch.hard->current_term)
+        batch.hard = replica_->hard;
+    if (auto written = disk_->append({batch}); !written)
+        return written;
+    replica_->hard = *batch.hard;
+    replica_->log.append(batch.entries.front());
+    founding_ = true;
+    log_event(log_level::info, "ledger_founder",
+              {{"voter", replica_->self}, {"voters", voters.voters.size()}});
+    return success();
+}
+
 ledger::voter_plan_input replica_runner::voter_plan_input() const
 {
     std::map<process_id, failure_domain_id> domains{
--- a/src/libcore/settings.h
+++ b/src/libcore/settings.h
@@ -30,7 +30,7 @@
 struct join_settings {
     /** Addresses of some control processes; some may be down, outdated or removed. */
     std::vector<ip_endpoint> seeds;
-    /** Whether to create a new ledger if the disks of all seeds are empty. */
+    /** Whether the seeds form a new ledger; false after the loss of a disk. */
     bool form_ledger{false};
     /** Number f of disks that may be lost at once; the ledger keeps 2f+1 voters if enough processes
      * exist. */
--- a/src/libledger/bootstrap.cpp
+++ b/src/libledger/bootstrap.cpp
@@ -1,9 +1,28 @@
 #include "bootstrap.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace galenaturn::ledger {
 
+voter_id founder_voter(const process_id& process, const std::set<process_id>& founders)
+{
+    std::string names;
+    for (const auto& founder : founders)
+        names += founder.value() + '\n';
+    const auto digest = XXH3_64bits(names.data(), names.size());
+    return voter_id{process.value() + ".founder." + std::to_string(digest)};
+}
+
+voter_set founder_voters(const std::set<process_id>& founders)
+{
+    voter_set set;
+    for (const auto& process : founders)
+        set.voters.emplace(founder_voter(process, founders), process);
+    return set;
+}
+
 std::optional<voter_set> initial_voters(const bootstrap_state& state, time_point now)
 {
     if (std::find(state.founders.begin(), state.founders.end(), state.self) == state.founders.end())
--- a/src/libledger/bootstrap.h
+++ b/src/libledger/bootstrap.h
@@ -3,6 +3,7 @@
 #include "logfile.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace galenaturn::ledger {
@@ -23,6 +24,16 @@
     }
 };
 
+/** Returns the voter id of a founder. It differs for other sets of founders. */
+voter_id founder_voter(const process_id& process, const std::set<process_id>& founders);
+/**
+ * Returns the voters of the ledger that the founders form. Each founder writes them by itself, as
+ * the first entry of its log, before it sends a message. As the entry is the same everywhere, any
+ * majority of the founders goes on with the same ledger, whichever of the others are lost. A
+ * process whose disk was lost is no founder any more: it would vote again as the voter it was.
+ */
+voter_set founder_voters(const std::set<process_id>& founders);
+
 /** Bootstrap state of a control process: itself, the founders, the messages of the others. */
 struct bootstrap_state {
     process_id self;
@@ -41,6 +52,7 @@
 constexpr duration bootstrap_message_ttl = std::chrono::seconds{1};
 
 /**
+ * For founders that the settings name at each start, also after the loss of a disk.
  * Returns the initial voters if this process has to form the ledger, else nothing. It has to if it
  * has the lowest id of the founders and a valid message of every other founder says that it has no
  * log. So a process that lost its disk never forms a second ledger while another one has a log.
--- a/tests/ledger/simulation/votergroup.cpp
+++ b/tests/ledger/simulation/votergroup.cpp
@@ -27,6 +27,10 @@
     chart_ = load_chart(std::string{GALENATURN_SOURCE_DIR} + "/charts", "replica",
                         replica_actions(), found);
     GN_INVARIANT(found.empty(), {"findings", found.text()});
+    if (options.forms_ledger) {
+        start_empty();
+        return;
+    }
     voter_set set;
     for (std::size_t index = 0; index < options.voters; ++index) {
         const auto& node = make_node(index % options.domains);
@@ -41,6 +45,26 @@
     GN_INVARIANT(!leader().empty(), {"seed", options.seed});
 }
 
+void voter_group::start_empty()
+{
+    std::set<process_id> founders;
+    for (std::size_t index = 0; index < options_.voters + options_.newcomers; ++index) {
+        const auto& node = make_node(index % options_.domains);
+        if (index < options_.voters)
+            founders.insert(node.process);
+    }
+    for (const auto& process : founders)
+        find(process)->founders = founders;
+    for (const auto& node : nodes_) {
+        const duration delay{pick(static_cast<std::uint64_t>(options_.start_spread.count()) + 1)};
+        const auto life = node->life;
+        events_.push({now_ + delay, ++order_, [this, &node = *node, life] {
+                          if (node.life == life)
+                              start(node, {});
+                      }});
+    }
+}
+
 voter_group::node& voter_group::make_node(std::size_t domain)
 {
     auto added = std::make_unique<node>();
@@ -55,6 +79,10 @@
 void voter_group::start(node& self, replica_log log)
 {
     ++self.life;
+    if (!self.founders.empty() && log.last_index().value() == 0) {
+        self.voter = founder_voter(self.process, self.founders);
+        log.append(initial_log_batch(founder_voters(self.founders)).entries.front());
+    }
     self.commands = 0;
     self.syncing = false;
     self.dirty = false;
@@ -62,6 +90,11 @@
     replica_start start;
     start.self = self.voter;
     start.hard = hard_state{term{log.last_index().value() > 0 ? 1U : 0U}, voter_id{}};
+    if (self.synced_hard.current_term > start.hard.current_term)
+        start.hard = self.synced_hard;
+    self.synced_hard = start.hard;
+    self.synced_log = log;
+    self.announcements.clear();
     start.log = std::move(log);
     start.chart = &chart_;
     start.seed = random_();
@@ -157,15 +190,36 @@
 void voter_group::announce(node& self)
 {
     if (needs_announcement(*self.core)) {
-        const bool has_log = self.core->log.last_index().value() > 0;
+        const bootstrap_message message{self.process, self.voter,
+                                        self.core->log.last_index().value() > 0};
         for (const auto& other : nodes_) {
-            if (other->core && other->process != self.process)
-                other->announcements[self.process] = {{self.process, self.voter, has_log}, now_};
+            if (!other->core || other->process == self.process)
+                continue;
+            if (options_.forms_ledger)
+                send_announcement(*other, message);
+            else
+                other->announcements[self.process] = {message, now_};
         }
     }
     schedule(self, announcement_interval, [this](node& later) { announce(later); });
 }
 
+void voter_group::send_announcement(node& to, const bootstrap_message& message)
+{
+    if (now_ < to.unreachable_until || pick(1000) < options_.lost)
+        return;
+    schedule(to, duration{500 + pick(1'500)}, [this, message](node& receiver) {
+        receiver.announcements[message.process] = {message, now_};
+    });
+}
+
+void voter_group::check_committed(const log_entry& entry)
+{
+    const auto& first = committed_.emplace(entry.index, entry).first->second;
+    GN_INVARIANT(first.entry_term == entry.entry_term && first.payload == entry.payload,
+                 {"seed", options_.seed}, {"index", entry.index});
+}
+
 void voter_group::process_effects(node& self, effects done)
 {
     if (done.installed) {
@@ -179,6 +233,7 @@
     for (auto& message : done.after_sync)
         self.after_sync.push_back(std::move(message));
     for (const auto& entry : done.committed) {
+        check_committed(entry);
         self.commands += entry.kind == entry_kind::command ? 1 : 0;
         if (self.core->leads)
             acknowledged_ = std::max(acknowledged_, self.commands);
@@ -206,12 +261,17 @@
     duration sync_time{6'000 + pick(6'000)};
     if (self.sync_time > duration{})
         sync_time = self.sync_time;
-    schedule(self, sync_time, [this, ready = std::move(ready)](node& synced) {
-        synced.syncing = false;
-        for (const auto& message : ready)
-            send(synced, message);
-        start_sync(synced);
-    });
+    const bool restarts = options_.forms_ledger;
+    schedule(self, sync_time,
+             [this, ready = std::move(ready), hard = self.core->hard,
+              log = restarts ? self.core->log : replica_log{}](node& synced) {
+                 synced.syncing = false;
+                 synced.synced_hard = hard;
+                 synced.synced_log = log;
+                 for (const auto& message : ready)
+                     send(synced, message);
+                 start_sync(synced);
+             });
 }
 
 void voter_group::send(node& from, const peer_message& message)
@@ -249,6 +309,9 @@
     remove(process);
     auto* node = find(process);
     node->voter = voter_id{"v" + std::to_string(++last_voter_)};
+    node->founders.clear();
+    node->synced_hard = {};
+    node->synced_log = {};
     const auto life = node->life;
     events_.push({now_ + down, ++order_, [this, node, life] {
                       if (node->life != life)
@@ -258,6 +321,25 @@
                   }});
 }
 
+void voter_group::restart(const process_id& process, duration down)
+{
+    remove(process);
+    auto* node = find(process);
+    const auto life = node->life;
+    events_.push({now_ + down, ++order_, [this, node, life] {
+                      if (node->life == life)
+                          start(*node, node->synced_log);
+                  }});
+}
+
+std::vector<process_id> voter_group::processes() const
+{
+    std::vector<process_id> started;
+    for (std::size_t index = 0; index < options_.voters; ++index)
+        started.push_back(nodes_[index]->process);
+    return started;
+}
+
 void voter_group::freeze(const process_id& process, duration span)
 {
     find(process)->frozen_until = now_ + span;
@@ -268,6 +350,11 @@
     find(process)->unreachable_until = time_point::max();
 }
 
+void voter_group::cut_incoming(const process_id& process, duration span)
+{
+    find(process)->unreachable_until = now_ + span;
+}
+
 void voter_group::slow_disk(const process_id& process, duration sync_time)
 {
     find(process)->sync_time = sync_time;
--- a/tests/ledger/simulation/votergroup.h
+++ b/tests/ledger/simulation/votergroup.h
@@ -23,6 +23,11 @@
     bool needs_snapshot{false};
     /** A process that starts during the run receives no messages of voters for this time. */
     duration reconnect_delay{};
+    /** The processes start empty, within `start_spread`, and form a ledger. */
+    bool forms_ledger{false};
+    duration start_spread{std::chrono::milliseconds{300}};
+    /** Number of further processes that are no founders. */
+    std::size_t newcomers{0};
 };
 
 /**
@@ -40,14 +45,19 @@
     void remove(const process_id& process);
     /** Stops a process, which starts again with an empty disk after `down`. */
     void wipe(const process_id& process, duration down);
+    /** Stops a process, which starts again with what it had synced after `down`. */
+    void restart(const process_id& process, duration down);
     void freeze(const process_id& process, duration span);
     /** Drops all messages to a process, while those that it sends arrive. */
     void cut_incoming(const process_id& process);
+    void cut_incoming(const process_id& process, duration span);
     /** Each sync of a process takes this long from now on. */
     void slow_disk(const process_id& process, duration sync_time);
     /** Returns how often a replica has become or ceased to be leader. */
     [[nodiscard]] std::size_t elected() const { return elected_; }
 
+    /** Returns the processes that were started first, in any order. */
+    [[nodiscard]] std::vector<process_id> processes() const;
     /** Returns the process that leads with a valid lease, or an empty name. */
     [[nodiscard]] process_id leader() const;
     [[nodiscard]] process_id some_follower() const;
@@ -84,6 +94,11 @@
         std::vector<peer_message> after_sync;
         bool dirty{false};
         bool syncing{false};
+        /** Empty after the loss of the disk. */
+        std::set<process_id> founders;
+        /** What a sync has made durable. */
+        hard_state synced_hard;
+        replica_log synced_log;
         std::size_t commands{0};
         std::map<process_id, bootstrap_state::received_message> announcements;
     };
@@ -99,6 +114,10 @@
 
     node& make_node(std::size_t domain);
     void start(node& self, replica_log log);
+    void start_empty();
+    void send_announcement(node& to, const bootstrap_message& message);
+    /** Fails if another entry was committed at this index before: there would be two ledgers. */
+    void check_committed(const log_entry& entry);
     /** Runs `action` unless the process has stopped; later, if it is frozen. */
     void schedule(node& self, duration delay, std::function<void(node&)> action);
     void tick_and_plan(node& self);
@@ -122,6 +141,7 @@
     /** Nodes stay here after they were removed, so that references remain valid. */
     std::vector<std::unique_ptr<node>> nodes_;
     std::map<process_id, failure_domain_id> domains_;
+    std::map<log_index, log_entry> committed_;
     std::size_t acknowledged_{0};
     std::size_t voter_changes_{0};
     std::size_t elected_{0};
--- a/tests/ledger/voterplantest.cpp
+++ b/tests/ledger/voterplantest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(newcomers_are_added_up_to_the_target_number_of_voters);
     CPPUNIT_TEST(exactly_one_ledger_forms_in_any_message_order);
     CPPUNIT_TEST(a_process_that_is_no_founder_forms_no_ledger);
+    CPPUNIT_TEST(other_founders_have_other_voter_ids);
     CPPUNIT_TEST_SUITE_END();
 
     static voter_id voter(int number) { return voter_id{"v" + std::to_string(number)}; }
@@ -260,6 +261,17 @@
         state.founders = {process(5)};
         CPPUNIT_ASSERT(!initial_voters(state, time_point{}));
     }
+
+    void other_founders_have_other_voter_ids()
+    {
+        const auto three = founder_voters({process(1), process(2), process(3)});
+        CPPUNIT_ASSERT(three == founder_voters({process(3), process(1), process(2)}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, three.voters.size());
+        const auto other = founder_voters({process(1), process(2), process(4)});
+        for (const auto& [voter, process] : other.voters)
+            CPPUNIT_ASSERT(!three.voters.contains(voter));
+        CPPUNIT_ASSERT(founder_voters({}).voters.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(voter_plan_test);
