tests: the soak's ledgers are kept in memory

The last change was not acknowledged within 4 s, or a job not shown as ended. Slow syncs of a disk shared with builds are the likely cause, which was not measured. Checks and bounds are unchanged.

--- a/tests/platform/soak/deployment.h
+++ b/tests/platform/soak/deployment.h
@@ -86,6 +86,8 @@
 
     std::filesystem::path programs_;
     std::filesystem::path folder_;
+    /** In memory, so that other users of the disk delay no sync of a ledger. */
+    std::filesystem::path data_;
     deployment_sizes sizes_;
     std::string network_;
     std::uint16_t first_port_{0};
