daemon: a planned stop answers what it has read before it ends

Cause: once no request was in progress the process left its loop in the same turn. A connection that had just been accepted, or a request whose bytes had been read in that turn, did not count as in progress yet.

Change: after the listeners are closed the process waits in a state `closing` until its connections are closed, at most up to the drain limit. A connection that was accepted before is asked for its request once, also if the stop came first. Idle connections are closed at once, as before.

Evidence: a_request_that_arrives_as_the_drain_ends_is_answered failed on the code before and passes now.

--- a/src/libdaemon/lifecycle.cpp
+++ b/src/libdaemon/lifecycle.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds drain_check_interval{20};
+constexpr std::chrono::milliseconds close_check_interval{2};
 
 } // namespace
 
@@ -26,6 +27,7 @@
              self.peers_.close();
              self.shared_.peers.close();
          }},
+        {"await_closed", [](lifecycle& self) { self.poll_closed(); }},
         {"exit_process", [](lifecycle& self) { self.shared_.io.stop(); }},
     };
     return table;
@@ -91,6 +93,20 @@
     });
 }
 
+void lifecycle::poll_closed()
+{
+    timer_.expires_after(close_check_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (server_.open_connections() == 0)
+            return apply("closed");
+        if (monotonic_now() >= drain_deadline_)
+            return apply("drain_limit_passed");
+        poll_closed();
+    });
+}
+
 std::size_t lifecycle::remaining_work() const
 {
     std::size_t work = server_.requests_in_progress();
--- a/src/libdaemon/lifecycle.h
+++ b/src/libdaemon/lifecycle.h
@@ -30,6 +30,8 @@
     /** Starts to refuse new work and waits for the work in progress, at most for drain_limit. */
     void start_drain();
     void poll_drain();
+    /** Waits until the connections of `server_` are closed, at most up to the drain limit. */
+    void poll_closed();
     [[nodiscard]] std::size_t remaining_work() const;
 
     context& shared_;
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -106,8 +106,9 @@
     {
         beast::flat_buffer buffer;
         bool keep_open = true;
-        while (keep_open && !self->stopped)
+        do
             keep_open = co_await serve_one(*self, *peer, buffer);
+        while (keep_open && !self->stopped);
         boost::system::error_code ignored_error;
         peer->stream.socket().shutdown(tcp::socket::shutdown_both, ignored_error);
         peer->stream.close();
@@ -332,6 +333,11 @@
     return state_->in_progress;
 }
 
+std::size_t server::open_connections() const
+{
+    return state_->sessions.size();
+}
+
 void server::close_after_responses()
 {
     state_->closing = true;
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -37,9 +37,12 @@
     /** Returns the port that was bound; useful after listening on port 0. */
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t requests_in_progress() const;
+    [[nodiscard]] std::size_t open_connections() const;
     /** Closes each connection after its next response, so that callers connect to other servers. */
     void close_after_responses();
-    /** Stops accepting, closes idle connections, and each other one after its request in progress.
+    /**
+     * Stops accepting, closes idle connections, and each other one after its request in progress. A
+     * request that has arrived on an accepted connection is in progress.
      */
     void stop();
 
--- a/tests/daemon/lifecycletest.cpp
+++ b/tests/daemon/lifecycletest.cpp
@@ -2,11 +2,16 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 namespace galenaturn::daemon {
 
 namespace asio = boost::asio;
@@ -34,6 +39,10 @@
         release_timer.expires_at(asio::steady_timer::time_point::max());
         shared.routes.add(http::verb::get, "/slow",
                           [this](http::call&) { return respond_when_released(); });
+        shared.routes.add(
+            http::verb::get, "/quick", [](http::call&) -> asio::awaitable<http::response> {
+                co_return http::make_response(http::status::ok, "whole answer", "text/plain");
+            });
         state_machine.load(found);
     }
 
@@ -73,6 +82,7 @@
     CPPUNIT_TEST(a_planned_stop_completes_requests_in_progress);
     CPPUNIT_TEST(readiness_fails_before_new_work_is_refused);
     CPPUNIT_TEST(a_repeated_stop_request_is_ignored);
+    CPPUNIT_TEST(a_request_that_arrives_as_the_drain_ends_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
     void a_planned_stop_completes_requests_in_progress()
@@ -114,6 +124,31 @@
         CPPUNIT_ASSERT(drained);
     }
 
+    /** The drain ends in the same turn of the loop in which a connection is accepted. */
+    void a_request_that_arrives_as_the_drain_ends_is_answered()
+    {
+        stoppable_daemon daemon;
+        CPPUNIT_ASSERT(daemon.server.listen({"127.0.0.1", 0}));
+        daemon.state_machine.started();
+        daemon.state_machine.request_stop();
+        while (daemon.state_machine.state() != "draining")
+            daemon.shared.io.run_one();
+        asio::io_context client;
+        asio::ip::tcp::socket socket{client};
+        socket.connect({asio::ip::make_address("127.0.0.1"), daemon.server.port()});
+        asio::write(socket, asio::buffer(std::string{"GET /quick HTTP/1.1\r\nHost: a\r\n\r\n"}));
+        std::this_thread::sleep_for(std::chrono::milliseconds{40});
+        daemon.shared.io.run();
+        CPPUNIT_ASSERT_EQUAL(std::string{"stopped"}, daemon.state_machine.state());
+        CPPUNIT_ASSERT(!daemon.state_machine.drain_timed_out());
+        socket.non_blocking(true);
+        std::string received;
+        boost::system::error_code end;
+        asio::read(socket, asio::dynamic_buffer(received), end);
+        CPPUNIT_ASSERT_MESSAGE(end.message(), end == asio::error::eof);
+        CPPUNIT_ASSERT_MESSAGE(received, received.ends_with("whole answer"));
+    }
+
     void a_repeated_stop_request_is_ignored()
     {
         stoppable_daemon daemon;
