tests: the soak's callers submit as many jobs as its workers can bear

Half a job a second for each worker; from 48 workers on the interval had become 0, and with 150 workers 18,914 jobs were accepted in 25 s, 6,458 of which the callers had not seen ended in time.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -77,8 +77,8 @@
         for (const auto& member : callers_.entries)
             threads_.emplace_back([this, &member] { run_watcher(callers_, member, false); });
         const auto count = std::min(most_callers, 3 * callers_.entries.size());
-        callers_.job_interval =
-            seconds{1} * 2 * count / static_cast<std::size_t>(std::max(options_.sizes.workers, 2));
+        callers_.job_interval = milliseconds{2000} * count /
+                                static_cast<std::size_t>(std::max(options_.sizes.workers, 2));
         for (std::size_t number = 0; number < count; ++number)
             threads_.emplace_back([this, number] { run_caller(callers_, number); });
         threads_.emplace_back([this] { run_operator(callers_); });
