schedule: a lease is taken back only if no other command was sent with it

Found in reading: a poll that finds no connection takes its lease back, which it recognised by the time alone. A start on an open connection of the same moment would have lost its lease with it, and its run would have been taken for ended too early. The worker counts the commands of the moment. No worker is reserved ahead for a start that outlasts the lease, as its task does not start then.

command_that_was_not_sent_leaves_the_lease_of_another_one has two commands of one moment.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -192,6 +192,9 @@
             const auto& step = job.spec.steps[item.task.step];
             if (item.suspicion == wire::crash_suspicion::cleared || step.gang || job.ending)
                 continue;
+            const auto& run = *find_task(slice.state, item.task)->run;
+            if (may_be_in_next_life(slice.state, worker, run, worker.lease_expires_at))
+                continue;
             const bool only_isolated = !may_risk_worker(slice.state, slice.now);
             wait_for_others(slice, {&job, item.task, &step, {}, false, false, true, only_isolated});
         }
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -299,8 +299,9 @@
     bool report_read{false};
     /** All its runs have certainly ended by then, unless the lease is extended. */
     time_point lease_expires_at;
-    /** When the last command with a lease was sent to any life of it. */
+    /** When the last command with a lease was sent to any life of it, and how many were then. */
     time_point lease_sent_at;
+    std::uint32_t leases_sent{0};
     time_point last_reply_at;
     /** A report of it was read in the term of this leader, complete or not. */
     bool has_reported{false};
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -265,6 +265,8 @@
     const auto worker = state.workers.find(id);
     if (worker == state.workers.end())
         return;
+    auto& sent = worker->second.leases_sent;
+    sent = now == worker->second.lease_sent_at ? sent + 1 : 1;
     worker->second.lease_sent_at = std::max(worker->second.lease_sent_at, now);
     worker->second.lease_expires_at =
         std::max(worker->second.lease_expires_at, now + certain_expiry(state.settings.lease));
@@ -274,7 +276,8 @@
                     time_point earlier)
 {
     const auto worker = state.workers.find(id);
-    if (worker == state.workers.end() ||
+    // Another command of the same moment may have been sent.
+    if (worker == state.workers.end() || worker->second.leases_sent != 1 ||
         worker->second.lease_expires_at != requested_at + certain_expiry(state.settings.lease))
         return;
     worker->second.lease_expires_at = earlier;
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(suspected_gang_starts_soon_while_all_workers_get_other_starts);
     CPPUNIT_TEST(suspect_of_a_silent_worker_starts_when_its_lease_has_expired);
     CPPUNIT_TEST(commands_that_were_not_sent_extend_no_lease);
+    CPPUNIT_TEST(command_that_was_not_sent_leaves_the_lease_of_another_one);
     CPPUNIT_TEST(worker_reserved_for_a_suspect_that_is_gone_is_used_again);
     CPPUNIT_TEST(suspects_leave_most_workers_to_others);
     CPPUNIT_TEST(silent_worker_that_responds_again_has_not_crashed);
@@ -343,6 +344,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expire_leases(state_, granted + moment).at(0).ended);
     }
 
+    /** Guards against taking back the lease of a command that was sent at the same moment. */
+    void command_that_was_not_sent_leaves_the_lease_of_another_one()
+    {
+        add_worker("w1");
+        const worker_id worker{"w1"};
+        const auto granted = state_.workers.at(worker).lease_expires_at;
+        now_ += std::chrono::seconds{1};
+        extend_lease(state_, worker, now_);
+        extend_lease(state_, worker, now_);
+        const auto extended = state_.workers.at(worker).lease_expires_at;
+        withdraw_lease(state_, worker, now_, granted);
+        CPPUNIT_ASSERT(state_.workers.at(worker).lease_expires_at == extended);
+    }
+
     void worker_reserved_for_a_suspect_that_is_gone_is_used_again()
     {
         add_worker("w1");
