tests: two lives of a worker that begin within one cut

A life of which nobody has heard can neither settle nor carry out a start of the former one. The test was missing for a start without a reply that the life after it carries out.

--- a/tests/control/workerlivestest.cpp
+++ b/tests/control/workerlivestest.cpp
@@ -96,11 +96,11 @@
     }
 
     /** Lets the next life of a carry the starts out. Returns once each task has a run. */
-    bool run_until_all_run_after_the_cut()
+    bool run_until_all_run_after_the_cut(incarnation life = incarnation{2})
     {
         workers->cut_off("a", false);
         workers->carry_out_held_calls("a");
-        leader.announce(make_worker("a", 2));
+        leader.announce(make_worker("a", life.value()));
         return leader.run_until(
             [&] { return workers->running("a") + workers->running("b") == tasks; },
             std::chrono::seconds{5});
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_knows_the_next_life);
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_life_carries_out_a_start_after_all_leases);
     CPPUNIT_TEST(no_task_runs_twice_where_the_start_is_one_of_the_former_leader);
+    CPPUNIT_TEST(no_task_runs_twice_where_two_lives_begin_within_one_cut);
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life);
     CPPUNIT_TEST(no_task_runs_twice_where_a_later_command_extends_the_lease_of_a_late_start);
     CPPUNIT_TEST(no_task_runs_twice_where_a_start_is_carried_out_after_its_stop_in_the_former_life);
@@ -206,6 +207,19 @@
         assert_none_doubled(test);
     }
 
+    /** Guards against settling a start with the life that nobody has heard of. */
+    void no_task_runs_twice_where_two_lives_begin_within_one_cut()
+    {
+        two_workers test;
+        test.lose_starts_on_a();
+        test.leader.run_for(start_delay_limit);
+        test.workers->begin_life("a", incarnation{3});
+        test.workers->cut_off("a", true);
+        test.leader.run_for(lease_limit - std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT(test.run_until_all_run_after_the_cut(incarnation{3}));
+        assert_none_doubled(test);
+    }
+
     /** Guards against taking a life that was followed by another for one that has left. */
     void no_task_runs_twice_where_the_next_leader_has_heard_of_the_next_life()
     {
