--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -1,4 +1,5 @@
 #include "jobservice.h"
+#include "workercalls.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,13 +15,7 @@
 namespace {
 
 using schedule::command_result;
-using wire::command_status;
 
-/**
- * Timeout of a command. Workers reply within a few milliseconds, so a later reply is not to be
- * expected.
- */
-constexpr duration command_timeout = std::chrono::milliseconds{800};
 /**
  * Stops to one worker that may be in flight at the same time, so that a lost reply delays few
  * others.
@@ -38,23 +33,6 @@
 constexpr duration poll_retry_pause = std::chrono::milliseconds{200};
 /** A worker that was silent for longer gets no new lease until it replies. */
 constexpr duration max_silence = std::chrono::milliseconds{2500};
-/**
- * A worker that may not forget its completions replies to a poll at once. It is polled at this
- * interval until they are recorded, to extend its lease.
- */
-constexpr duration recording_poll_interval = std::chrono::milliseconds{500};
-/** Pause before completions that the ledger did not accept are submitted again. */
-constexpr duration record_retry_pause = std::chrono::milliseconds{50};
-constexpr duration record_timeout = std::chrono::seconds{3};
-/** How far the clock of a worker may differ from what is expected of it. */
-constexpr std::chrono::milliseconds max_clock_error{250};
-constexpr int max_clock_drift_percent = 4;
-
-worker_target target_of(const schedule::job_worker& worker)
-{
-    return {worker.record.id, worker.record.address};
-}
-
 std::chrono::milliseconds poll_wait_for(const schedule::job_worker& worker)
 {
     if (worker.serving_images.empty())
@@ -62,12 +40,6 @@
     return worker.best_effort_processors.value() > 0 ? best_effort_poll_wait : serving_poll_wait;
 }
 
-asio::awaitable<void> pause(asio::io_context& io, duration span)
-{
-    asio::steady_timer timer{io, span};
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 template <class Command>
 Command pop_first(std::deque<Command>& queue)
 {
@@ -148,74 +120,6 @@
     return *connection.clock + since_reading + lease;
 }
 
-void job_service::update_clock(worker_connection& connection, const command_reply& reply)
-{
-    if (!reply.clock)
-        return;
-    connection.clock = reply.clock;
-    connection.clock_read_at = monotonic_now();
-    connection.last_reply_at = connection.clock_read_at;
-}
-
-void job_service::check_clock(const worker_id& worker, time_point requested_at,
-                              command_reply& reply)
-{
-    const auto connection = connections_.find(worker);
-    if (connection == connections_.end() || !reply.clock)
-        return;
-    const auto now = monotonic_now();
-    const auto& known = connection->second;
-    const auto since_reading =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - known.clock_read_at);
-    const auto tolerance =
-        max_clock_error + since_reading * max_clock_drift_percent / 100 +
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - requested_at);
-    const auto difference =
-        known.clock ? *reply.clock - (*known.clock + since_reading) : std::chrono::milliseconds{0};
-    // The clock of a later life has begun anew, so it is behind. A reading that was read late, as
-    // after a stop of this process, makes it seem ahead, which shortens leases only.
-    if (incarnation_of(worker) == incarnation{} || difference >= -tolerance)
-        return update_clock(connection->second, reply);
-    log_event(log_level::info, "worker_clock_of_other_life",
-              {{"worker", worker},
-               {"clock_ms", reply.clock->count()},
-               {"difference_ms", difference.count()},
-               {"answer", schedule::to_string(reply.result)},
-               {"token", token_}});
-    connection->second.clock.reset();
-    reply.result = command_result::none;
-    reply.reason = "the clock is that of another life";
-    schedule::extend_lease_to_limit(scheduler_, worker, now);
-    asio::co_spawn(shared_.io, probe_life(this, worker, generation_), asio::detached);
-}
-
-asio::awaitable<void> job_service::probe_life(job_service* self, worker_id worker,
-                                              std::uint64_t generation)
-{
-    const auto found = self->scheduler_.workers.find(worker);
-    if (found == self->scheduler_.workers.end())
-        co_return;
-    command_header header;
-    header.token = schedule::token_for(self->scheduler_, self->token_, worker);
-    header.reply_deadline = monotonic_now() + command_timeout;
-    auto target = target_of(found->second);
-    const auto polled =
-        co_await self->commands_->poll(std::move(target), 0, std::chrono::milliseconds{0}, header);
-    const auto connection = self->connections_.find(worker);
-    if (!self->in_term(generation) || connection == self->connections_.end())
-        co_return;
-    if (polled.reply.result == command_result::other_incarnation)
-        co_return self->on_other_life(worker, polled.life);
-    if (polled.reply.result == command_result::accepted)
-        self->update_clock(connection->second, polled.reply);
-}
-
-void job_service::on_other_life(const worker_id& worker, incarnation life)
-{
-    const bool is_next_life = life > incarnation_of(worker);
-    on_worker_crash(worker, is_next_life ? make_worker_id(name_of(worker), life) : worker_id{});
-}
-
 asio::awaitable<bool> job_service::poll_once(worker_id worker, std::uint64_t generation)
 {
     const auto found = scheduler_.workers.find(worker);
@@ -299,141 +203,6 @@
 }
 
 /** Submits the command to the ledger until it is recorded or the term is over. */
-asio::awaitable<void> job_service::submit_until_recorded(wire::command body, std::size_t items,
-                                                         std::uint64_t generation)
-{
-    const auto began = monotonic_now();
-    while (in_term(generation)) {
-        const auto outcome = co_await hub_.submit(body, monotonic_now() + record_timeout);
-        if (outcome.status == command_status::accepted)
-            break;
-        log_event(log_level::warning, "ends_not_recorded",
-                  {{"items", items},
-                   {"status", wire::to_string(outcome.status)},
-                   {"reason", outcome.reason}});
-        co_await pause(shared_.io, record_retry_pause);
-    }
-    const auto elapsed = monotonic_now() - began;
-    record_latency_.record(elapsed);
-    load_.longest_record = std::max(load_.longest_record, elapsed);
-}
-
-asio::awaitable<void>
-job_service::record_completions(job_service* self, worker_id worker,
-                                std::vector<wire::record_completions::item> items,
-                                std::uint64_t read_up_to, std::uint64_t generation)
-{
-    wire::record_completions completions;
-    completions.items = items;
-    completions.now = wall_now();
-    wire::command body{std::move(completions)};
-    co_await self->submit_until_recorded(std::move(body), items.size(), generation);
-    if (!self->in_term(generation))
-        co_return;
-    schedule::on_completions_recorded(self->scheduler_, items);
-    schedule::acknowledge_completions(self->scheduler_, worker, read_up_to);
-    self->schedule_pass();
-    const auto connection = self->connections_.find(worker);
-    if (connection == self->connections_.end() || connection->second.recording == 0)
-        co_return;
-    if (--connection->second.recording == 0 && connection->second.recording_timer)
-        connection->second.recording_timer->cancel();
-}
-
-asio::awaitable<void> job_service::await_recording(worker_id worker, std::uint64_t generation)
-{
-    const auto connection = connections_.find(worker);
-    if (!in_term(generation) || connection == connections_.end() ||
-        connection->second.recording == 0)
-        co_return;
-    const auto timer = std::make_shared<asio::steady_timer>(shared_.io, recording_poll_interval);
-    connection->second.recording_timer = timer;
-    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
-asio::awaitable<void> job_service::record_crash(job_service* self, wire::record_crash crash,
-                                                std::uint64_t generation)
-{
-    const auto items = crash.items;
-    wire::command body{std::move(crash)};
-    co_await self->submit_until_recorded(std::move(body), items.size(), generation);
-    if (!self->in_term(generation))
-        co_return;
-    schedule::on_crash_recorded(self->scheduler_, items);
-    self->schedule_pass();
-}
-
-void job_service::log_lost_runs(const worker_id& worker, const char* cause) const
-{
-    const auto found = scheduler_.workers.find(worker);
-    if (found == scheduler_.workers.end())
-        return;
-    const auto now = monotonic_now();
-    log_event(log_level::info, "worker_retired",
-              {{"worker", worker},
-               {"cause", cause},
-               {"lost_runs", found->second.runs.size()},
-               {"silent_us", (now - found->second.last_reply_at).count()}});
-    for (const auto& [ref, number] : found->second.runs) {
-        const auto job = scheduler_.jobs.find(ref.job);
-        const auto position = wire::position_of(job->second.spec, ref);
-        const auto& run = job->second.tasks[*position].run;
-        if (schedule::is_unsent(run->phase))
-            continue;
-        log_event(log_level::info, "run_lost",
-                  {{"task", ref},
-                   {"run", number},
-                   {"worker", worker},
-                   {"token", token_},
-                   {"since_command_us", (now - run->commanded_at).count()}});
-    }
-}
-
-void job_service::retire_worker(const worker_id& worker, const char* cause)
-{
-    log_lost_runs(worker, cause);
-    schedule::remove_worker(scheduler_, worker);
-    forget_worker(worker);
-}
-
-void job_service::on_worker_crash(const worker_id& worker, const worker_id& next)
-{
-    log_lost_runs(worker, next.empty() ? "other_life" : "next_life");
-    wire::record_crash crash;
-    crash.worker = worker;
-    crash.items = schedule::on_worker_crash(scheduler_, worker, next, monotonic_now());
-    crash.now = wall_now();
-    for (const auto& item : crash.items) {
-        if (item.suspicion != wire::crash_suspicion::cleared)
-            log_event(log_level::info, "crash_suspected",
-                      {{"task", item.task},
-                       {"run", item.run},
-                       {"worker", worker},
-                       {"suspicion", wire::to_string(item.suspicion)},
-                       {"token", token_}});
-    }
-    if (!crash.items.empty())
-        asio::co_spawn(shared_.io, record_crash(this, std::move(crash), generation_),
-                       asio::detached);
-    // In one command, so that each leader knows of a life that may have runs.
-    std::vector<wire::worker_record> admitted;
-    const auto found = scheduler_.workers.find(next);
-    if (found != scheduler_.workers.end())
-        admitted.push_back(found->second.record);
-    forget_worker(worker, std::move(admitted));
-}
-
-void job_service::forget_worker(const worker_id& worker, std::vector<wire::worker_record> admitted)
-{
-    connections_.erase(worker);
-    const auto found = announcements_.find(worker);
-    if (found != announcements_.end())
-        found->second.over = true;
-    update_ledger_workers(std::move(admitted), {worker});
-    schedule_due_commands();
-    schedule_pass();
-}
-
 void job_service::send_commands(const worker_id& worker)
 {
     if (!hub_.leads()) {
--- /dev/null
+++ b/src/controld/workercalls.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "workercommands.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace galenaturn::controld {
+
+/**
+ * Timeout of a command. Workers reply within a few milliseconds, so a later reply is not to be
+ * expected.
+ */
+inline constexpr duration command_timeout = std::chrono::milliseconds{800};
+
+inline worker_target target_of(const schedule::job_worker& worker)
+{
+    return {worker.record.id, worker.record.address};
+}
+
+inline boost::asio::awaitable<void> pause(boost::asio::io_context& io, duration span)
+{
+    boost::asio::steady_timer timer{io, span};
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+} // namespace galenaturn::controld
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -124,7 +124,7 @@
     const auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
         auto& run = *find_task(state, ref)->run;
-        if (!may_be_in_next_life(state, worker, run, now)) {
+        if (!next_life_may_run(state, worker, run, now)) {
             end_expired_run(state, worker, ref, number, now);
             ++expired.ended;
             continue;
--- a/src/libschedule/runreports.cpp
+++ b/src/libschedule/runreports.cpp
@@ -294,7 +294,7 @@
 bool outlasts_stop(const report_context& context, const wire::task_ref& ref, const task_run& run)
 {
     return !find_job(context.state, ref.job)->ending &&
-           may_begin_in_next_life(context.state, context.worker, run, context.now);
+           next_life_may_begin(context.state, context.worker, run, context.now);
 }
 
 /**
--- a/src/libschedule/workerlives.cpp
+++ b/src/libschedule/workerlives.cpp
@@ -73,15 +73,15 @@
     return last_possible_end(state.settings, std::max(run.commanded_at, worker.lease_sent_at));
 }
 
-bool may_begin_in_next_life(const job_scheduler& state, const job_worker& worker,
-                            const task_run& run, time_point now)
+bool next_life_may_begin(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                         time_point now)
 {
     return incarnation_of(worker.record.id) != incarnation{} && is_unanswered_start(run) &&
            now <= run.commanded_at + state.settings.start_delay_limit;
 }
 
-bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
-                         time_point now)
+bool next_life_may_run(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                       time_point now)
 {
     return incarnation_of(worker.record.id) != incarnation{} && is_unanswered_start(run) &&
            now <= last_possible_end(state, worker, run);
--- a/src/libschedule/workerlives.h
+++ b/src/libschedule/workerlives.h
@@ -43,11 +43,11 @@
  * Returns whether a next life of a worker that responds may still carry out the start of the run,
  * also where the present one has confirmed a stop.
  */
-bool may_begin_in_next_life(const job_scheduler& state, const job_worker& worker,
-                            const task_run& run, time_point now);
+bool next_life_may_begin(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                         time_point now);
 
 /** Returns whether the next life of the worker may carry out the start of the run, or run it. */
-bool may_be_in_next_life(const job_scheduler& state, const job_worker& worker, const task_run& run,
-                         time_point now);
+bool next_life_may_run(const job_scheduler& state, const job_worker& worker, const task_run& run,
+                       time_point now);
 
 } // namespace galenaturn::schedule
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -115,7 +115,7 @@
         return {log.last_index(), log.last_term(), leader.committed, leader.last_round, 1, {}};
     }
 
-    /** It campaigned after 0.4 s, and its own vote broke the lease that it had confirmed. */
+    /** Guards against a vote of a replica for itself within the lease that it has confirmed. */
     void a_candidate_that_hears_of_its_leader_votes_only_after_the_lease()
     {
         auto follower = make("a", {}, true);
@@ -136,7 +136,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, follower.role);
     }
 
-    /** Both answered reads, the first one from a state without the commits of the second. */
+    /** Guards against reads of a leader that lack the commits of another one. */
     void no_second_leader_is_elected_within_the_lease_of_the_first()
     {
         auto first = make("a");
