--- a/tests/formation/formationtest.cpp
+++ b/tests/formation/formationtest.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <random>
 #include <string>
 
 namespace galenaturn::ledger {
@@ -17,21 +16,8 @@
     CPPUNIT_TEST(a_founder_that_starts_late_becomes_a_voter);
     CPPUNIT_TEST(less_than_a_majority_of_the_founders_forms_nothing);
     CPPUNIT_TEST(founders_with_a_majority_of_lost_disks_form_no_second_ledger);
-    CPPUNIT_TEST(one_ledger_forms_in_any_order_of_starts_losses_and_cuts);
     CPPUNIT_TEST_SUITE_END();
 
-    static voter_group_options options_for(std::uint64_t seed)
-    {
-        voter_group_options options;
-        options.seed = seed;
-        options.voters = seed % 2 == 0 ? 3 : 5;
-        options.domains = options.voters;
-        options.lost = seed % 3 == 0 ? 20 : 0;
-        options.forms_ledger = true;
-        options.newcomers = seed % 4 == 3 ? 1 : 0;
-        return options;
-    }
-
     static std::string at(std::uint64_t seed) { return "seed " + std::to_string(seed); }
 
     static void assert_sound(const voter_group& group, std::uint64_t seed)
@@ -44,7 +30,7 @@
     void founders_form_a_ledger()
     {
         for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-            voter_group group{options_for(seed)};
+            voter_group group{formation_options(seed)};
             group.run_for(std::chrono::seconds{4});
             CPPUNIT_ASSERT_MESSAGE(at(seed), !group.leader().empty());
             group.run_for(std::chrono::seconds{4});
@@ -55,7 +41,7 @@
     void a_founder_lost_before_the_formation_is_replaced_at_another_address()
     {
         for (std::uint64_t seed = 1; seed <= 120; ++seed) {
-            voter_group group{options_for(seed)};
+            voter_group group{formation_options(seed)};
             const auto founders = group.processes();
             const auto& lost = founders[seed % founders.size()];
             group.run_for(std::chrono::milliseconds{15} * (seed % 100));
@@ -70,7 +56,7 @@
     void a_founder_that_loses_its_disk_before_the_formation_is_replaced()
     {
         for (std::uint64_t seed = 1; seed <= 120; ++seed) {
-            voter_group group{options_for(seed)};
+            voter_group group{formation_options(seed)};
             const auto founders = group.processes();
             group.run_for(std::chrono::milliseconds{15} * (seed % 100));
             group.wipe(founders[seed % founders.size()], std::chrono::milliseconds{500});
@@ -82,7 +68,7 @@
     void a_founder_that_starts_late_becomes_a_voter()
     {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-            voter_group group{options_for(seed)};
+            voter_group group{formation_options(seed)};
             const auto founders = group.processes();
             group.restart(founders[seed % founders.size()], std::chrono::milliseconds{100 * seed});
             group.run_for(std::chrono::seconds{15});
@@ -93,7 +79,7 @@
     void less_than_a_majority_of_the_founders_forms_nothing()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-            voter_group group{options_for(seed)};
+            voter_group group{formation_options(seed)};
             const auto founders = group.processes();
             for (std::size_t index = 0; index <= founders.size() / 2; ++index)
                 group.wipe(founders[index], std::chrono::milliseconds{500});
@@ -108,7 +94,7 @@
     void founders_with_a_majority_of_lost_disks_form_no_second_ledger()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-            voter_group group{options_for(2 * seed)};
+            voter_group group{formation_options(2 * seed)};
             group.run_for(std::chrono::seconds{5});
             const auto founders = group.processes();
             group.wipe(founders[0], std::chrono::milliseconds{500});
@@ -120,48 +106,6 @@
             }
         }
     }
-
-    static void disturb(voter_group& group, const process_id& process, std::mt19937_64& random)
-    {
-        const std::chrono::milliseconds span{random() % 1500};
-        switch (random() % 3) {
-        case 0:
-            return group.restart(process, span);
-        case 1:
-            return group.freeze(process, span);
-        default:
-            return group.cut_incoming(process, span);
-        }
-    }
-
-    /** The group itself asserts that no index is committed with two contents. */
-    void one_ledger_forms_in_any_order_of_starts_losses_and_cuts()
-    {
-        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-            auto options = options_for(seed);
-            options.lost = seed % 5 == 0 ? 200 : options.lost;
-            options.start_spread = std::chrono::milliseconds{seed % 3 == 0 ? 3000 : 300};
-            voter_group group{options};
-            std::mt19937_64 random{seed};
-            const auto founders = group.processes();
-            const auto first = random() % founders.size();
-            const auto losses = 1 + random() % (founders.size() / 2);
-            for (std::size_t step = 0; step < 20; ++step) {
-                group.run_for(std::chrono::milliseconds{random() % 250});
-                const auto number = random() % founders.size();
-                // Consecutive founders lose their disks, the others are disturbed.
-                const auto place = (number + founders.size() - first) % founders.size();
-                if (place >= losses)
-                    disturb(group, founders[number], random);
-                else if (random() % 4 == 0)
-                    group.wipe(founders[number], std::chrono::milliseconds{random() % 1500});
-            }
-            group.run_for(std::chrono::seconds{12});
-            CPPUNIT_ASSERT_MESSAGE(at(seed), !group.leader().empty());
-            CPPUNIT_ASSERT_MESSAGE(at(seed),
-                                   group.held_commands() >= group.acknowledged_commands());
-        }
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(formation_test);
--- a/tests/ledger/simulation/votergroup.cpp
+++ b/tests/ledger/simulation/votergroup.cpp
@@ -20,6 +20,24 @@
 
 } // namespace
 
+voter_group_options varied_options(std::uint64_t seed)
+{
+    voter_group_options options;
+    options.seed = seed;
+    options.voters = seed % 2 == 0 ? 3 : 5;
+    options.domains = options.voters;
+    options.lost = seed % 3 == 0 ? 20 : 0;
+    return options;
+}
+
+voter_group_options formation_options(std::uint64_t seed)
+{
+    auto options = varied_options(seed);
+    options.forms_ledger = true;
+    options.newcomers = seed % 4 == 3 ? 1 : 0;
+    return options;
+}
+
 voter_group::voter_group(const voter_group_options& options)
     : options_{options}, random_{options.seed}
 {
--- a/tests/ledger/simulation/votergroup.h
+++ b/tests/ledger/simulation/votergroup.h
@@ -30,6 +30,11 @@
     std::size_t newcomers{0};
 };
 
+/** Returns options that vary with the seed: the number of voters, and lost messages. */
+voter_group_options varied_options(std::uint64_t seed);
+/** The same for processes that start empty, with further ones at some seeds. */
+voter_group_options formation_options(std::uint64_t seed);
+
 /**
  * Control processes in virtual time whose leader maintains the voters by plan_voter_change, as the
  * daemon does. Processes are frozen, removed for good, lose their disk or are added by the test.
--- a/tests/voters/voterexchangetest.cpp
+++ b/tests/voters/voterexchangetest.cpp
@@ -37,11 +37,7 @@
 
     static voter_group_options options_for(std::uint64_t seed)
     {
-        voter_group_options options;
-        options.seed = seed;
-        options.voters = seed % 2 == 0 ? 3 : 5;
-        options.domains = options.voters;
-        options.lost = seed % 3 == 0 ? 20 : 0;
+        auto options = varied_options(seed);
         options.needs_snapshot = seed % 4 < 2;
         return options;
     }
