review: accepted jobs wait for a runner that is gone, at each hand-over

Cause: a runner that is lost for good stays in the ledger, and each new leader waits 8.06 s for it before it starts what it has taken over. Nothing is fixed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in runner leave flap late; do
+for program in runner leave late handover; do
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "review/standin-3/$program.cpp" -o "target/review-3/$program" &
     builds+=($!)
 done
