tests: reads at a leader that was suspended, with real processes

Users saw reads of the configuration that were answered with an older version than one that had been acknowledged long before.

The daemons are linked with replacements of the C library's calls: CLOCK_MONOTONIC leaves out the time for which a process is stopped, and what is sent to it meanwhile is lost, as when a VM is suspended. So the lease is the cause: it is a time on the steady clock.

--- /dev/null
+++ b/tests/suspension/suspensiontable.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace galenaturn::suspension {
+
+/** Name of the environment variable with the path of the table's file. */
+inline constexpr const char* table_variable = "GALENATURN_SUSPENSION_TABLE";
+
+/** State of all suspensions of a test; a file that the test and its processes map. */
+struct suspension_table {
+    static constexpr std::size_t slots = 1U << 16U;
+
+    /** By the low 16 bits of the process id: for how long the process was suspended so far. */
+    std::atomic<std::int64_t> suspended_ns[slots];
+    /** By the low 16 bits of the IPv4 address: whether what is sent there is lost. */
+    std::atomic<bool> is_away[slots];
+};
+
+/** Maps the file at `path`, which is created if `create` is set. Returns null on failure. */
+suspension_table* map_table(const char* path, bool create);
+
+} // namespace galenaturn::suspension
--- /dev/null
+++ b/tests/suspension/suspensiontest.cpp
@@ -0,0 +1,92 @@
+#include "suspendabledeployment.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+namespace galenaturn::suspension {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Suspends VMs of a deployment of real processes. */
+class suspension_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(suspension_test);
+    CPPUNIT_TEST(reads_at_a_leader_that_was_suspended_are_no_older_than_what_was_acknowledged);
+    CPPUNIT_TEST(reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** From when on after its acknowledgement a change is in force everywhere. */
+    static constexpr milliseconds config_applied{2500};
+    /** Longer than any lease of a leader. */
+    static constexpr milliseconds observed_after_resume{1500};
+
+    /** Returns the versions older than `acknowledged` that the process answers after a resume. */
+    static std::vector<int> older_versions(const soak::soak_process& process, int acknowledged,
+                                           soak::http_socket kept)
+    {
+        std::vector<int> older;
+        const auto end = monotonic_now() + observed_after_resume;
+        for (int read = 0; monotonic_now() < end; ++read) {
+            soak::http_socket opened;
+            const bool uses_kept = read % 2 == 0 && kept.is_open();
+            if (!uses_kept && !opened.connect(process.address, observed_after_resume))
+                continue;
+            const auto version = read_version(uses_kept ? kept : opened);
+            if (version > 0 && version < acknowledged)
+                older.push_back(version);
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        return older;
+    }
+
+    /** Returns the leader, or null if there is none for long. */
+    static soak::soak_process* await_leader(suspendable_deployment& processes)
+    {
+        const auto limit = monotonic_now() + seconds{20};
+        while (monotonic_now() < limit) {
+            if (auto* leader = processes.leader())
+                return leader;
+            std::this_thread::sleep_for(milliseconds{50});
+        }
+        return nullptr;
+    }
+
+    static void read_after_a_change_elsewhere(steady_clock_while_away clock)
+    {
+        const std::filesystem::path binaries{GALENATURN_BINARY_DIR};
+        suspendable_deployment processes{SUSPENDABLE_PROGRAMS, binaries / "suspension", 3};
+        CPPUNIT_ASSERT(processes.start(1));
+        for (int round = 0; round < 2; ++round) {
+            auto* const leader = await_leader(processes);
+            CPPUNIT_ASSERT(leader != nullptr);
+            soak::http_socket kept;
+            CPPUNIT_ASSERT(kept.connect(leader->address, seconds{1}));
+            CPPUNIT_ASSERT(read_version(kept) > 0);
+            processes.suspend(*leader);
+            CPPUNIT_ASSERT(processes.publish());
+            std::this_thread::sleep_for(config_applied);
+            processes.resume(*leader, clock);
+            const auto older =
+                older_versions(*leader, processes.acknowledged_version(), std::move(kept));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(leader->name + ", logs in " + processes.folder().string(),
+                                         std::size_t{0}, older.size());
+        }
+    }
+
+public:
+    /** A lease on a clock that leaves suspensions out outlasts the term of the leader. */
+    void reads_at_a_leader_that_was_suspended_are_no_older_than_what_was_acknowledged()
+    {
+        read_after_a_change_elsewhere(steady_clock_while_away::stands_still);
+    }
+
+    void reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged()
+    {
+        read_after_a_change_elsewhere(steady_clock_while_away::goes_on);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(suspension_test);
+
+} // namespace galenaturn::suspension
