core: time points count the time for which a VM was suspended

A read of the configuration at a former leader was answered with an older version than one that had been acknowledged seconds before.

Cause: a leader's lease was a time on the steady clock of the system, CLOCK_MONOTONIC, which leaves out the time for which a VM is suspended. After the wake the lease was valid for what had been left of it, and the leader answered from its own state although another led. The class: any time that was compared with the steady clock, so also ages of announcements and of reported leaders, deadlines of requests, leases of workers, loans of slots.

Change: `time_point` belongs to boot_clock, on CLOCK_BOOTTIME, and timers are boot_timer on the same clock. Asio waits on CLOCK_MONOTONIC; boot_timer makes it read the clock again after 100 ms at most, so that a timer fires at most that late after a wake. Beast's streams have timers on the steady clock: clients use socket_deadlines instead, and the HTTP server only spans that begin when they are set (idle, header, body). A lease that becomes void when the two clocks have drifted apart was weighed: it would mend this one check, and leave each other time to be found one by one.

--- a/include/galenaturn/core.h
+++ b/include/galenaturn/core.h
@@ -2,6 +2,7 @@
 
 /** The core library: ids, units, errors, findings, settings input, log, metrics, state charts. */
 
+#include "libcore/bootclock.h"
 #include "libcore/catalogue.h"
 #include "libcore/errors.h"
 #include "libcore/findings.h"
--- a/src/controld/assignerservice.h
+++ b/src/controld/assignerservice.h
@@ -7,7 +7,6 @@
 #include <galenaturn/schedule.h>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace galenaturn::controld {
 
@@ -37,7 +36,7 @@
     schedule::assigner_state assigner_;
     counter_mirror counters_;
     gauge& pending_;
-    boost::asio::steady_timer timer_;
+    wire::boot_timer timer_;
     bool assignment_due_{false};
     bool proposing_{false};
     log_index applied_index_;
--- a/src/controld/completionrecords.cpp
+++ b/src/controld/completionrecords.cpp
@@ -70,7 +70,7 @@
     if (!in_term(generation) || connection == connections_.end() ||
         connection->second.recording == 0)
         co_return;
-    const auto timer = std::make_shared<asio::steady_timer>(shared_.io, recording_poll_interval);
+    const auto timer = std::make_shared<wire::boot_timer>(shared_.io, recording_poll_interval);
     connection->second.recording_timer = timer;
     co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
 }
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -9,7 +9,6 @@
 #include <galenaturn/schedule.h>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <map>
@@ -64,7 +63,7 @@
         /** Number of reports of which completions are being recorded. */
         std::size_t recording{0};
         /** Runs while the next poll waits for that. */
-        std::shared_ptr<boost::asio::steady_timer> recording_timer;
+        std::shared_ptr<wire::boot_timer> recording_timer;
         /** The start in flight, whose stop waits for its reply. */
         std::optional<run_key> starting;
         /** Runs with a stop in flight. */
@@ -247,9 +246,9 @@
      * model.
      */
     schedule::tail_model last_model_;
-    boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer slice_timer_;
-    boost::asio::steady_timer share_timer_;
+    wire::boot_timer tick_timer_;
+    wire::boot_timer slice_timer_;
+    wire::boot_timer share_timer_;
     gauge& open_jobs_;
     gauge& known_workers_;
     gauge& queues_version_;
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -395,7 +395,7 @@
 {
     struct pending {
         explicit pending(asio::io_context& io) : timer{io} {}
-        asio::steady_timer timer;
+        wire::boot_timer timer;
         wire::command_response response;
         bool completed{false};
     };
--- a/src/controld/ledgerservice.h
+++ b/src/controld/ledgerservice.h
@@ -63,8 +63,8 @@
     catalogue_push push_;
     std::vector<proposal> queued_commands_;
     std::map<log_index, proposal> proposals_in_flight_;
-    boost::asio::steady_timer expiry_timer_;
-    boost::asio::steady_timer voter_maintenance_timer_;
+    wire::boot_timer expiry_timer_;
+    wire::boot_timer voter_maintenance_timer_;
     std::uint64_t last_expiry_{0};
     std::map<wire::command_status, counter*> command_counters_;
 };
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -3,7 +3,6 @@
 #include <galenaturn/daemon.h>
 #include <galenaturn/ledger.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 
 #include <deque>
@@ -146,8 +145,8 @@
     time_point waiting_warning_due_;
     time_point missing_leader_report_due_;
     time_point lost_voters_report_due_;
-    boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer bootstrap_timer_;
+    wire::boot_timer tick_timer_;
+    wire::boot_timer bootstrap_timer_;
     boost::asio::thread_pool disk_thread_{1};
 };
 
--- a/src/controld/stewardservice.cpp
+++ b/src/controld/stewardservice.cpp
@@ -216,7 +216,7 @@
  */
 asio::awaitable<void> steward_service::respond_without_lease(wire::reply_function reply)
 {
-    asio::steady_timer timer{shared_.io, max_response_delay};
+    wire::boot_timer timer{shared_.io, max_response_delay};
     co_await timer.async_wait(use_result);
     reply(wire::encode(wire::worker_response{}));
 }
--- a/src/controld/stewardservice.h
+++ b/src/controld/stewardservice.h
@@ -7,7 +7,6 @@
 #include <galenaturn/schedule.h>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <optional>
@@ -60,8 +59,8 @@
     gauge& waiting_;
     gauge& workers_;
     std::map<worker_id, deferred_response> deferred_responses_;
-    boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer heartbeat_timer_;
+    wire::boot_timer tick_timer_;
+    wire::boot_timer heartbeat_timer_;
     incarnation incarnation_;
     heartbeat_number last_heartbeat_;
     /**
--- a/src/controld/workercalls.h
+++ b/src/controld/workercalls.h
@@ -2,10 +2,11 @@
 
 #include "workercommands.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace galenaturn::controld {
@@ -23,7 +24,7 @@
 
 inline boost::asio::awaitable<void> pause(boost::asio::io_context& io, duration span)
 {
-    boost::asio::steady_timer timer{io, span};
+    wire::boot_timer timer{io, span};
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/src/entryd/catalogueservice.cpp
+++ b/src/entryd/catalogueservice.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace galenaturn::entryd {
@@ -101,7 +100,7 @@
 
 asio::awaitable<void> catalogue_service::poll(catalogue_service* self)
 {
-    asio::steady_timer timer{self->shared_.io};
+    wire::boot_timer timer{self->shared_.io};
     bool leader_replied = false;
     while (true) {
         // The leader is asked until it has replied once: the voter of the own failure domain may
--- a/src/entryd/slotbroker.cpp
+++ b/src/entryd/slotbroker.cpp
@@ -311,7 +311,7 @@
 
 void slot_broker::schedule_probe(route::upstream_index index)
 {
-    auto timer = std::make_shared<asio::steady_timer>(io_);
+    auto timer = std::make_shared<wire::boot_timer>(io_);
     timer->expires_at(table_.records[index].health.ejected_until);
     timer->async_wait([this, index, timer](const boost::system::error_code& error) {
         const auto service = table_.records[index].service;
--- a/src/entryd/slotbroker.h
+++ b/src/entryd/slotbroker.h
@@ -5,8 +5,7 @@
 #include "upstreamclient.h"
 
 #include <galenaturn/route.h>
-
-#include <boost/asio/steady_timer.hpp>
+#include <galenaturn/wire.h>
 
 #include <functional>
 #include <optional>
@@ -32,7 +31,7 @@
 struct slot_waiter {
     explicit slot_waiter(boost::asio::io_context& io) : wake{io} {}
 
-    boost::asio::steady_timer wake;
+    wire::boot_timer wake;
     std::uint32_t owner{0};
     std::uint32_t service{0};
     route::ticket_number ticket;
--- a/src/entryd/slotexchange.cpp
+++ b/src/entryd/slotexchange.cpp
@@ -215,7 +215,7 @@
 asio::awaitable<void> slot_exchange::search_loop(std::shared_ptr<slot_exchange> self,
                                                  std::uint32_t service, service_id id)
 {
-    asio::steady_timer pause{self->shared_.io};
+    wire::boot_timer pause{self->shared_.io};
     while (self->broker_.waiting(service) > 0) {
         auto grant = co_await self->borrow(id, {});
         if (grant && !self->broker_.assign_borrowed_slot(service, *grant))
--- a/src/entryd/slotexchange.h
+++ b/src/entryd/slotexchange.h
@@ -59,7 +59,7 @@
     std::uint64_t last_loan_;
     std::map<std::uint64_t, loan> loans_;
     bool expiry_check_scheduled_{false};
-    boost::asio::steady_timer expiry_timer_;
+    wire::boot_timer expiry_timer_;
     /** Number of searches in progress, by service number. */
     std::map<std::uint32_t, std::size_t> searches_;
 };
--- a/src/entryd/upstreamclient.cpp
+++ b/src/entryd/upstreamclient.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -38,7 +37,7 @@
 attempt_outcome outcome_of(const boost::system::error_code& error, bool response_began)
 {
     namespace beast_http = boost::beast::http;
-    if (error == beast::error::timeout)
+    if (error == asio::error::timed_out)
         return attempt_outcome::timed_out;
     if (error == beast_http::error::body_limit || error == beast_http::error::header_limit)
         return attempt_outcome::answer_too_large;
@@ -63,9 +62,15 @@
 } // namespace
 
 struct upstream_client::connection {
-    explicit connection(asio::io_context& io) : stream{io} {}
+    explicit connection(asio::io_context& io) : socket{io} {}
 
-    beast::tcp_stream stream;
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
     beast::flat_buffer buffer;
     incarnation incarnation_number;
     ip_endpoint address;
@@ -86,7 +91,8 @@
 };
 
 upstream_client::upstream_client(asio::io_context& io, bytes body_limit, request_metrics& metrics)
-    : io_{io}, body_limit_{static_cast<std::uint64_t>(body_limit.value())}, metrics_{metrics}
+    : io_{io}, deadlines_{io},
+      body_limit_{static_cast<std::uint64_t>(body_limit.value())}, metrics_{metrics}
 {
 }
 
@@ -103,7 +109,7 @@
         const bool current = link->incarnation_number == target.incarnation_number &&
                              link->address == target.address;
         if (current && now - link->idle_since < max_idle_time &&
-            http::is_open_and_idle(link->stream.socket()))
+            http::is_open_and_idle(link->socket))
             return link;
     }
     return nullptr;
@@ -116,18 +122,20 @@
     link.address = target.address;
     const tcp::endpoint endpoint{asio::ip::make_address(target.address.address),
                                  target.address.port};
-    link.stream.expires_at(std::min(deadline, monotonic_now() + connect_timeout));
+    const http::socket_deadlines::watch watch{
+        deadlines_, link.socket, std::min(deadline, monotonic_now() + connect_timeout)};
     metrics_.connections_opened.add();
-    auto [error] = co_await link.stream.async_connect(endpoint, use_result);
+    auto [error] = co_await link.socket.async_connect(endpoint, use_result);
     if (error)
         co_return false;
     boost::system::error_code ignored;
-    link.stream.socket().set_option(tcp::no_delay{true}, ignored);
+    link.socket.set_option(tcp::no_delay{true}, ignored);
     co_return true;
 }
 
 asio::awaitable<attempt_result> upstream_client::read_response(connection& link, bool head_only,
-                                                               const std::string& id)
+                                                               const std::string& id,
+                                                               time_point deadline)
 {
     attempt_result result;
     for (;;) {
@@ -136,9 +144,10 @@
         parser.header_limit(max_response_header_bytes);
         parser.skip(head_only);
         auto [error, size] =
-            co_await beast::http::async_read(link.stream, link.buffer, parser, use_result);
+            co_await beast::http::async_read(link.socket, link.buffer, parser, use_result);
         if (error) {
-            result.outcome = outcome_of(error, parser.got_some());
+            result.outcome =
+                outcome_of(http::error_at_deadline(deadline, error), parser.got_some());
             co_return result;
         }
         // An informational (1xx) response is followed by the final one.
@@ -170,15 +179,15 @@
                                                                   time_point deadline)
 {
     link.reusable = false;
-    link.stream.expires_at(deadline);
-    auto [error, size] = co_await beast::http::async_write(link.stream, message, use_result);
+    const http::socket_deadlines::watch watch{deadlines_, link.socket, deadline};
+    auto [error, size] = co_await beast::http::async_write(link.socket, message, use_result);
     if (error) {
         attempt_result failed;
-        failed.outcome = error == beast::error::timeout ? attempt_outcome::timed_out
-                                                        : attempt_outcome::connection_lost;
+        failed.outcome = monotonic_now() < deadline ? attempt_outcome::connection_lost
+                                                    : attempt_outcome::timed_out;
         co_return failed;
     }
-    co_return co_await read_response(link, message.method() == http::verb::head, id);
+    co_return co_await read_response(link, message.method() == http::verb::head, id, deadline);
 }
 
 asio::awaitable<attempt_result> upstream_client::exchange(upstream_target target,
@@ -198,7 +207,7 @@
     else
         link = std::make_unique<connection>(io_);
     if (control != nullptr)
-        control->cancel = [&link] { link->stream.close(); };
+        control->cancel = [&link] { link->close(); };
     if (!connected)
         connected = co_await connect(*link, target, deadline);
     if (connected)
@@ -209,7 +218,7 @@
     if (link->reusable)
         return_to_pool(target, std::move(link));
     else
-        link->stream.close();
+        link->close();
     co_return result;
 }
 
@@ -219,7 +228,6 @@
     auto& idle = upstreams_[target.id].idle;
     if (idle.size() >= target.max_idle_connections)
         return;
-    link->stream.expires_never();
     link->idle_since = monotonic_now();
     idle.push_back(std::move(link));
 }
--- a/src/entryd/upstreamclient.h
+++ b/src/entryd/upstreamclient.h
@@ -76,11 +76,12 @@
                                                             http::request& message,
                                                             const std::string& id,
                                                             time_point deadline);
-    boost::asio::awaitable<attempt_result> read_response(connection& link, bool head_only,
-                                                         const std::string& id);
+    boost::asio::awaitable<attempt_result>
+    read_response(connection& link, bool head_only, const std::string& id, time_point deadline);
     void return_to_pool(const upstream_target& target, std::unique_ptr<connection> link);
 
     boost::asio::io_context& io_;
+    http::socket_deadlines deadlines_;
     std::uint64_t body_limit_;
     request_metrics& metrics_;
     std::map<upstream_id, upstream_connections> upstreams_;
--- a/src/libcore/units.h
+++ b/src/libcore/units.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bootclock.h"
+
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -98,16 +100,16 @@
 }
 
 /** A time span on any clock. */
-using duration = std::chrono::microseconds;
-/** A time on this process's monotonic clock; never sent to other processes. */
-using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+using duration = boot_clock::duration;
+/** A time on the monotonic clock of this VM; never sent to other processes. */
+using time_point = boot_clock::time_point;
 /** A time on the wall clock; for deadlines that outlive a process or are sent to other VMs. */
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
 /** Returns the monotonic time. Only daemons call this; decisions take `now` as an argument. */
 inline time_point monotonic_now()
 {
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    return boot_clock::now();
 }
 
 /** Returns the wall time. Only daemons call this. */
--- a/src/libdaemon/gossiprunner.h
+++ b/src/libdaemon/gossiprunner.h
@@ -3,8 +3,7 @@
 #include "daemon.h"
 
 #include <galenaturn/membership.h>
-
-#include <boost/asio/steady_timer.hpp>
+#include <galenaturn/wire.h>
 
 namespace galenaturn::daemon {
 
@@ -32,7 +31,7 @@
     context& shared_;
     effects_handler on_effects_;
     wire::datagram_channel channel_;
-    boost::asio::steady_timer timer_;
+    wire::boot_timer timer_;
     std::unique_ptr<membership::gossip_node> node_;
     time_point metrics_updated_at_;
     std::uint64_t bytes_at_metrics_update_{0};
--- a/src/libdaemon/lifecycle.h
+++ b/src/libdaemon/lifecycle.h
@@ -2,8 +2,6 @@
 
 #include "daemon.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace galenaturn::daemon {
 
 /** Runs the state chart of a daemon (charts/daemon.yaml): readiness, drain, stop. */
@@ -39,7 +37,7 @@
     wire::frame_server& peers_;
     state_chart chart_;
     std::string state_;
-    boost::asio::steady_timer timer_;
+    wire::boot_timer timer_;
     time_point drain_deadline_;
     bool drain_timed_out_{false};
 };
--- a/src/libdaemon/rosterservice.h
+++ b/src/libdaemon/rosterservice.h
@@ -5,7 +5,6 @@
 #include <galenaturn/membership.h>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace galenaturn::daemon {
 
@@ -33,7 +32,7 @@
 
     context& shared_;
     membership::roster roster_;
-    boost::asio::steady_timer timer_;
+    wire::boot_timer timer_;
     process_id reported_leader_;
     time_point leader_reported_at_;
     counter& exchanges_;
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -1,10 +1,11 @@
 #include "httpclient.h"
 
+#include "socketdeadlines.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -31,19 +32,20 @@
 {
     constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
     const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(address.address), address.port};
-    beast::tcp_stream stream{io};
-    stream.expires_at(deadline);
-    auto [connect_error] = co_await stream.async_connect(endpoint, use_result);
+    const socket_deadlines deadlines{io};
+    asio::ip::tcp::socket socket{io};
+    const socket_deadlines::watch watch{deadlines, socket, deadline};
+    auto [connect_error] = co_await socket.async_connect(endpoint, use_result);
     if (connect_error)
-        co_return connect_error;
-    auto [write_error, written] = co_await beast_http::async_write(stream, message, use_result);
+        co_return error_at_deadline(deadline, connect_error);
+    auto [write_error, written] = co_await beast_http::async_write(socket, message, use_result);
     if (write_error)
-        co_return write_error;
+        co_return error_at_deadline(deadline, write_error);
     beast::flat_buffer buffer;
     response reply;
-    auto [read_error, size] = co_await beast_http::async_read(stream, buffer, reply, use_result);
+    auto [read_error, size] = co_await beast_http::async_read(socket, buffer, reply, use_result);
     if (read_error)
-        co_return read_error;
+        co_return error_at_deadline(deadline, read_error);
     co_return reply;
 }
 
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -1,10 +1,11 @@
 #include "httpserver.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -88,7 +89,7 @@
             if (self->stopped)
                 co_return;
             if (error) {
-                asio::steady_timer retry_timer{self->io, accept_retry_delay};
+                wire::boot_timer retry_timer{self->io, accept_retry_delay};
                 co_await retry_timer.async_wait(use_result);
                 continue;
             }
--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -146,7 +146,7 @@
         co_await beast_http::async_read(connection->socket, connection->buffer, parser, use_result);
     if (read_error) {
         failed_.add();
-        co_return monotonic_now() < deadline ? read_error : asio::error::timed_out;
+        co_return error_at_deadline(deadline, read_error);
     }
     const bool reusable = parser.get().keep_alive() && connection->buffer.size() == 0;
     if (reusable)
--- a/src/libhttp/socketdeadlines.cpp
+++ b/src/libhttp/socketdeadlines.cpp
@@ -1,6 +1,6 @@
 #include "socketdeadlines.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <galenaturn/wire.h>
 
 #include <algorithm>
 #include <optional>
@@ -20,7 +20,7 @@
     explicit state(asio::io_context& io) : timer{io} {}
 
     entries sockets;
-    asio::steady_timer timer;
+    wire::boot_timer timer;
     /** When the next check is due, if one is to come. */
     std::optional<time_point> check_due;
 
@@ -65,4 +65,10 @@
     state_->sockets.erase(entry_);
 }
 
+boost::system::error_code error_at_deadline(time_point deadline,
+                                            const boost::system::error_code& error)
+{
+    return monotonic_now() < deadline ? error : asio::error::timed_out;
+}
+
 } // namespace galenaturn::http
--- a/src/libhttp/socketdeadlines.h
+++ b/src/libhttp/socketdeadlines.h
@@ -39,4 +39,8 @@
     std::shared_ptr<state> state_;
 };
 
+/** Returns the error of an operation on a watched socket: `timed_out` from the deadline on. */
+boost::system::error_code error_at_deadline(time_point deadline,
+                                            const boost::system::error_code& error);
+
 } // namespace galenaturn::http
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "boottimer.h"
 #include "channel.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
--- a/src/libwire/frameserver.cpp
+++ b/src/libwire/frameserver.cpp
@@ -31,7 +31,7 @@
                 co_return;
             if (error) {
                 log_event(log_level::warning, "peer_accept_failed", {{"error", error.message()}});
-                asio::steady_timer pause{self->context.io, min_reconnect_delay};
+                boot_timer pause{self->context.io, min_reconnect_delay};
                 co_await pause.async_wait(use_result);
                 continue;
             }
--- a/src/libwire/ledgerclient.cpp
+++ b/src/libwire/ledgerclient.cpp
@@ -1,9 +1,9 @@
 #include "ledgerclient.h"
 
+#include "boottimer.h"
 #include "codec.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -19,7 +19,7 @@
 
 asio::awaitable<void> pause(asio::io_context& io, time_point deadline)
 {
-    asio::steady_timer timer{io};
+    boot_timer timer{io};
     timer.expires_at(std::min(monotonic_now() + retry_delay, deadline));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
--- a/src/libwire/peerlink.cpp
+++ b/src/libwire/peerlink.cpp
@@ -23,7 +23,7 @@
 struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
     struct pending_call {
         explicit pending_call(asio::io_context& io) : timer{io} {}
-        asio::steady_timer timer;
+        boot_timer timer;
         result<std::string> reply{make_error_code(wire_error::timed_out)};
     };
 
@@ -37,7 +37,7 @@
     channel_context& context;
     ip_endpoint address;
     failure_domain_id domain;
-    asio::steady_timer delay;
+    boot_timer delay;
     /** Delay before the next attempt to connect. */
     std::chrono::milliseconds wait{min_reconnect_delay};
     /** The socket of an attempt to connect in progress. */
@@ -69,7 +69,7 @@
     static asio::awaitable<bool> connect(state& self)
     {
         tcp::socket socket{self.context.io};
-        asio::steady_timer limit{self.context.io, max_reconnect_delay};
+        boot_timer limit{self.context.io, max_reconnect_delay};
         self.connecting = &socket;
         limit.async_wait([owner = self.shared_from_this()](const boost::system::error_code& error) {
             if (!error)
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -1,9 +1,10 @@
 #include "flags.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -75,7 +76,7 @@
         const auto last = FLAGS_seconds > 0
                               ? first + duration{static_cast<std::int64_t>(FLAGS_seconds * 1e6)}
                               : time_point::max();
-        asio::steady_timer timer{io_};
+        wire::boot_timer timer{io_};
         for (int number = 0; number < FLAGS_requests && monotonic_now() < last; ++number) {
             timer.expires_at(first + interval * number);
             co_await timer.async_wait(use_result);
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -1,10 +1,11 @@
 #include "announcer.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -111,8 +112,8 @@
     asio::awaitable<void> wait_for_stop()
     {
         if (FLAGS_seconds > 0) {
-            asio::steady_timer end{io_, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                            std::chrono::duration<double>{FLAGS_seconds})};
+            wire::boot_timer end{io_, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::duration<double>{FLAGS_seconds})};
             end.async_wait([this](const boost::system::error_code& error) {
                 if (!error)
                     signals_.cancel();
@@ -135,7 +136,7 @@
         leave_started_ = monotonic_now();
         timer_.cancel();
         const auto earliest = monotonic_now() + std::chrono::milliseconds{FLAGS_linger_ms};
-        asio::steady_timer pause{io_};
+        wire::boot_timer pause{io_};
         while (busy_ > 0 || monotonic_now() < earliest) {
             pause.expires_after(std::chrono::milliseconds{20});
             co_await pause.async_wait(use_result);
@@ -165,7 +166,7 @@
         const std::string key{incoming.message["Idempotency-Key"]};
         const auto key_executions = key.empty() ? 0 : ++executions_by_key_[key];
         if (FLAGS_delay_ms > 0) {
-            asio::steady_timer work{io_, std::chrono::milliseconds{FLAGS_delay_ms}};
+            wire::boot_timer work{io_, std::chrono::milliseconds{FLAGS_delay_ms}};
             co_await work.async_wait(use_result);
         }
         --busy_;
@@ -220,7 +221,7 @@
     http::router routes_;
     http::server server_;
     announcer announcer_;
-    asio::steady_timer timer_;
+    wire::boot_timer timer_;
     asio::signal_set signals_;
     std::mt19937_64 random_;
     wire::upstream_announcement announcement_;
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -1,11 +1,12 @@
 #include "announcer.h"
 #include "workertasks.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gflags/gflags.h>
 
@@ -99,7 +100,7 @@
             asio::co_spawn(io_, send_heartbeat(), asio::detached);
             wake_.expires_after(heartbeat_interval);
             co_await wake_.async_wait(use_result);
-            asio::steady_timer pause{io_, min_heartbeat_interval};
+            wire::boot_timer pause{io_, min_heartbeat_interval};
             co_await pause.async_wait(use_result);
         }
     }
@@ -133,7 +134,7 @@
 
     asio::awaitable<void> advance()
     {
-        asio::steady_timer timer{io_};
+        wire::boot_timer timer{io_};
         while (true) {
             tasks_.advance(monotonic_now());
             if (write_journal())
@@ -185,9 +186,9 @@
     asio::io_context io_{1};
     announcer announcer_;
     worker_tasks tasks_;
-    asio::steady_timer wake_;
+    wire::boot_timer wake_;
     asio::signal_set signals_;
-    asio::steady_timer end_;
+    wire::boot_timer end_;
     wire::worker_announcement announcement_;
     epoch stewardship_;
     std::ofstream journal_;
--- a/tests/control/restartingworkers.cpp
+++ b/tests/control/restartingworkers.cpp
@@ -1,7 +1,8 @@
 #include "restartingworkers.h"
 
+#include <galenaturn/wire.h>
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -138,7 +139,7 @@
 
 asio::awaitable<void> restarting_workers::wait_until(time_point deadline)
 {
-    asio::steady_timer timer{io_, deadline};
+    wire::boot_timer timer{io_, deadline};
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -97,7 +96,7 @@
         }
         // The reply is delayed until a run has ended.
         const bool replies_at_once = wait.count() == 0 || !ended.empty();
-        asio::steady_timer timer{leader_.shared_.io, replies_at_once ? duration{} : poll_span};
+        wire::boot_timer timer{leader_.shared_.io, replies_at_once ? duration{} : poll_span};
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         poll_reply polled;
         polled.reply = accepted();
@@ -114,7 +113,7 @@
     asio::awaitable<void> released(const bool& held)
     {
         while (held) {
-            asio::steady_timer timer{leader_.shared_.io, std::chrono::milliseconds{1}};
+            wire::boot_timer timer{leader_.shared_.io, std::chrono::milliseconds{1}};
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
@@ -150,7 +149,7 @@
                          time_point) -> asio::awaitable<wire::command_response> {
         const bool records_completions = std::holds_alternative<wire::record_completions>(command);
         while (records_completions && completions_stalled_) {
-            asio::steady_timer timer{shared_.io, std::chrono::milliseconds{10}};
+            wire::boot_timer timer{shared_.io, std::chrono::milliseconds{10}};
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
         apply(std::move(command));
--- a/tests/daemon/lifecycletest.cpp
+++ b/tests/daemon/lifecycletest.cpp
@@ -36,7 +36,7 @@
           peers{shared.channels, shared.frames}, state_machine{shared, server, peers},
           release_timer{shared.io}
     {
-        release_timer.expires_at(asio::steady_timer::time_point::max());
+        release_timer.expires_at(wire::boot_timer::time_point::max());
         shared.routes.add(http::verb::get, "/slow",
                           [this](http::call&) { return respond_when_released(); });
         shared.routes.add(
@@ -70,7 +70,7 @@
     wire::frame_server peers;
     lifecycle state_machine;
     findings found;
-    asio::steady_timer release_timer;
+    wire::boot_timer release_timer;
     int requests_received{0};
     std::string response_body;
 };
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -1,10 +1,10 @@
 #include <galenaturn/http.h>
+#include <galenaturn/wire.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -24,7 +24,7 @@
 
 asio::awaitable<void> pause(std::chrono::milliseconds span)
 {
-    asio::steady_timer timer{co_await asio::this_coro::executor, span};
+    wire::boot_timer timer{co_await asio::this_coro::executor, span};
     co_await timer.async_wait(use_result);
 }
 
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -1,11 +1,11 @@
 #include <galenaturn/http.h>
+#include <galenaturn/wire.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -87,7 +87,7 @@
 
     void exchange_ends_at_its_deadline()
     {
-        asio::steady_timer never{io_, std::chrono::hours{1}};
+        wire::boot_timer never{io_, std::chrono::hours{1}};
         routes_.add(verb::get, "/wait", [&](call& /*incoming*/) -> asio::awaitable<response> {
             boost::system::error_code ignored;
             co_await never.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/tests/route/fakeupstream.cpp
+++ b/tests/route/fakeupstream.cpp
@@ -1,11 +1,11 @@
 #include "fakeupstream.h"
 
 #include <galenaturn/messages.h>
+#include <galenaturn/wire.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -123,7 +123,7 @@
     ++bodies[message.body()];
     const auto current_behaviour = behaviour;
     max_busy = std::max(max_busy, ++busy);
-    asio::steady_timer timer{io_};
+    wire::boot_timer timer{io_};
     timer.expires_after(
         current_behaviour == fake_behaviour::never_respond ? std::chrono::seconds{30} : delay);
     if (current_behaviour == fake_behaviour::never_respond || delay > duration::zero())
--- a/tests/wire/channeltest.cpp
+++ b/tests/wire/channeltest.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -74,8 +73,8 @@
 /** Runs `io` until `done` returns true or `test_timeout` has passed. */
 void run_until(asio::io_context& io, const std::function<bool()>& done)
 {
-    const auto limit = std::chrono::steady_clock::now() + test_timeout;
-    while (!done() && std::chrono::steady_clock::now() < limit)
+    const auto limit = monotonic_now() + test_timeout;
+    while (!done() && monotonic_now() < limit)
         io.run_one_for(std::chrono::milliseconds{20});
 }
 
