daemon, control: logs that tell a suspension and its effect on a lease

Of a read that was answered from an old state the logs told leader, term and version, but not that its process had been suspended, nor how much of its lease was left.

`process_paused` gives how late a process checked its clocks and for how much of that the VM was suspended, which only a comparison of two clocks shows; galenaturn_process_pauses_total counts both kinds. `queues_read` has `lease_left_us`, and `ledger_role` the event that changed the role.

--- a/include/galenaturn/daemon.h
+++ b/include/galenaturn/daemon.h
@@ -5,4 +5,5 @@
 #include "libdaemon/daemon.h"
 #include "libdaemon/gossiprunner.h"
 #include "libdaemon/lifecycle.h"
+#include "libdaemon/pausemonitor.h"
 #include "libdaemon/rosterservice.h"
--- a/src/controld/controlhub.h
+++ b/src/controld/controlhub.h
@@ -15,6 +15,8 @@
     std::function<const ledger::ledger_state&()> state;
     /** Returns whether this voter leads and has a valid lease; set by the ledger service. */
     std::function<bool()> leads;
+    /** Returns how much is left of that lease; set by the ledger service. */
+    std::function<duration()> lease_left;
     /**
      * Returns this voter's term; the leader's is the fencing token of its commands to workers. Set
      * by the ledger service.
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -53,6 +53,7 @@
             "galenaturn_ledger_commands_total", {{"status", wire::to_string(status)}});
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return runner_.may_read(); };
+    hub_.lease_left = [this] { return runner_.lease_left(); };
     hub_.current_term = [this] {
         return runner_.running() ? runner_.state().hard.current_term : term{};
     };
--- a/src/controld/queuepublication.cpp
+++ b/src/controld/queuepublication.cpp
@@ -30,6 +30,7 @@
 {
     const auto began = monotonic_now();
     const bool leads = hub->leads();
+    const auto lease_left = leads ? hub->lease_left() : duration{};
     wire::query_response response;
     if (leads) {
         response.leader = hub->leader();
@@ -43,6 +44,7 @@
               {{"version", response.queues ? response.queues->version : 0},
                {"leader", response.leader},
                {"leads", leads},
+               {"lease_left_us", lease_left.count()},
                {"held", hub->state().queues.version},
                {"term", hub->current_term()},
                {"took_us", (monotonic_now() - began).count()}});
--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -143,6 +143,11 @@
     return running() && ledger::may_read(*replica_, monotonic_now());
 }
 
+duration replica_runner::lease_left() const
+{
+    return running() ? replica_->lease_expires - monotonic_now() : duration{};
+}
+
 process_id replica_runner::process_of(const voter_id& voter) const
 {
     const auto members = ledger::all_members(replica_->log.voters());
@@ -215,6 +220,7 @@
         counters_.term_number.set(static_cast<double>(replica_->hard.current_term.value()));
         log_event(log_level::info, "ledger_role",
                   {{"role", replica_->role},
+                   {"cause", done.role_change_cause},
                    {"term", replica_->hard.current_term},
                    {"committed", replica_->committed}});
         events_.leadership(replica_->leads);
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -71,6 +71,8 @@
     [[nodiscard]] const ledger::replica& state() const { return *replica_; }
     [[nodiscard]] bool disk_busy() const { return disk_busy_; }
     [[nodiscard]] bool may_read() const;
+    /** Returns how much is left of the lease of this leader. */
+    [[nodiscard]] duration lease_left() const;
     [[nodiscard]] process_id process_of(const voter_id& voter) const;
     /** Returns the new voter id that a process without a log announced, or an empty id. */
     [[nodiscard]] voter_id newcomer_of(const process_id& process) const;
--- a/src/libcore/bootclock.cpp
+++ b/src/libcore/bootclock.cpp
@@ -4,13 +4,27 @@
 
 namespace galenaturn {
 
-boot_clock::time_point boot_clock::now() noexcept
+namespace {
+
+boot_clock::duration read(clockid_t clock)
 {
     timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    const auto since_boot =
-        std::chrono::seconds{now.tv_sec} + std::chrono::nanoseconds{now.tv_nsec};
-    return time_point{std::chrono::duration_cast<duration>(since_boot)};
+    clock_gettime(clock, &now);
+    return std::chrono::duration_cast<boot_clock::duration>(std::chrono::seconds{now.tv_sec} +
+                                                            std::chrono::nanoseconds{now.tv_nsec});
+}
+
+} // namespace
+
+boot_clock::time_point boot_clock::now() noexcept
+{
+    return time_point{read(CLOCK_BOOTTIME)};
+}
+
+boot_clock::duration boot_clock::suspended() noexcept
+{
+    const auto running = read(CLOCK_MONOTONIC);
+    return read(CLOCK_BOOTTIME) - running;
 }
 
 } // namespace galenaturn
--- a/src/libcore/bootclock.h
+++ b/src/libcore/bootclock.h
@@ -17,6 +17,8 @@
     static constexpr bool is_steady = true;
 
     static time_point now() noexcept;
+    /** Returns for how long this VM has been suspended since it started. */
+    static duration suspended() noexcept;
 };
 
 } // namespace galenaturn
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include "lifecycle.h"
+#include "pausemonitor.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -162,6 +163,8 @@
     if (!open_listeners_and_start(shared, server, readiness_server, peers, services))
         return exit_failure;
     open_metrics(shared, metrics_server);
+    pause_monitor pauses{shared.io, shared.metrics};
+    pauses.start();
 
     boost::asio::signal_set signals{shared.io, SIGTERM, SIGINT};
     signals.async_wait([&daemon_lifecycle](const boost::system::error_code& error, int /*signal*/) {
--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -171,8 +171,10 @@
 {
     const auto before = context.self.role;
     if (apply_event(*context.self.chart, actions(), context.self.role, event, context) &&
-        before != context.self.role)
+        before != context.self.role) {
         context.out.role_changed = true;
+        context.out.role_change_cause = event;
+    }
 }
 
 void save_hard_state(step_context& context)
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -146,6 +146,8 @@
     /** The leader needs offer_snapshot: a follower lacks entries before the start of the log. */
     bool snapshot_needed{false};
     bool role_changed{false};
+    /** The event of the state chart that changed the role. */
+    std::string role_change_cause;
 };
 
 /** Parameters of make_replica; `hard` and `log` are as loaded from the disk. */
--- a/tests/control/queuepublicationtest.cpp
+++ b/tests/control/queuepublicationtest.cpp
@@ -44,6 +44,7 @@
         bool leads = true;
         hub.state = [&]() -> const ledger::ledger_state& { return state; };
         hub.leads = [&] { return leads; };
+        hub.lease_left = [] { return std::chrono::milliseconds{100}; };
         hub.leader = [] { return process_id{"control-a"}; };
         hub.current_term = [] { return term{3}; };
         const auto read_version = [&] {
