ledger: a voter that was replaced does not report a lost quorum

A voter that was replaced during a silence logged `ledger_leader_missing`, with the advice for a lost quorum, every 4.2 s for as long as it ran, and its metric stayed at 1: a false alarm, and in the record of an incident it hid what mattered. A process that had stood still logged it at once when it woke.

Cause: it counts itself a member of the group that it last knew, and no leader of that group sends it anything. What other processes say about a leader was not asked.

While a process says of itself that it leads, the voter logs `ledger_voter_not_contacted` once instead, and the metric is 0. The wait for the report begins when the loss is noticed.

a_replaced_voter_beside_a_leader_reports_no_lost_quorum covers the decision.

--- a/src/controld/controlhub.h
+++ b/src/controld/controlhub.h
@@ -24,6 +24,8 @@
     std::function<galenaturn::term()> current_term;
     /** Returns the current leader, or an empty id if none is known; set by the ledger service. */
     std::function<process_id()> leader;
+    /** Returns the process that recently told this one that it leads; set with seeds only. */
+    std::function<process_id()> reported_leader;
     /** Submits a command, locally or through the leader; set by the ledger service. */
     std::function<boost::asio::awaitable<wire::command_response>(wire::command, time_point)> submit;
     /** Subscribers that are called after each applied command. */
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -85,6 +85,7 @@
             end_term("leadership_lost");
     });
     roster_.find_local_leader = [this] { return hub_.leader(); };
+    hub_.reported_leader = [this] { return roster_.reported_leader(); };
     shared_.frames.on(wire::frame_kind::worker_presences,
                       [this](const wire::hello& /*from*/, const wire::frame& received,
                              const wire::reply_function& /*reply*/) {
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -30,22 +30,26 @@
                                  std::function<bool(const std::string&)> install_snapshot,
                                  std::function<std::string()> snapshot,
                                  std::function<void(bool)> leadership, std::function<void()> failed,
-                                 std::function<void()> disk_idle)
+                                 std::function<void()> disk_idle,
+                                 std::function<process_id()> reported_leader)
 {
-    return {std::move(committed),  std::move(install_snapshot), std::move(snapshot),
-            std::move(leadership), std::move(failed),           std::move(disk_idle)};
+    return {std::move(committed),      std::move(install_snapshot), std::move(snapshot),
+            std::move(leadership),     std::move(failed),           std::move(disk_idle),
+            std::move(reported_leader)};
 }
 
 } // namespace
 
 ledger_service::ledger_service(daemon::context& shared, control_hub& hub)
     : shared_{shared}, hub_{hub},
-      runner_{shared, make_runner_events(
-                          [this](const auto& entry) { apply(entry); },
-                          [this](const auto& snapshot) { return install_snapshot(snapshot); },
-                          [this] { return ledger::encode_snapshot(state_); },
-                          [this](bool leads) { on_leadership_change(leads); },
-                          [this] { stop_after_disk_failure(); }, [this] { propose_queued(); })},
+      runner_{shared,
+              make_runner_events(
+                  [this](const auto& entry) { apply(entry); },
+                  [this](const auto& snapshot) { return install_snapshot(snapshot); },
+                  [this] { return ledger::encode_snapshot(state_); },
+                  [this](bool leads) { on_leadership_change(leads); },
+                  [this] { stop_after_disk_failure(); }, [this] { propose_queued(); },
+                  [this] { return hub_.reported_leader ? hub_.reported_leader() : process_id{}; })},
       push_{shared}, expiry_timer_{shared.io}, voter_maintenance_timer_{shared.io}
 {
     for (const auto status : all_statuses)
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -51,6 +51,8 @@
     std::function<void()> failed;
     /** Called when a disk write has completed and queued commands can be proposed. */
     std::function<void()> disk_idle;
+    /** Returns the process that recently told this one that it leads, or an empty id. */
+    std::function<process_id()> reported_leader;
 };
 
 /**
@@ -146,6 +148,9 @@
     bool founding_{false};
     time_point waiting_warning_due_;
     time_point missing_leader_report_due_;
+    ledger::leader_contact leader_contact_{ledger::leader_contact::known};
+    /** Whether the present time without contact to the leader has been logged. */
+    bool not_contacted_logged_{false};
     time_point lost_voters_report_due_;
     wire::boot_timer tick_timer_;
     wire::boot_timer bootstrap_timer_;
--- a/src/controld/votermaintenance.cpp
+++ b/src/controld/votermaintenance.cpp
@@ -80,14 +80,27 @@
 void replica_runner::report_missing_leader()
 {
     const auto now = monotonic_now();
-    const bool missing = replica_->log.last_index().value() > 0 && !replica_->leads &&
-                         replica_->leader.empty() && ledger::is_member(*replica_, replica_->self);
-    if (!missing) {
+    const auto reported = events_.reported_leader();
+    const auto contact = ledger::contact_with_leader(*replica_, reported);
+    const auto before = std::exchange(leader_contact_, contact);
+    not_contacted_logged_ &= contact != ledger::leader_contact::known;
+    // After a pause of this process the contact has changed only at this check.
+    if (contact == ledger::leader_contact::known || contact != before)
         missing_leader_report_due_ = now + missing_leader_report_interval;
+    if (contact != ledger::leader_contact::missing)
         counters_.leader_missing.set(0);
-    }
     if (now < missing_leader_report_due_)
         return;
+    if (contact == ledger::leader_contact::not_contacted) {
+        if (!std::exchange(not_contacted_logged_, true))
+            log_event(
+                log_level::info, "ledger_voter_not_contacted",
+                {{"voter", replica_->self},
+                 {"leader", reported},
+                 {"last_index", replica_->log.last_index()},
+                 {"advice", "a voter that was replaced is a spare; see docs/operators/state.md"}});
+        return;
+    }
     missing_leader_report_due_ = now + missing_leader_report_interval;
     counters_.leader_missing.set(1);
     const auto contacts = ledger::count_contacts(*replica_, recently_announced());
--- a/src/libdaemon/rosterservice.cpp
+++ b/src/libdaemon/rosterservice.cpp
@@ -47,8 +47,11 @@
 
 process_id roster_service::leader() const
 {
-    if (find_local_leader)
-        return find_local_leader();
+    return find_local_leader ? find_local_leader() : reported_leader();
+}
+
+process_id roster_service::reported_leader() const
+{
     const bool recent = monotonic_now() - leader_reported_at_ <= membership::presence_timeout;
     return recent ? reported_leader_ : process_id{};
 }
--- a/src/libdaemon/rosterservice.h
+++ b/src/libdaemon/rosterservice.h
@@ -17,6 +17,8 @@
     [[nodiscard]] const membership::roster& current_roster() const { return roster_; }
     /** Returns the leader of the ledger, reported within presence_timeout; empty if unknown. */
     [[nodiscard]] process_id leader() const;
+    /** Returns the process that recently said that it leads, or an empty id. */
+    [[nodiscard]] process_id reported_leader() const;
     /**
      * Returns the leader known to a control process's own ledger replica. Unset in an entry, which
      * uses the leader that roster messages report.
--- a/src/libledger/voterplan.cpp
+++ b/src/libledger/voterplan.cpp
@@ -214,6 +214,14 @@
     return lost;
 }
 
+leader_contact contact_with_leader(const replica& self, const process_id& reported_leader)
+{
+    const bool needs_leader = self.log.last_index().value() > 0 && is_member(self, self.self);
+    if (!needs_leader || self.leads || !self.leader.empty())
+        return leader_contact::known;
+    return reported_leader.empty() ? leader_contact::missing : leader_contact::not_contacted;
+}
+
 voter_contacts count_contacts(const replica& self, const std::map<voter_id, process_id>& announced)
 {
     voter_contacts contacts;
--- a/src/libledger/voterplan.h
+++ b/src/libledger/voterplan.h
@@ -65,6 +65,18 @@
     std::size_t lost_disks{0};
 };
 
+/** What a replica knows of a leader. */
+enum class leader_contact : std::uint8_t {
+    /** It leads, follows a leader, or needs none. */
+    known,
+    /** A leader says that it leads, but does not replicate to this voter. */
+    not_contacted,
+    missing
+};
+
+/** Returns the contact of a replica to which `reported_leader` says that it leads, if not empty. */
+leader_contact contact_with_leader(const replica& self, const process_id& reported_leader);
+
 /** Counts the voters that `announced` contains, with the voters that processes announced. */
 voter_contacts count_contacts(const replica& self, const std::map<voter_id, process_id>& announced);
 
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_voter_whose_own_removal_is_overwritten_is_a_voter_again);
     CPPUNIT_TEST(a_voter_whose_own_removal_is_committed_does_not_campaign);
     CPPUNIT_TEST(a_learner_whose_removal_is_not_committed_does_not_campaign);
+    CPPUNIT_TEST(a_replaced_voter_beside_a_leader_reports_no_lost_quorum);
     CPPUNIT_TEST(a_refused_voter_change_gives_its_reason);
     CPPUNIT_TEST(no_change_of_voters_depends_on_the_newest_one);
     CPPUNIT_TEST(a_joint_set_is_read_back_and_other_sets_keep_their_format);
@@ -389,6 +390,22 @@
         assert_does_not_campaign(learner);
     }
 
+    void a_replaced_voter_beside_a_leader_reports_no_lost_quorum()
+    {
+        auto replaced = make("c");
+        from(replaced, "a", term{2}, append_request{});
+        CPPUNIT_ASSERT(contact_with_leader(replaced, {}) == leader_contact::known);
+        now_ += std::chrono::seconds{3};
+        tick(replaced, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, replaced.role);
+        CPPUNIT_ASSERT(contact_with_leader(replaced, {}) == leader_contact::missing);
+        CPPUNIT_ASSERT(contact_with_leader(replaced, process_id{"b"}) ==
+                       leader_contact::not_contacted);
+        auto leader = make("a");
+        elect(leader);
+        CPPUNIT_ASSERT(contact_with_leader(leader, {}) == leader_contact::known);
+    }
+
     void a_refused_voter_change_gives_its_reason()
     {
         auto leader = make("a");
