http: a request whose deadline passes while it connects is not sent

The leader checks its lease before it sends a command to a worker. Where a connection has to be opened first, the command was written when that was done, however late: a leader that is suspended meanwhile sends it after the wake, under a lease that is lost. Commands carry the token of the term, so a worker that has heard of the next leader refuses it.

The exchange is given up as not connected, which its callers take for a command that was not sent. The test sends a request whose deadline has passed when it connects: it arrived before, and does not now.

--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -129,7 +129,9 @@
     else {
         opened_.add();
         connection = std::make_unique<session>(io_);
-        if (auto connected = co_await connect(*connection, address, deadline); !connected) {
+        const auto connected = co_await connect(*connection, address, deadline);
+        // The VM may have been suspended meanwhile, and the lease that the request relies on lost.
+        if (!connected || monotonic_now() >= deadline) {
             failed_.add();
             co_return client_error::not_connected;
         }
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(deadline_of_an_ended_exchange_closes_no_connection);
     CPPUNIT_TEST(exchange_without_a_connection_has_sent_nothing);
     CPPUNIT_TEST(connection_of_an_exchange_that_has_ended_sends_nothing_more);
+    CPPUNIT_TEST(request_whose_deadline_passes_while_it_connects_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context io_;
@@ -127,12 +128,10 @@
         co_return reply ? error_code{} : reply.error();
     }
 
-    error_code run_exchange(std::uint16_t port)
+    error_code run_exchange(std::uint16_t port, duration limit = std::chrono::milliseconds{300})
     {
         error_code received;
-        asio::co_spawn(io_,
-                       error_of_exchange({"127.0.0.1", port},
-                                         monotonic_now() + std::chrono::milliseconds{300}),
+        asio::co_spawn(io_, error_of_exchange({"127.0.0.1", port}, monotonic_now() + limit),
                        [&](const std::exception_ptr&, error_code error) {
                            received = error;
                            io_.stop();
@@ -153,6 +152,19 @@
         CPPUNIT_ASSERT(run_exchange(port) == make_error_code(client_error::not_connected));
     }
 
+    /** Guards against a command that is sent after the time for which its sender had checked it. */
+    void request_whose_deadline_passes_while_it_connects_is_not_sent()
+    {
+        asio::ip::tcp::acceptor silent{io_, {asio::ip::make_address("127.0.0.1"), 0}};
+        CPPUNIT_ASSERT(run_exchange(silent.local_endpoint().port(), duration{}) ==
+                       make_error_code(client_error::not_connected));
+        asio::ip::tcp::socket accepted{io_};
+        boost::system::error_code error;
+        silent.accept(accepted, error);
+        std::array<char, 1024> received{};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, accepted.read_some(asio::buffer(received), error));
+    }
+
     /** Guards against a command that arrives after it was given up, as when a partition ends. */
     void connection_of_an_exchange_that_has_ended_sends_nothing_more()
     {
