ledger: the simulation suspends processes

Callers got reads that were older than what had been acknowledged, from a leader that had been suspended. The simulation had crashes, stalls and cut links, but no process that stands still and goes on with all that it knew, so neither the clock nor most checks of the lease were guarded.

Processes are now suspended for up to 6 s in runs with `suspensions`: leaders, followers and candidates, several at once, and one again right after its wake. Messages wait, are lost, or half of them are. A request is served right after the wake and reads are checked after every event. Quiet times without writes are part of it: a process that has missed one write is not elected, so that the promise of followers was never needed.

--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -81,7 +81,8 @@
     self.applied = self.log.base();
     self.role = self.chart->initial;
     // Before the restart it may have acknowledged a heartbeat, on which a leader's lease relies.
-    self.votes_withheld_until = now + self.options.election_timeout;
+    if (!self.faults.forgets_promise_at_start)
+        self.votes_withheld_until = now + self.options.election_timeout;
     effects ignored;
     step_context context{self, now, ignored};
     reset_election_timer(context);
@@ -149,7 +150,8 @@
         return false;
     if (self.log.term_of(self.committed) != self.hard.current_term)
         return false;
-    return now < self.lease_expires || self.faults.skips_quorum_check;
+    return now < self.lease_expires || self.faults.skips_quorum_check ||
+           self.faults.reads_without_lease;
 }
 
 bool may_propose(const replica& self)
@@ -213,8 +215,9 @@
         context.self.role == "follower" ? options.election_timeout : options.election_spread;
     // The vote for itself is withheld too. A role changes only after its actions, so the wait of a
     // candidate that has just heard of its leader would be too short.
-    context.self.election_due =
-        std::max(context.now + wait, context.self.votes_withheld_until) + spread;
+    const auto withheld_until =
+        context.self.faults.ignores_own_promise ? context.now : context.self.votes_withheld_until;
+    context.self.election_due = std::max(context.now + wait, withheld_until) + spread;
 }
 
 void send(step_context& context, const voter_id& to, message_body body)
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -53,6 +53,11 @@
     bool ignores_leader_lease{false};
     bool overlaps_voter_changes{false};
     bool ignores_candidate_log{false};
+    bool reads_without_lease{false};
+    bool counts_lease_from_receipt{false};
+    bool ignores_own_promise{false};
+    bool forgets_promise_at_start{false};
+    bool trusts_delayed_appends{false};
 };
 
 /** A leader's view of one follower. */
--- a/src/libledger/replicaappend.cpp
+++ b/src/libledger/replicaappend.cpp
@@ -93,7 +93,9 @@
         std::max(self.log.base(), log_index{request.previous.value() + request.entries.size()});
     self.committed = std::max(self.committed, std::min(request.committed, covered));
     // A request sent before this start may carry an older commit index, so it does not count.
-    if (request.follower_incarnation == self.incarnation && self.committed == request.committed &&
+    const bool sent_to_this_start =
+        request.follower_incarnation == self.incarnation || self.faults.trusts_delayed_appends;
+    if (sent_to_this_start && self.committed == request.committed &&
         self.committed >= self.log.base() &&
         self.log.term_of(self.committed) == self.hard.current_term)
         self.caught_up = true;
--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -4,6 +4,18 @@
 
 namespace galenaturn::ledger {
 
+namespace {
+
+void count_from_receipt(step_context& context, std::uint64_t number)
+{
+    for (auto& round : context.self.rounds) {
+        if (round.number == number)
+            round.sent = context.now;
+    }
+}
+
+} // namespace
+
 void become_leader(step_context& context)
 {
     auto& self = context.self;
@@ -66,6 +78,8 @@
     if (round <= follower.acknowledged_round || round > context.self.last_round)
         return;
     follower.acknowledged_round = round;
+    if (context.self.faults.counts_lease_from_receipt)
+        count_from_receipt(context, round);
     renew_lease(context);
 }
 
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
     CPPUNIT_TEST(a_candidate_that_hears_of_its_leader_votes_only_after_the_lease);
+    CPPUNIT_TEST(a_replica_that_restarts_withholds_its_vote_for_the_election_timeout);
     CPPUNIT_TEST(no_second_leader_is_elected_within_the_lease_of_the_first);
     CPPUNIT_TEST(a_leader_whose_disk_writes_nothing_steps_down);
     CPPUNIT_TEST(a_leader_with_a_slow_disk_or_nothing_to_write_stays);
@@ -116,10 +117,10 @@
         return {log.last_index(), log.last_term(), leader.committed, leader.last_round, 1, {}};
     }
 
-    /** Guards against a vote of a replica for itself within the lease that it has confirmed. */
-    void a_candidate_that_hears_of_its_leader_votes_only_after_the_lease()
+    /** Lets a candidate hear of its leader. Returns whether it campaigns within its promise. */
+    bool campaigns_within_its_promise(replica_faults faults)
     {
-        auto follower = make("a", {}, true);
+        auto follower = make("a", faults, true);
         now_ += std::chrono::seconds{3};
         tick(follower, now_);
         CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, follower.role);
@@ -129,12 +130,42 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, follower.role);
         while (now_ < confirmed + follower.options.election_timeout) {
             tick(follower, now_);
-            CPPUNIT_ASSERT_EQUAL(std::string{"follower"}, follower.role);
+            if (follower.role != "follower")
+                return true;
             now_ += std::chrono::milliseconds{10};
         }
         now_ += follower.options.election_spread;
         tick(follower, now_);
         CPPUNIT_ASSERT_EQUAL(std::string{"trial"}, follower.role);
+        return false;
+    }
+
+    /** Guards against a vote of a replica for itself within the lease that it has confirmed. */
+    void a_candidate_that_hears_of_its_leader_votes_only_after_the_lease()
+    {
+        replica_faults faults;
+        CPPUNIT_ASSERT(!campaigns_within_its_promise(faults));
+        faults.ignores_own_promise = true;
+        CPPUNIT_ASSERT(campaigns_within_its_promise(faults));
+    }
+
+    /** Guards against a second leader that is elected within a lease confirmed before a restart. */
+    void a_replica_that_restarts_withholds_its_vote_for_the_election_timeout()
+    {
+        for (const bool faulty : {false, true}) {
+            replica_faults faults;
+            faults.forgets_promise_at_start = faulty;
+            const auto votes_after = [&](duration span) {
+                auto self = make("a", faults);
+                now_ += span;
+                from(self, "b", term{2}, vote_request{false, term{2}, log_index{1}, term{1}});
+                return self.hard.voted_for == voter_id{"b"};
+            };
+            const auto timeout = replica_options{}.election_timeout;
+            CPPUNIT_ASSERT_EQUAL(faulty, votes_after(duration{}));
+            CPPUNIT_ASSERT_EQUAL(faulty, votes_after(timeout - duration{1}));
+            CPPUNIT_ASSERT(votes_after(timeout));
+        }
     }
 
     /** Guards against reads of a leader that lack the commits of another one. */
--- a/tests/ledger/simulation/simfaults.cpp
+++ b/tests/ledger/simulation/simfaults.cpp
@@ -10,17 +10,30 @@
 constexpr std::uint64_t max_steps_after_heal = 60'000;
 constexpr std::uint64_t max_cut_us = 6'000'000;
 constexpr std::uint64_t task_id_count = 40;
+/** Suspensions within a lease, and those during which others elect a leader. */
+constexpr std::uint64_t max_short_suspension_us = 900'000;
+constexpr std::uint64_t max_suspension_us = 6'000'000;
+constexpr std::uint64_t max_time_to_next_suspension_us = 1'000'000;
+constexpr std::uint64_t max_delay_after_wake_us = 40'000;
+constexpr std::uint64_t max_prompt_restart_us = 200'000;
+constexpr duration quiet_interval = std::chrono::seconds{4};
 
 } // namespace
 
-void simulation::act_as_client()
+bool simulation::is_quiet(const sim_node& node) const
+{
+    // A process that has missed writes is not elected. Quiet times let one be that was suspended.
+    const bool is_new = local_time(node) - node.core->leader_since < quiet_interval / 10;
+    return options_.suspensions && !is_new && now_.time_since_epoch() / quiet_interval % 2 == 1;
+}
+
+void simulation::act_as_client(std::size_t node_index)
 {
-    const auto node_index = pick(nodes_.size());
     auto& node = nodes_[node_index];
-    if (!node.alive())
+    if (!node.alive() || is_suspended(node))
         return;
     check_reads(node_index);
-    if (!node.core->leads)
+    if (!node.core->leads || is_quiet(node))
         return;
     // Sometimes resends an open request with the same id.
     if (commands_.size() >= max_open_requests || (!commands_.empty() && chance(300))) {
@@ -86,6 +99,9 @@
 
 void simulation::inject_fault()
 {
+    // Other failures are rarer then, so that there is a leader most of the time.
+    if (options_.suspensions && chance(700))
+        return chance(300) ? suspend_some() : void();
     const auto node_index = pick(nodes_.size());
     if (!nodes_[node_index].alive()) {
         add_trace_line("restart " + nodes_[node_index].voter.value());
@@ -115,6 +131,8 @@
     node.messages_for_next_sync.clear();
     node.messages_of_current_sync.clear();
     ++node.incarnation;
+    if (options_.suspensions && chance(500))
+        schedule(event_kind::restart, node_index, duration{pick(max_prompt_restart_us)});
 }
 
 void simulation::lose_disk(std::size_t node_index)
@@ -138,6 +156,61 @@
     }
 }
 
+void simulation::suspend_some()
+{
+    for (std::size_t node_index = 0; node_index < nodes_.size(); ++node_index) {
+        const auto& node = nodes_[node_index];
+        if (chance(node.alive() && node.core->leads ? 500 : 250))
+            suspend(node_index);
+    }
+}
+
+void simulation::suspend(std::size_t node_index)
+{
+    auto& node = nodes_[node_index];
+    if (!node.alive() || is_suspended(node) || !options_.suspensions)
+        return;
+    const duration span{pick(chance(500) ? max_short_suspension_us : max_suspension_us)};
+    node.suspended_until = now_ + span;
+    node.lost_while_suspended = static_cast<unsigned>(500 * pick(3));
+    if (options_.clocks_omit_suspensions)
+        node.omitted += span;
+    ++result_.suspensions;
+    result_.suspended_leaders += node.core->leads ? 1 : 0;
+    add_trace_line(node.voter.value() + " is suspended for " + std::to_string(span.count()) +
+                   "us, " + std::to_string(node.lost_while_suspended) + " of 1000 messages lost");
+    schedule(event_kind::wake, node_index, span);
+}
+
+void simulation::postpone(event next)
+{
+    const auto& node = nodes_[next.node];
+    const bool from_other = next.kind == event_kind::deliver && next.sender != next.node;
+    if (from_other && chance(node.lost_while_suspended))
+        return;
+    // Its own messages and the end of its sync keep their order.
+    const bool in_order =
+        next.kind == event_kind::synced || (next.kind == event_kind::deliver && !from_other);
+    next.when = node.suspended_until + duration{1};
+    if (!in_order)
+        next.when += duration{pick(max_delay_after_wake_us)};
+    events_.push(std::move(next));
+}
+
+void simulation::wake(std::size_t node_index)
+{
+    add_trace_line(nodes_[node_index].voter.value() + " wakes");
+    // A request is handled before the messages that waited, and before the timers.
+    act_as_client(node_index);
+    if (chance(300))
+        schedule(event_kind::suspend, node_index, duration{pick(max_time_to_next_suspension_us)});
+    // A leader that is away while this process campaigns, since it heard of no leader.
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        if (nodes_[other].alive() && nodes_[other].core->leads && chance(500))
+            schedule(event_kind::suspend, other, duration{pick(max_delay_after_wake_us)});
+    }
+}
+
 void simulation::cut_links()
 {
     if (now_ < cut_until_)
@@ -169,7 +242,7 @@
 {
     for (std::size_t node_index = 0; node_index < nodes_.size(); ++node_index) {
         auto& node = nodes_[node_index];
-        if (!node.alive() || !node.core->leads)
+        if (!node.alive() || !node.core->leads || is_suspended(node))
             continue;
         const auto& set = node.core->log.voters();
         const auto& target = nodes_[pick(nodes_.size())];
@@ -208,6 +281,7 @@
     options_.crashes = false;
     options_.partitions = false;
     options_.voter_changes = false;
+    options_.suspensions = false;
     const auto until = now_ + std::chrono::seconds{20};
     const auto max_steps = result_.steps + max_steps_after_heal;
     while (now_ < until) {
--- a/tests/ledger/simulation/simulation.cpp
+++ b/tests/ledger/simulation/simulation.cpp
@@ -89,6 +89,7 @@
 {
     auto& node = nodes_[node_index];
     ++node.incarnation;
+    node.suspended_until = time_point{};
     node.state = ledger_state{};
     if (node.disk.snapshot()) {
         auto read = decode_snapshot(node.disk.snapshot()->data);
@@ -111,7 +112,12 @@
 {
     const auto elapsed = now_.time_since_epoch();
     return time_point{elapsed + elapsed * node.clock_skew_thousandths / 1000 +
-                      std::chrono::hours{1}};
+                      std::chrono::hours{1} - node.omitted};
+}
+
+bool simulation::is_suspended(const sim_node& node) const
+{
+    return node.alive() && now_ < node.suspended_until;
 }
 
 std::size_t simulation::node_of(const voter_id& voter) const
@@ -145,32 +151,49 @@
 {
     auto& node = nodes_[next.node];
     if (next.kind == event_kind::client) {
-        act_as_client();
+        act_as_client(pick(nodes_.size()));
         return schedule(event_kind::client, 0, client_interval);
     }
     if (next.kind == event_kind::fault) {
         inject_fault();
         return schedule(event_kind::fault, 0, fault_interval);
     }
+    if (next.kind == event_kind::restart && !node.alive())
+        return start(next.node);
     const bool from_other = next.kind == event_kind::deliver && next.sender != next.node;
     if (!node.alive() || (next.incarnation != node.incarnation && !from_other))
         return;
-    if (next.kind == event_kind::deliver) {
-        if (!cut_links_.contains({next.sender, next.node}))
-            return process_effects(next.node, receive(*node.core, local_time(node), next.message));
-        // Some messages arrive after the link heals, as with a transport that retransmits.
-        if (chance(retransmitted_by_cut_link_thousandths)) {
-            auto retransmitted = next;
-            retransmitted.when += resend_interval;
-            events_.push(std::move(retransmitted));
-        }
-        return;
-    }
+    if (next.kind == event_kind::deliver && cut_links_.contains({next.sender, next.node}))
+        return retransmit(next);
     if (next.kind == event_kind::crash) {
         if (options_.crashes)
             crash(next.node);
         return;
     }
+    if (is_suspended(node))
+        return postpone(next);
+    carry_out_at(node, next);
+    if (options_.suspensions && node.alive() && !is_suspended(node))
+        check_reads(next.node);
+}
+
+void simulation::retransmit(event next)
+{
+    // Some messages arrive after the link heals, as with a transport that retransmits.
+    if (!chance(retransmitted_by_cut_link_thousandths))
+        return;
+    next.when += resend_interval;
+    events_.push(std::move(next));
+}
+
+void simulation::carry_out_at(sim_node& node, const event& next)
+{
+    if (next.kind == event_kind::deliver)
+        return process_effects(next.node, receive(*node.core, local_time(node), next.message));
+    if (next.kind == event_kind::suspend)
+        return suspend(next.node);
+    if (next.kind == event_kind::wake)
+        return wake(next.node);
     if (next.kind == event_kind::synced) {
         node.disk.end_sync();
         return send_after_sync(next.node);
@@ -311,4 +334,14 @@
     return options;
 }
 
+simulation_options suspension_options(std::uint64_t seed)
+{
+    auto options = options_for_seed(seed);
+    options.suspensions = true;
+    options.crashes = seed % 2 == 0;
+    options.partitions = seed % 2 == 0;
+    options.voter_changes = seed % 2 == 0;
+    return options;
+}
+
 } // namespace galenaturn::ledger
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -33,6 +33,13 @@
     bool voter_changes{true};
     /** Whenever a disk is lost, all other processes lose power at the same moment. */
     bool power_lost_with_disks{false};
+    /**
+     * Processes are suspended for up to some seconds, leaders more often, also several at once and
+     * one again right after it woke.
+     */
+    bool suspensions{false};
+    /** An injected bug: the clocks leave out the time of suspensions. */
+    bool clocks_omit_suspensions{false};
 };
 
 struct simulation_result {
@@ -52,6 +59,8 @@
     std::uint64_t leaders_with_hung_disk{0};
     std::uint64_t fresh_reads{0};
     std::uint64_t write_races_won{0};
+    std::uint64_t suspensions{0};
+    std::uint64_t suspended_leaders{0};
 };
 
 /** Thrown when an invariant is violated. */
@@ -75,6 +84,11 @@
     std::int64_t clock_skew_thousandths{0};
     /** Highest index at which this process has served a read, over all its incarnations. */
     log_index last_read_index;
+    time_point suspended_until;
+    /** Share of the messages from others that are lost while it is suspended, in thousandths. */
+    unsigned lost_while_suspended{0};
+    /** The time that its clock has left out. */
+    duration omitted{};
 
     [[nodiscard]] bool alive() const { return core != nullptr; }
 };
@@ -92,7 +106,17 @@
     simulation_result run();
 
 private:
-    enum class event_kind : std::uint8_t { tick, deliver, synced, client, fault, crash };
+    enum class event_kind : std::uint8_t {
+        tick,
+        deliver,
+        synced,
+        client,
+        fault,
+        crash,
+        restart,
+        suspend,
+        wake
+    };
     struct event {
         time_point when;
         std::uint64_t order{0};
@@ -114,23 +138,32 @@
     void schedule(event_kind kind, std::size_t node, duration delay);
     void step();
     void carry_out(const event& next);
+    void carry_out_at(sim_node& node, const event& next);
+    void retransmit(event next);
     void process_effects(std::size_t node_index, effects done);
     void apply(std::size_t node_index, const log_entry& entry);
     void start_sync(std::size_t node_index);
     void send_after_sync(std::size_t node_index);
     void post(std::size_t from, const peer_message& message);
     void compact_log_if_large(std::size_t node_index);
+    [[nodiscard]] bool is_quiet(const sim_node& node) const;
+    [[nodiscard]] bool is_suspended(const sim_node& node) const;
     [[nodiscard]] time_point local_time(const sim_node& node) const;
     [[nodiscard]] std::size_t node_of(const voter_id& voter) const;
     std::uint64_t pick(std::uint64_t bound) { return random_() % bound; }
     bool chance(unsigned thousandths) { return pick(1000) < thousandths; }
 
     // simfaults.cpp: client requests and injected failures.
-    void act_as_client();
+    void act_as_client(std::size_t node_index);
     wire::command make_command(const ledger_state& seen);
     void inject_fault();
     void crash(std::size_t node_index);
     void lose_disk(std::size_t node_index);
+    void suspend_some();
+    void suspend(std::size_t node_index);
+    /** Lets an event at a suspended process wait until it wakes, or loses it. */
+    void postpone(event next);
+    void wake(std::size_t node_index);
     void cut_links();
     void change_some_voter();
     void heal();
@@ -182,6 +215,8 @@
 
 /** Returns the options for a seed: 3 to 5 processes, slow links in every fourth run. */
 simulation_options options_for_seed(std::uint64_t seed);
+/** The same with suspensions, which are the only failures in every second run. */
+simulation_options suspension_options(std::uint64_t seed);
 /** Runs one simulation; a failed GN_INVARIANT of the code is a violation too. */
 simulation_result run_simulation(const simulation_options& options);
 
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -17,6 +17,12 @@
     CPPUNIT_TEST(leading_without_a_quorum_is_detected);
     CPPUNIT_TEST(accepting_an_old_term_is_detected);
     CPPUNIT_TEST(voting_for_a_shorter_log_is_detected);
+    CPPUNIT_TEST(invariants_hold_while_processes_are_suspended);
+    CPPUNIT_TEST(clocks_that_omit_suspensions_are_detected);
+    CPPUNIT_TEST(reading_without_a_lease_is_detected);
+    CPPUNIT_TEST(counting_a_lease_from_the_receipt_of_responses_is_detected);
+    CPPUNIT_TEST(breaking_the_promise_to_a_leader_is_detected);
+    CPPUNIT_TEST(trusting_appends_of_before_a_restart_is_detected);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string text_of(const simulation_options& options, const simulation_result& result)
@@ -150,6 +156,71 @@
         faults.ignores_candidate_log = true;
         assert_detected(faults);
     }
+
+    void invariants_hold_while_processes_are_suspended()
+    {
+        simulation_result sum;
+        for (std::uint64_t seed = 501; seed < 541; ++seed) {
+            const auto options = suspension_options(seed);
+            const auto result = run_simulation(options);
+            CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+            sum.commits += result.commits;
+            sum.suspended_leaders += result.suspended_leaders;
+            sum.fresh_reads += result.fresh_reads;
+        }
+        CPPUNIT_ASSERT(sum.commits > 1'000);
+        CPPUNIT_ASSERT(sum.suspended_leaders > 100);
+        CPPUNIT_ASSERT(sum.fresh_reads > 1'000);
+    }
+
+    /** Asserts that a run with suspensions detects an injected bug as a read that is too old. */
+    static void assert_old_read(const replica_faults& faults, bool clocks_omit_suspensions = false)
+    {
+        constexpr std::uint64_t max_seeds = 40;
+        for (std::uint64_t seed = 31; seed < 31 + max_seeds; ++seed) {
+            auto options = suspension_options(seed);
+            options.faults = faults;
+            options.clocks_omit_suspensions = clocks_omit_suspensions;
+            const auto result = run_simulation(options);
+            if (result.violation.empty())
+                continue;
+            const bool reads = result.violation.starts_with("a read sees") ||
+                               result.violation.starts_with("reads are monotonic");
+            CPPUNIT_ASSERT_MESSAGE(text_of(options, result), reads);
+            return;
+        }
+        CPPUNIT_FAIL("no run detected the injected bug");
+    }
+
+    void clocks_that_omit_suspensions_are_detected() { assert_old_read({}, true); }
+
+    void reading_without_a_lease_is_detected()
+    {
+        replica_faults faults;
+        faults.reads_without_lease = true;
+        assert_old_read(faults);
+    }
+
+    void counting_a_lease_from_the_receipt_of_responses_is_detected()
+    {
+        replica_faults faults;
+        faults.counts_lease_from_receipt = true;
+        assert_old_read(faults);
+    }
+
+    void breaking_the_promise_to_a_leader_is_detected()
+    {
+        replica_faults faults;
+        faults.ignores_leader_lease = true;
+        assert_old_read(faults);
+    }
+
+    void trusting_appends_of_before_a_restart_is_detected()
+    {
+        replica_faults faults;
+        faults.trusts_delayed_appends = true;
+        assert_old_read(faults);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(simulation_test);
--- a/tests/ledger/soak/soakledger.cpp
+++ b/tests/ledger/soak/soakledger.cpp
@@ -10,6 +10,8 @@
 DEFINE_uint32(stalled, 0, "Share of syncs that take seconds, in thousandths");
 DEFINE_uint64(fault, 0, "Number of the injected bug, 0 for none");
 DEFINE_bool(power_lost_with_disks, false, "All power is lost whenever a disk is lost");
+DEFINE_bool(suspensions, false, "Processes are suspended");
+DEFINE_bool(clocks_omit_suspensions, false, "Injected bug: clocks leave out suspensions");
 
 namespace {
 
@@ -26,6 +28,11 @@
     faults.ignores_leader_lease = number == 6;
     faults.overlaps_voter_changes = number == 7;
     faults.ignores_candidate_log = number == 8;
+    faults.reads_without_lease = number == 9;
+    faults.counts_lease_from_receipt = number == 10;
+    faults.ignores_own_promise = number == 11;
+    faults.forgets_promise_at_start = number == 12;
+    faults.trusts_delayed_appends = number == 13;
     return faults;
 }
 
@@ -49,11 +56,13 @@
     ledger::simulation_result sum;
     std::uint64_t runs = 0;
     for (auto seed = FLAGS_seed; monotonic_now() < deadline; ++seed, ++runs) {
-        auto options = ledger::options_for_seed(seed);
+        auto options =
+            FLAGS_suspensions ? ledger::suspension_options(seed) : ledger::options_for_seed(seed);
         options.steps = FLAGS_steps;
         options.stalled = FLAGS_stalled;
         options.faults = fault_of(FLAGS_fault);
         options.power_lost_with_disks = FLAGS_power_lost_with_disks;
+        options.clocks_omit_suspensions = FLAGS_clocks_omit_suspensions;
         const auto result = ledger::run_simulation(options);
         if (!result.violation.empty()) {
             print_failure(options, result);
@@ -70,6 +79,8 @@
         sum.leaders_with_hung_disk += result.leaders_with_hung_disk;
         sum.fresh_reads += result.fresh_reads;
         sum.write_races_won += result.write_races_won;
+        sum.suspensions += result.suspensions;
+        sum.suspended_leaders += result.suspended_leaders;
     }
     std::cout << "ok runs=" << runs << " steps=" << sum.steps << " commits=" << sum.commits
               << " elections=" << sum.elections << " crashes=" << sum.crashes
@@ -77,6 +88,8 @@
               << " voter_changes=" << sum.voter_changes << " disks_lost=" << sum.disks_lost
               << " power_losses=" << sum.power_losses
               << " leaders_with_hung_disk=" << sum.leaders_with_hung_disk
-              << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.write_races_won << '\n';
+              << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.write_races_won
+              << " suspensions=" << sum.suspensions
+              << " suspended_leaders=" << sum.suspended_leaders << '\n';
     return 0;
 }
