tests: the simulation of jobs suspends workers

A worker that is suspended handles nothing, its tasks make no progress, and what was sent to it waits. With its lease on a clock that counts the time it ends its runs when it wakes; on one that leaves the time out it goes on beside the runs that took their place. Nothing tested either.

--- a/tests/schedule/jobfaultsimulation.cpp
+++ b/tests/schedule/jobfaultsimulation.cpp
@@ -68,6 +68,7 @@
     bool up{true};
     time_point returns_at;
     time_point partitioned_until;
+    time_point suspended_until;
     time_point last_unreachable_at;
     time_point next_announcement;
     time_point next_poll;
@@ -235,7 +236,35 @@
 
     [[nodiscard]] bool is_reachable(const simulated_job_worker& worker) const
     {
-        return worker.up && now_ >= worker.partitioned_until;
+        return worker.up && now_ >= worker.partitioned_until && !is_suspended(worker);
+    }
+
+    [[nodiscard]] bool is_suspended(const simulated_job_worker& worker) const
+    {
+        return worker.up && now_ < worker.suspended_until;
+    }
+
+    void suspend(simulated_job_worker& worker)
+    {
+        if (!worker.up || is_suspended(worker))
+            return;
+        ++counts_.worker_suspensions;
+        const auto span = draw_span(500, 9000);
+        worker.suspended_until = now_ + span;
+        if (options_.worker_clocks_omit_suspensions)
+            worker.lease_until += span;
+        for (auto& [ref, run] : worker.runs) {
+            if (run.ends_at != time_point::max())
+                run.ends_at += span;
+        }
+    }
+
+    /** Returns whether a worker runs a task, or goes on with it when it wakes. */
+    [[nodiscard]] bool runs_task(const simulated_job_worker& worker,
+                                 const wire::task_ref& ref) const
+    {
+        const bool ends_at_wake = is_suspended(worker) && now_ >= worker.lease_until;
+        return worker.up && worker.runs.contains(ref) && !ends_at_wake;
     }
 
     void crash(simulated_job_worker& worker, bool closes_connections)
@@ -266,6 +295,8 @@
                     begin_life(worker, index);
                 continue;
             }
+            if (is_suspended(worker))
+                continue;
             if (crashes_now(worker)) {
                 ++counts_.crashes_by_tasks;
                 crash(worker, true);
@@ -344,9 +375,8 @@
         if (is_crashing(ref) && history.crashes >= crashes_before_limit &&
             ++history.starts_after_limit > tolerated_starts)
             ++counts_.starts_beyond_crash_limit;
-        const bool runs_elsewhere =
-            std::any_of(fleet_.begin(), fleet_.end(),
-                        [&](const auto& other) { return other.up && other.runs.contains(ref); });
+        const bool runs_elsewhere = std::any_of(
+            fleet_.begin(), fleet_.end(), [&](const auto& other) { return runs_task(other, ref); });
         counts_.doubled_starts += history.success_recorded || runs_elsewhere ? 1 : 0;
         auto used = jobs_.at(ref.job).spec.steps[ref.step].demand;
         for (const auto& [other, run] : worker.runs)
@@ -370,9 +400,9 @@
     void execute_late_starts()
     {
         std::erase_if(late_starts_, [&](const late_start& late) {
-            if (now_ < late.due)
-                return false;
             auto& worker = fleet_[index_of_.at(late.command.worker)];
+            if (now_ < late.due || is_suspended(worker))
+                return false;
             if (is_accepted(worker, late) &&
                 now_ < std::max(worker.lease_until, late.lease_until)) {
                 worker.lease_until = std::max(worker.lease_until, late.lease_until);
@@ -385,9 +415,9 @@
     void execute_late_stops()
     {
         std::erase_if(late_stops_, [&](const late_stop& late) {
-            if (now_ < late.due)
-                return false;
             auto& worker = fleet_[index_of_.at(late.command.worker)];
+            if (now_ < late.due || is_suspended(worker))
+                return false;
             if (is_accepted(worker, late))
                 execute(worker, late.command);
             return true;
@@ -411,6 +441,9 @@
             draw_worker().partitioned_until = now_ + draw_span(500, 9000);
             ++counts_.partitions;
         }
+        if (options_.worker_suspensions_per_minute > 0 &&
+            per_minute(options_.worker_suspensions_per_minute))
+            suspend(draw_worker());
         if (per_minute(options_.capacity_changes_per_minute))
             change_capacity(draw_worker());
         if (options_.cancels_per_minute > 0 && per_minute(options_.cancels_per_minute))
--- a/tests/schedule/jobfaultsimulation.h
+++ b/tests/schedule/jobfaultsimulation.h
@@ -20,6 +20,10 @@
     int leader_losses_per_minute{0};
     /** Partitions of single workers that keep their runs. */
     int partitions_per_minute{0};
+    /** Suspensions of single workers, for up to 9 s. */
+    int worker_suspensions_per_minute{0};
+    /** An injected bug: the clocks of workers leave out suspensions. */
+    bool worker_clocks_omit_suspensions{false};
     /** Workers that return have the id that they had before. */
     bool ids_are_kept{false};
     /** Capacities that shrink and grow again. */
@@ -59,6 +63,7 @@
     std::uint64_t unrelated_crashes{0};
     std::uint64_t leader_losses{0};
     std::uint64_t partitions{0};
+    std::uint64_t worker_suspensions{0};
     std::uint64_t capacity_changes{0};
     std::uint64_t sound_jobs{0};
     std::uint64_t sound_jobs_succeeded{0};
--- a/tests/schedule/jobfaultsimulationtest.cpp
+++ b/tests/schedule/jobfaultsimulationtest.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(no_task_runs_twice_while_starts_wait_and_are_carried_out_late);
     CPPUNIT_TEST(nothing_starts_after_its_job_was_cancelled);
     CPPUNIT_TEST(no_task_runs_twice_while_ends_are_listed_in_parts_and_again);
+    CPPUNIT_TEST(no_task_runs_twice_while_workers_are_suspended);
+    CPPUNIT_TEST(clocks_of_workers_that_omit_suspensions_are_detected);
     CPPUNIT_TEST_SUITE_END();
 
     using count = std::uint64_t job_fault_counts::*;
@@ -132,6 +134,29 @@
         CPPUNIT_ASSERT(leader_losses > 0);
     }
 
+    static job_fault_options worker_suspension_options()
+    {
+        job_fault_options options;
+        options.worker_suspensions_per_minute = 60;
+        options.leader_losses_per_minute = 3;
+        return options;
+    }
+
+    void no_task_runs_twice_while_workers_are_suspended()
+    {
+        check_seeds(worker_suspension_options(), &job_fault_counts::worker_suspensions);
+    }
+
+    void clocks_of_workers_that_omit_suspensions_are_detected()
+    {
+        auto options = worker_suspension_options();
+        options.worker_clocks_omit_suspensions = true;
+        std::uint64_t doubled_starts = 0;
+        for (options.seed = 1; options.seed <= 6; ++options.seed)
+            doubled_starts += run_job_fault_simulation(options).doubled_starts;
+        CPPUNIT_ASSERT(doubled_starts > 0);
+    }
+
     void nothing_starts_after_its_job_was_cancelled()
     {
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
