ledger: a job that was cancelled before its submission arrives does not run

What callers saw: an entry stood still with a submission in its socket. Its caller left and cancelled the job through another entry, which answered 410, no such job. While the leader's disk is busy, a cancelling was answered with 410 at once as well, and the submission that waited was proposed after it.

Cause: cancelling a job that the ledger does not know left no trace, and was answered from the state without regard to the commands in the queue.

Change: such a cancelling is a command too. It records the id as a cancelled submission and is answered with 410 once that is committed; a submission that the ledger meets later is refused as certainly not run (503), and a submission before it in the queue is accepted and then cancelled. The records are no jobs: GET answers 410 as before, since nobody has submitted one. They are kept for 10 minutes and are limited in number apart from the ended jobs, so that no ended job is removed for them. At the limit the leader refuses a further cancelling with 503 without a command, because to remove an early record would let its submission in.

The ledger of test_leader now returns the response of the command instead of "accepted" for each.

--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -73,6 +73,8 @@
     response.status = job_response_status::ok;
     if (hub_.state().jobs.contains(request.job))
         co_return response;
+    if (hub_.state().cancelled_submissions.contains(request.job))
+        co_return refuse_cancelled("the job was cancelled before");
     wire::submit_job body;
     body.id = request.job;
     body.queue = std::move(queue);
@@ -85,6 +87,8 @@
     response.reason = outcome.reason;
     if (status == command_status::accepted || status == command_status::duplicate)
         co_return response;
+    if (status == command_status::conflict)
+        co_return refuse_cancelled(outcome.reason);
     if (status == command_status::rejected)
         response.status = job_response_status::rejected;
     else if (status == command_status::unknown)
@@ -97,14 +101,16 @@
 asio::awaitable<wire::job_response> job_service::cancel(wire::job_request request)
 {
     wire::job_response response;
-    const auto found = hub_.state().jobs.find(request.job);
-    if (found == hub_.state().jobs.end()) {
-        response.status = job_response_status::unknown_job;
-        co_return response;
-    }
-    response.status = job_response_status::ok;
-    if (found->second.phase != wire::job_phase::open)
+    const auto& state = hub_.state();
+    const auto found = state.jobs.find(request.job);
+    const bool known = found != state.jobs.end();
+    response.status = known ? job_response_status::ok : job_response_status::unknown_job;
+    if (known ? found->second.phase != wire::job_phase::open
+              : state.cancelled_submissions.contains(request.job))
         co_return response;
+    if (!known && !ledger::can_cancel_unknown_job(state))
+        co_return refuse_unknown_cancel("too many unknown jobs were cancelled");
+    // A job that is not known may be submitted by a request that is still on the way.
     wire::cancel_job cancelled;
     cancelled.id = request.job;
     cancelled.now = wall_now();
@@ -112,13 +118,32 @@
     const auto outcome =
         co_await hub_.submit(std::move(body), monotonic_now() + ledger_command_timeout);
     const auto status = outcome.status;
-    if (status == command_status::unknown)
+    if (status == command_status::accepted || status == command_status::duplicate)
+        response.status = job_response_status::ok;
+    else if (status == command_status::rejected)
+        response.status = job_response_status::unknown_job;
+    else if (status == command_status::unknown)
         response.status = job_response_status::unknown;
-    else if (status != command_status::accepted && status != command_status::duplicate)
+    else
         response = wire::unavailable_response(outcome.reason);
     co_return response;
 }
 
+wire::job_response job_service::refuse_cancelled(std::string reason)
+{
+    submissions_cancelled_before_.add();
+    auto response = wire::unavailable_response(std::move(reason));
+    // An early repetition is refused again.
+    response.retry_after = {};
+    return response;
+}
+
+wire::job_response job_service::refuse_unknown_cancel(std::string reason)
+{
+    unknown_cancels_refused_.add();
+    return wire::unavailable_response(std::move(reason));
+}
+
 void job_service::log_count(const std::string& queue, std::uint64_t waiting) const
 {
     const auto now = monotonic_now();
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -42,6 +42,10 @@
       known_workers_{shared.metrics.make_gauge("galenaturn_job_workers")},
       queues_version_{shared.metrics.make_gauge("galenaturn_queues_version")},
       queues_since_{shared.metrics.make_gauge("galenaturn_queues_in_force_since_seconds")},
+      submissions_cancelled_before_{shared.metrics.make_counter(
+          "galenaturn_job_requests_refused_total", {{"reason", "cancelled_before"}})},
+      unknown_cancels_refused_{shared.metrics.make_counter("galenaturn_job_requests_refused_total",
+                                                           {{"reason", "cancel_limit"}})},
       accept_latency_{shared.metrics.make_latency("galenaturn_job_accept_seconds")},
       record_latency_{shared.metrics.make_latency("galenaturn_job_record_seconds")},
       pass_latency_{shared.metrics.make_latency("galenaturn_job_pass_seconds")},
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -208,6 +208,10 @@
     boost::asio::awaitable<wire::job_response> submit(wire::job_request request,
                                                       wire::queue_settings queue);
     boost::asio::awaitable<wire::job_response> cancel(wire::job_request request);
+    /** Refuses a submission that was cancelled before it arrived: nothing of it ever runs. */
+    wire::job_response refuse_cancelled(std::string reason);
+    /** Refuses to cancel a job that is not known while too many such are recorded. */
+    wire::job_response refuse_unknown_cancel(std::string reason);
     wire::job_response show(const wire::job_request& request) const;
     /** Logs what a count of waiting jobs was made of. */
     void log_count(const std::string& queue, std::uint64_t waiting) const;
@@ -255,6 +259,8 @@
     /** Seconds since 1970. */
     gauge& queues_since_;
     std::map<wire::job_response_status, counter*> response_counters_;
+    counter& submissions_cancelled_before_;
+    counter& unknown_cancels_refused_;
     latency_summary& accept_latency_;
     latency_summary& record_latency_;
     latency_summary& pass_latency_;
--- a/src/libledger/applycommands.h
+++ b/src/libledger/applycommands.h
@@ -35,6 +35,8 @@
 wire::command_response apply(apply_context& context, const wire::record_suspect_start& body);
 /** Removes the oldest ended jobs, by their retention time and maximum number. */
 void remove_old_ended_jobs(ledger_state& state);
+/** Removes the cancelled submissions whose retention time is over. */
+void remove_old_cancelled_submissions(ledger_state& state);
 /** Removes the oldest finished tasks, by their retention time and maximum number. */
 void remove_old_finished_tasks(ledger_state& state);
 /** Removes the keys that have expired. */
--- a/src/libledger/applyjobs.cpp
+++ b/src/libledger/applyjobs.cpp
@@ -23,6 +23,16 @@
     context.state.ended_jobs.push_back(job.id);
 }
 
+/** Records the cancelling, so that a submission that arrives later is refused. */
+wire::command_response cancel_unknown_job(ledger_state& state, const wire::cancel_job& body)
+{
+    const bool recorded = state.cancelled_submissions.contains(body.id);
+    if (!recorded && !can_cancel_unknown_job(state))
+        return make_response(command_status::unavailable, "too many unknown jobs were cancelled");
+    state.cancelled_submissions[body.id] = std::max(state.clock, body.now);
+    return make_response(command_status::rejected, "no such job");
+}
+
 bool all_succeeded(const job_record& job)
 {
     return std::all_of(job.tasks.begin(), job.tasks.end(),
@@ -116,8 +126,15 @@
 
 } // namespace
 
+bool can_cancel_unknown_job(const ledger_state& state)
+{
+    return state.cancelled_submissions.size() < limits.max_cancelled_submissions;
+}
+
 wire::command_response apply(apply_context& context, const wire::submit_job& body)
 {
+    if (context.state.cancelled_submissions.contains(body.id))
+        return make_response(command_status::conflict, "the job was cancelled before");
     const auto [found, added] = context.state.jobs.try_emplace(body.id);
     if (!added)
         return make_response(command_status::duplicate);
@@ -135,7 +152,7 @@
 {
     const auto job = context.state.jobs.find(body.id);
     if (job == context.state.jobs.end())
-        return make_response(command_status::rejected, "no such job");
+        return cancel_unknown_job(context.state, body);
     if (job->second.phase != job_phase::open)
         return make_response(command_status::duplicate);
     end_job(context, job->second, job_phase::cancelled, body.now);
@@ -213,4 +230,11 @@
     }
 }
 
+void remove_old_cancelled_submissions(ledger_state& state)
+{
+    std::erase_if(state.cancelled_submissions, [&](const auto& cancelled) {
+        return cancelled.second + limits.cancelled_submission_retention < state.clock;
+    });
+}
+
 } // namespace galenaturn::ledger
--- a/src/libledger/ledgerstate.h
+++ b/src/libledger/ledgerstate.h
@@ -87,6 +87,11 @@
     std::map<submission_id, wire::job_record> jobs;
     /** Ended jobs, in the order in which they ended. */
     std::deque<submission_id> ended_jobs;
+    /**
+     * When jobs were cancelled that the ledger does not know. Their submissions may still be on the
+     * way and are refused. Limited by state_limits.
+     */
+    std::map<submission_id, wall_time> cancelled_submissions;
     /** The queues in force; version 0 until queues are first published. */
     wire::publish_queues queues;
     /** Every worker that may be running a task of a job. */
--- a/src/libledger/statemachine.cpp
+++ b/src/libledger/statemachine.cpp
@@ -168,6 +168,7 @@
     remove_expired_keys(context.state);
     remove_old_finished_tasks(context.state);
     remove_old_ended_jobs(context.state);
+    remove_old_cancelled_submissions(context.state);
     return make_response(command_status::accepted);
 }
 
--- a/src/libledger/statemachine.h
+++ b/src/libledger/statemachine.h
@@ -20,6 +20,10 @@
     /** Longer than callers query the outcome of a job. */
     std::chrono::minutes ended_job_retention{10};
     std::size_t max_ended_jobs{40'000};
+    /** Longer than a submission may be on the way, such as in a process that is suspended. */
+    std::chrono::minutes cancelled_submission_retention{10};
+    /** Above it further ones are refused: an early removal would let the submission in. */
+    std::size_t max_cancelled_submissions{40'000};
 };
 
 /** Maximum size of a document; keeps pushes and log entries small. */
@@ -41,6 +45,9 @@
 /** Answers a query from `state`. The caller checks leadership and freshness. */
 wire::query_response answer_query(const ledger_state& state, const wire::query& body);
 
+/** Returns whether the state can record the cancelling of one more job that it does not know. */
+bool can_cancel_unknown_job(const ledger_state& state);
+
 /** Returns the catalogue version in force, or version 0 if none was written yet. */
 const wire::catalogue_document& catalogue_in_force(const ledger_state& state);
 
--- a/src/libledger/statesnapshot.cpp
+++ b/src/libledger/statesnapshot.cpp
@@ -94,6 +94,18 @@
     }
 };
 
+/** The content of version 4, followed by the cancelled submissions. */
+struct snapshot_v5 {
+    snapshot_with_jobs<wire::job_record> v4;
+    std::map<submission_id, wall_time> cancelled_submissions;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(v4, cancelled_submissions);
+    }
+};
+
 /**
  * Returns whether each entry of `finished` names a stored task that is finished. A snapshot with a
  * valid checksum may still be inconsistent.
@@ -159,12 +171,8 @@
 }
 
 template <class Job>
-result<ledger_state> read_with_jobs(std::string_view body)
+result<ledger_state> to_state(snapshot_with_jobs<Job>& snapshot)
 {
-    auto decoded = wire::decode<snapshot_with_jobs<Job>>(body);
-    if (!decoded)
-        return make_error_code(ledger_error::corrupted);
-    auto& snapshot = decoded.value();
     auto state = to_state(snapshot.v1);
     if (!state)
         return state;
@@ -179,6 +187,26 @@
     return state;
 }
 
+template <class Job>
+result<ledger_state> read_with_jobs(std::string_view body)
+{
+    auto decoded = wire::decode<snapshot_with_jobs<Job>>(body);
+    if (!decoded)
+        return make_error_code(ledger_error::corrupted);
+    return to_state(decoded.value());
+}
+
+result<ledger_state> read_v5(std::string_view body)
+{
+    auto decoded = wire::decode<snapshot_v5>(body);
+    if (!decoded)
+        return make_error_code(ledger_error::corrupted);
+    auto state = to_state(decoded.value().v4);
+    if (state)
+        state.value().cancelled_submissions = std::move(decoded.value().cancelled_submissions);
+    return state;
+}
+
 } // namespace
 
 std::string encode_snapshot(const ledger_state& state)
@@ -196,7 +224,8 @@
     snapshot.finished = state.finished;
     snapshot.clock = state.clock;
     snapshot.latest_removed_submission = state.latest_removed_submission;
-    snapshot_with_jobs<wire::job_record> whole;
+    snapshot_v5 latest;
+    auto& whole = latest.v4;
     whole.v1 = std::move(snapshot);
     whole.jobs.reserve(state.jobs.size());
     for (const auto& [id, job] : state.jobs)
@@ -205,7 +234,8 @@
     whole.queues = state.queues;
     for (const auto& [id, worker] : state.workers)
         whole.workers.push_back(worker);
-    return wire::encode(snapshot_header{snapshot_version}) + wire::encode(whole);
+    latest.cancelled_submissions = state.cancelled_submissions;
+    return wire::encode(snapshot_header{snapshot_version}) + wire::encode(latest);
 }
 
 std::uint32_t read_snapshot_version(std::string_view snapshot)
@@ -220,6 +250,8 @@
     if (version == 0)
         return make_error_code(ledger_error::corrupted);
     if (version == snapshot_version)
+        return read_v5(snapshot.substr(header_size));
+    if (version == 4)
         return read_with_jobs<wire::job_record>(snapshot.substr(header_size));
     if (version == 3)
         return read_with_jobs<job_v3>(snapshot.substr(header_size));
--- a/src/libledger/statesnapshot.h
+++ b/src/libledger/statesnapshot.h
@@ -6,7 +6,7 @@
 namespace galenaturn::ledger {
 
 /** Format version that encode_snapshot writes. decode_snapshot reads all earlier versions too. */
-constexpr std::uint32_t snapshot_version = 4;
+constexpr std::uint32_t snapshot_version = 5;
 
 /** Returns the replicated state, encoded in the current format. */
 std::string encode_snapshot(const ledger_state& state);
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -21,10 +21,77 @@
     CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
     CPPUNIT_TEST(tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists);
     CPPUNIT_TEST(an_answer_names_the_version_that_decided_only_while_the_lease_is_valid);
+    CPPUNIT_TEST(a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling);
+    CPPUNIT_TEST(a_submission_after_the_cancelling_of_its_job_does_not_run);
+    CPPUNIT_TEST(a_cancelling_is_answered_only_once_it_is_recorded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
 
+    /** The cancelling was answered as "no such job" at once, and the job ran after that. */
+    void a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling()
+    {
+        test_leader leader{1};
+        leader.publish(1);
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.hold_commands(true);
+        const auto submitted = leader.request(wire::job_verb::submit, "late");
+        leader.run_ready_handlers();
+        const auto cancelled = leader.request(wire::job_verb::cancel, "late");
+        leader.run_for(std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT(!submitted->has_value() && !cancelled->has_value());
+        leader.hold_commands(false);
+        CPPUNIT_ASSERT(leader.run_until([&] { return submitted->has_value(); }));
+        CPPUNIT_ASSERT(leader.run_until([&] { return cancelled->has_value(); }));
+        CPPUNIT_ASSERT((*cancelled)->status == wire::job_response_status::ok);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 0; }));
+        const auto shown = leader.request(wire::job_verb::show, "late");
+        CPPUNIT_ASSERT(leader.run_until([&] { return shown->has_value(); }));
+        CPPUNIT_ASSERT((*shown)->phase == wire::job_phase::cancelled);
+    }
+
+    void a_submission_after_the_cancelling_of_its_job_does_not_run()
+    {
+        test_leader leader{1};
+        leader.publish(1);
+        leader.run_for(std::chrono::milliseconds{50});
+        for (int repeated = 0; repeated < 2; ++repeated) {
+            const auto cancelled = leader.request(wire::job_verb::cancel, "late");
+            CPPUNIT_ASSERT(leader.run_until([&] { return cancelled->has_value(); }));
+            CPPUNIT_ASSERT((*cancelled)->status == wire::job_response_status::unknown_job);
+            const auto submitted = leader.request(wire::job_verb::submit, "late");
+            CPPUNIT_ASSERT(leader.run_until([&] { return submitted->has_value(); }));
+            // Not accepted and never run, as the caller is told.
+            CPPUNIT_ASSERT((*submitted)->status == wire::job_response_status::unavailable);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, leader.refused("cancelled_before"));
+        leader.run_for(std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT(leader.starts().empty());
+        // Nobody's job is shown.
+        const auto shown = leader.request(wire::job_verb::show, "late");
+        CPPUNIT_ASSERT(leader.run_until([&] { return shown->has_value(); }));
+        CPPUNIT_ASSERT((*shown)->status == wire::job_response_status::unknown_job);
+    }
+
+    void a_cancelling_is_answered_only_once_it_is_recorded()
+    {
+        test_leader leader{1};
+        leader.publish(1);
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.hold_commands(true);
+        const auto cancelled = leader.request(wire::job_verb::cancel, "late");
+        leader.run_ready_handlers();
+        const auto submitted = leader.request(wire::job_verb::submit, "late");
+        leader.run_for(std::chrono::milliseconds{50});
+        CPPUNIT_ASSERT(!cancelled->has_value());
+        leader.hold_commands(false);
+        CPPUNIT_ASSERT(leader.run_until([&] { return submitted->has_value(); }));
+        CPPUNIT_ASSERT((*cancelled)->status == wire::job_response_status::unknown_job);
+        CPPUNIT_ASSERT((*submitted)->status == wire::job_response_status::unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader.refused("cancelled_before"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leader.refused("cancel_limit"));
+    }
+
     /** The version held by a process that does not lead counted as a regression at entries. */
     void an_answer_names_the_version_that_decided_only_while_the_lease_is_valid()
     {
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -37,6 +37,17 @@
     return settings;
 }
 
+queue_table only_queue()
+{
+    queue_table table;
+    auto& queue = table.queues.emplace_back();
+    queue.name = "desk";
+    queue.host = "jobs.test";
+    queue.path_prefix = "/desk/";
+    queue.service = service_id{"desk"};
+    return table;
+}
+
 wire::record_workers make_fleet(std::size_t workers)
 {
     wire::record_workers fleet;
@@ -153,14 +164,14 @@
             wire::boot_timer timer{shared_.io, std::chrono::milliseconds{10}};
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
-        apply(std::move(command));
-        wire::command_response response;
-        response.status = wire::command_status::accepted;
+        co_await wait_for_turn(++commands_received_);
+        auto response = apply(std::move(command));
+        ++commands_applied_;
         co_return response;
     };
     apply(std::move(fleet));
     service_ = std::make_unique<job_service>(shared_, hub_, roster_, make_workers(shared_.io),
-                                             [](const std::string&) { return queue_table{}; });
+                                             [](const std::string&) { return only_queue(); });
     GN_INVARIANT(service_->start().has_value(), {"workers", state_.workers.size()});
 }
 
@@ -226,6 +237,40 @@
     return answer.value_or(wire::job_response{});
 }
 
+std::shared_ptr<std::optional<wire::job_response>> test_leader::request(wire::job_verb verb,
+                                                                        const std::string& name)
+{
+    wire::job_request request;
+    request.verb = verb;
+    request.host = "jobs.test";
+    request.path = "/desk/" + name;
+    request.job = submission_id{name};
+    auto& step = request.spec.steps.emplace_back();
+    step.demand.processors = millicores{1000};
+    step.long_running = true;
+    auto answer = std::make_shared<std::optional<wire::job_response>>();
+    asio::co_spawn(shared_.io, service_->handle_request(std::move(request)),
+                   [answer](const std::exception_ptr& /*error*/, wire::job_response response) {
+                       *answer = std::move(response);
+                   });
+    return answer;
+}
+
+std::uint64_t test_leader::refused(const std::string& reason)
+{
+    return shared_.metrics
+        .make_counter("galenaturn_job_requests_refused_total", {{"reason", reason}})
+        .value();
+}
+
+asio::awaitable<void> test_leader::wait_for_turn(std::uint64_t turn)
+{
+    while (commands_held_ || turn != commands_applied_ + 1) {
+        wire::boot_timer timer{shared_.io, std::chrono::milliseconds{1}};
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 void test_leader::end_a_run()
 {
     const auto busy = std::find_if(runs_.begin(), runs_.end(),
@@ -296,14 +341,15 @@
     return count;
 }
 
-void test_leader::apply(wire::command body)
+wire::command_response test_leader::apply(wire::command body)
 {
     ledger::applied_change change;
     const wire::command_request request{request_id{"r" + std::to_string(++index_)},
                                         std::move(body)};
-    ledger::apply_command(state_, request, log_index{index_}, change);
+    auto response = ledger::apply_command(state_, request, log_index{index_}, change);
     for (const auto& listener : hub_.applied)
         listener(change);
+    return response;
 }
 
 } // namespace galenaturn::controld
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace galenaturn::controld {
@@ -38,6 +39,13 @@
 
     /** Returns the answer to a caller's request for the number of waiting jobs. */
     wire::job_response count_jobs();
+    /** Hands in a caller's request for a job of the only queue. Its answer comes later. */
+    std::shared_ptr<std::optional<wire::job_response>> request(wire::job_verb verb,
+                                                               const std::string& name);
+    /** While held, commands wait for the disk; then they are applied in their order. */
+    void hold_commands(bool hold) { commands_held_ = hold; }
+    /** Value of a counter of requests that were refused. */
+    [[nodiscard]] std::uint64_t refused(const std::string& reason);
     /** The operator publishes a version without any queue. */
     void publish(std::uint64_t version) { apply(wire::publish_queues{version, {}}); }
     /** Accepts a job with one task. */
@@ -97,7 +105,8 @@
 private:
     class workers_in_process;
 
-    void apply(wire::command body);
+    wire::command_response apply(wire::command body);
+    boost::asio::awaitable<void> wait_for_turn(std::uint64_t turn);
     void submit_step(const std::string& name, wire::job_step step);
 
     daemon::context shared_;
@@ -105,6 +114,9 @@
     daemon::roster_service roster_;
     ledger::ledger_state state_;
     std::uint64_t index_{0};
+    bool commands_held_{false};
+    std::uint64_t commands_received_{0};
+    std::uint64_t commands_applied_{0};
     std::uint64_t term_{1};
     std::uint64_t announcements_{0};
     std::map<worker_id, std::map<wire::task_ref, std::uint32_t>> runs_;
--- a/tests/ledger/jobrecordtest.cpp
+++ b/tests/ledger/jobrecordtest.cpp
@@ -30,6 +30,12 @@
     CPPUNIT_TEST(a_snapshot_restores_failed_runs);
     CPPUNIT_TEST(a_snapshot_of_version_2_is_read);
     CPPUNIT_TEST(a_snapshot_of_version_3_is_read);
+    CPPUNIT_TEST(a_snapshot_of_version_4_is_read);
+    CPPUNIT_TEST(a_submission_after_the_cancelling_of_its_job_is_refused);
+    CPPUNIT_TEST(cancelling_of_unknown_jobs_removes_no_ended_job);
+    CPPUNIT_TEST(a_cancelling_that_cannot_be_recorded_is_not_answered_as_no_such_job);
+    CPPUNIT_TEST(a_cancelled_submission_is_forgotten_after_its_retention);
+    CPPUNIT_TEST(a_snapshot_restores_cancelled_submissions);
     CPPUNIT_TEST_SUITE_END();
 
     ledger_state state_;
@@ -270,6 +276,8 @@
         auto snapshot = encode_snapshot(state_);
         const auto after_jobs = wire::encode(state_.ended_jobs) + wire::encode(state_.queues) +
                                 wire::encode(std::vector<wire::worker_record>{});
+        // Only version 5 has cancelled submissions.
+        snapshot.resize(snapshot.size() - wire::encode(state_.cancelled_submissions).size());
         snapshot.erase(snapshot.size() - after_jobs.size() - last_bytes, last_bytes);
         snapshot.replace(0, sizeof(std::uint32_t), wire::encode(version));
         return snapshot;
@@ -298,6 +306,84 @@
         CPPUNIT_ASSERT_EQUAL(1U, read.jobs.begin()->second.tasks[1].failures);
         CPPUNIT_ASSERT(read.jobs.begin()->second.crashes == record().crashes);
     }
+
+    void a_snapshot_of_version_4_is_read()
+    {
+        run(job(2));
+        end(1, 3, false);
+        const auto read = decode_snapshot(snapshot_without(0, 4)).value();
+        CPPUNIT_ASSERT(read.jobs.begin()->second.failed_runs == record().failed_runs);
+        CPPUNIT_ASSERT(read.cancelled_submissions.empty());
+    }
+
+    wire::command_response cancel(const std::string& id, std::int64_t minute = 0)
+    {
+        return run(wire::cancel_job{submission_id{id}, wall_time{std::chrono::minutes{minute}}});
+    }
+
+    /** The job ran, although its caller had been told that there was none. */
+    void a_submission_after_the_cancelling_of_its_job_is_refused()
+    {
+        const auto submitted = job(1);
+        for (int repeated = 0; repeated < 2; ++repeated) {
+            CPPUNIT_ASSERT(cancel(submitted.id.value()).status == wire::command_status::rejected);
+            CPPUNIT_ASSERT(run(submitted).status == wire::command_status::conflict);
+        }
+        CPPUNIT_ASSERT(state_.jobs.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.cancelled_submissions.size());
+        auto other = submitted;
+        other.id = submission_id{"other"};
+        CPPUNIT_ASSERT(run(other).status == wire::command_status::accepted);
+        CPPUNIT_ASSERT(cancel("other").status == wire::command_status::accepted);
+        // A submission that is repeated after its cancelling stays the same job.
+        CPPUNIT_ASSERT(run(other).status == wire::command_status::duplicate);
+    }
+
+    void cancelling_of_unknown_jobs_removes_no_ended_job()
+    {
+        run(job(1));
+        end(0, 1, true);
+        for (std::size_t number = 0; number < state_limits{}.max_ended_jobs + 1; ++number)
+            cancel(std::to_string(number));
+        run(wire::expire_records{wall_time{std::chrono::minutes{1}}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.jobs.size());
+        CPPUNIT_ASSERT(record().phase == wire::job_phase::succeeded);
+    }
+
+    void a_cancelling_that_cannot_be_recorded_is_not_answered_as_no_such_job()
+    {
+        const auto most = state_limits{}.max_cancelled_submissions;
+        for (std::size_t number = 0; number < most; ++number)
+            CPPUNIT_ASSERT(cancel(std::to_string(number)).status == wire::command_status::rejected);
+        CPPUNIT_ASSERT(!can_cancel_unknown_job(state_));
+        CPPUNIT_ASSERT(cancel("one more").status == wire::command_status::unavailable);
+        CPPUNIT_ASSERT_EQUAL(most, state_.cancelled_submissions.size());
+        // Those that are recorded stay so.
+        CPPUNIT_ASSERT(cancel("0").status == wire::command_status::rejected);
+        auto submitted = job(1);
+        submitted.id = submission_id{"0"};
+        CPPUNIT_ASSERT(run(submitted).status == wire::command_status::conflict);
+    }
+
+    void a_cancelled_submission_is_forgotten_after_its_retention()
+    {
+        const auto retention = state_limits{}.cancelled_submission_retention;
+        const wall_time cancelled{std::chrono::minutes{100}};
+        cancel("0123456789abcdef", 100);
+        run(wire::expire_records{cancelled + retention});
+        CPPUNIT_ASSERT(run(job(1)).status == wire::command_status::conflict);
+        run(wire::expire_records{cancelled + retention + std::chrono::seconds{1}});
+        CPPUNIT_ASSERT(state_.cancelled_submissions.empty());
+        CPPUNIT_ASSERT(run(job(1)).status == wire::command_status::accepted);
+    }
+
+    void a_snapshot_restores_cancelled_submissions()
+    {
+        cancel("0123456789abcdef", 100);
+        state_ = decode_snapshot(encode_snapshot(state_)).value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.cancelled_submissions.size());
+        CPPUNIT_ASSERT(run(job(1)).status == wire::command_status::conflict);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_record_test);
