platform, http: an entry hands in no submission whose caller has left

What callers saw: an entry that wakes, or is slow to read, handed in the submissions of callers who had closed their connections meanwhile.

Cause: the server looked for the end of the connection only after the handler had begun, so call::abandoned was always false at its start, and the callers' route did not look at it.

A cancelling is handed in all the same.

--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -233,6 +233,8 @@
         auto monitor = std::make_shared<caller_monitor>(caller_monitor{&incoming, false});
         incoming.abandoned = {monitor, &monitor->abandoned};
         peer.stream.expires_never();
+        if (is_closed(peer.stream.socket()))
+            set_abandoned(self, *monitor);
         monitor_caller(self, peer, monitor);
         std::optional<response> reply;
         try {
@@ -260,13 +262,18 @@
                           [&self, &socket, monitor](const boost::system::error_code& error) {
                               if (error || monitor->incoming == nullptr || !is_closed(socket))
                                   return;
-                              monitor->abandoned = true;
-                              self.abandoned_requests.add();
+                              set_abandoned(self, *monitor);
                               if (monitor->incoming->on_abandoned)
                                   monitor->incoming->on_abandoned();
                           });
     }
 
+    static void set_abandoned(state& self, caller_monitor& monitor)
+    {
+        if (!std::exchange(monitor.abandoned, true))
+            self.abandoned_requests.add();
+    }
+
     static bool is_closed(tcp::socket& socket)
     {
         char byte{};
--- a/src/libhttp/router.h
+++ b/src/libhttp/router.h
@@ -20,9 +20,12 @@
     /** Parameters of the query string, percent-decoded. */
     std::map<std::string, std::string> query;
     time_point arrived;
-    /** Becomes true when the caller closes the connection while the handler runs. */
+    /**
+     * True if the caller has closed the connection before the handler runs; becomes true when it
+     * does so meanwhile.
+     */
     std::shared_ptr<const bool> abandoned;
-    /** Called once when `abandoned` becomes true. A handler may set it to cancel its work. */
+    /** Called once after `abandoned` has become true. A handler may set it to cancel its work. */
     std::function<void()> on_abandoned;
     /** Set by a handler to close the connection halfway through its response; for failure tests. */
     bool truncate_response{false};
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(oversize_and_malformed_requests_are_rejected_with_a_reason);
     CPPUNIT_TEST(slow_callers_time_out_and_are_counted);
     CPPUNIT_TEST(a_handler_is_notified_when_its_caller_disconnects);
+    CPPUNIT_TEST(a_handler_sees_that_its_caller_left_before_the_request_was_read);
     CPPUNIT_TEST(a_pipelined_request_does_not_count_as_a_disconnect);
     CPPUNIT_TEST(stop_completes_requests_in_progress);
     CPPUNIT_TEST(connections_beyond_the_limit_are_closed);
@@ -202,6 +203,29 @@
                              setup.count("galenaturn_http_requests_abandoned_total"));
     }
 
+    static asio::awaitable<void> await_end(fixture& setup)
+    {
+        while (setup.ended == 0)
+            co_await pause(std::chrono::milliseconds{1});
+    }
+
+    /** A process that stood still began the requests of callers who had left meanwhile. */
+    void a_handler_sees_that_its_caller_left_before_the_request_was_read()
+    {
+        fixture setup;
+        setup.slow_steps = 0;
+        {
+            asio::io_context caller_io;
+            tcp::socket socket{caller_io};
+            socket.connect({asio::ip::address_v4::loopback(), setup.target.port()});
+            asio::write(socket, asio::buffer(get("/slow")));
+        }
+        setup.run(await_end(setup));
+        CPPUNIT_ASSERT(setup.seen_abandoned);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             setup.count("galenaturn_http_requests_abandoned_total"));
+    }
+
     void a_pipelined_request_does_not_count_as_a_disconnect()
     {
         fixture setup;
--- /dev/null
+++ b/tests/platform/calleredgetest.cpp
@@ -0,0 +1,112 @@
+#include "platform/calleredge.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace galenaturn::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+std::string request_for(const std::string& method, const std::string& body)
+{
+    return method + " /desk/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h.example\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string submission()
+{
+    return request_for("POST", R"({"spec":"text","steps":[{"count":1,"cpu":500}]})");
+}
+
+/** The callers' routes of an entry that reads nothing until it resumes. */
+class suspended_entry {
+public:
+    suspended_entry() : server_{io_, routes_, {}, metrics_}
+    {
+        const auto relay = [this](wire::job_request request,
+                                  time_point) -> asio::awaitable<wire::job_response> {
+            relayed.push_back(request.verb);
+            wire::job_response response;
+            response.status = wire::job_response_status::ok;
+            co_return response;
+        };
+        add_caller_routes(routes_, relay, metrics_);
+        CPPUNIT_ASSERT(server_.listen({"127.0.0.1", 0}));
+    }
+
+    /** Returns the connection of the caller, who has sent the request. */
+    tcp::socket send(const std::string& request)
+    {
+        tcp::socket socket{caller_io_};
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+        asio::write(socket, asio::buffer(request));
+        return socket;
+    }
+
+    /** Serves callers for a moment. */
+    void resume() { io_.run_for(std::chrono::milliseconds{200}); }
+
+    std::uint64_t abandoned()
+    {
+        return metrics_.make_counter("galenaturn_caller_requests_abandoned_total").value();
+    }
+
+    std::vector<wire::job_verb> relayed;
+
+private:
+    asio::io_context io_{1};
+    asio::io_context caller_io_{1};
+    http::router routes_;
+    metrics_registry metrics_;
+    http::server server_;
+};
+
+} // namespace
+
+/** Tests which requests of callers an entry hands in. */
+class caller_edge_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(caller_edge_test);
+    CPPUNIT_TEST(a_submission_is_not_handed_in_after_its_caller_has_left);
+    CPPUNIT_TEST(a_submission_that_was_read_late_is_handed_in_for_a_caller_who_waits);
+    CPPUNIT_TEST(a_cancelling_is_handed_in_after_its_caller_has_left);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** Its caller had cancelled the job through another entry meanwhile. */
+    void a_submission_is_not_handed_in_after_its_caller_has_left()
+    {
+        suspended_entry entry;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, entry.abandoned());
+        entry.send(submission()).close();
+        entry.resume();
+        CPPUNIT_ASSERT(entry.relayed.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry.abandoned());
+    }
+
+    void a_submission_that_was_read_late_is_handed_in_for_a_caller_who_waits()
+    {
+        suspended_entry entry;
+        const auto waiting = entry.send(submission());
+        entry.resume();
+        CPPUNIT_ASSERT(entry.relayed == std::vector{wire::job_verb::submit});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, entry.abandoned());
+    }
+
+    /** Repeating it is safe, and its caller may rely on it. */
+    void a_cancelling_is_handed_in_after_its_caller_has_left()
+    {
+        suspended_entry entry;
+        entry.send(request_for("DELETE", {})).close();
+        entry.resume();
+        CPPUNIT_ASSERT(entry.relayed == std::vector{wire::job_verb::cancel});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_edge_test);
+
+} // namespace galenaturn::platform
