--- a/src/entryd/upstreamclient.cpp
+++ b/src/entryd/upstreamclient.cpp
@@ -126,7 +126,7 @@
         deadlines_, link.socket, std::min(deadline, monotonic_now() + connect_timeout)};
     metrics_.connections_opened.add();
     auto [error] = co_await link.socket.async_connect(endpoint, use_result);
-    if (error)
+    if (error || monotonic_now() >= deadline)
         co_return false;
     boost::system::error_code ignored;
     link.socket.set_option(tcp::no_delay{true}, ignored);
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -38,6 +38,8 @@
     auto [connect_error] = co_await socket.async_connect(endpoint, use_result);
     if (connect_error)
         co_return error_at_deadline(deadline, connect_error);
+    if (monotonic_now() >= deadline)
+        co_return asio::error::timed_out;
     auto [write_error, written] = co_await beast_http::async_write(socket, message, use_result);
     if (write_error)
         co_return error_at_deadline(deadline, write_error);
