ledger: a leader that wakes reports no hung disk

A command that was proposed between the wake of a leader and its next tick met a disk time from before the suspension, and `ledger_disk_hangs` was logged at level error, although the leader stepped down for its lost quorum. It is logged now where it is what ended the leadership, as the chart of the replica says. Not covered by a test of its own: the event is only logged by the daemon; a_leader_whose_disk_writes_nothing_steps_down covers the cause.

--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -374,11 +374,13 @@
         if (error || failed_)
             return;
         const auto now = monotonic_now();
-        if (ledger::disk_hangs(*replica_, now))
+        auto done = ledger::tick(*replica_, now);
+        // A leader that was suspended steps down for its lost quorum before its disk counts.
+        if (done.role_change_cause == "disk_hangs")
             log_event(log_level::error, "ledger_disk_hangs",
                       {{"folder", shared_.settings.data_folder},
                        {"advice", "another voter leads; see docs/operators/state.md"}});
-        process_effects(ledger::tick(*replica_, now));
+        process_effects(std::move(done));
         schedule_tick();
     });
 }
