tests: a leader without its lease gives workers none

A leader that wakes after others have elected another one must not keep runs alive which its successor counts as ended. The check before each poll was not covered by a test of its own.

--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(worker_is_not_polled_continuously_while_a_completion_is_recorded);
     CPPUNIT_TEST(completion_is_acknowledged_once_it_is_recorded);
     CPPUNIT_TEST(queued_commands_outlast_a_lapse_of_the_lease);
+    CPPUNIT_TEST(workers_get_no_leases_while_the_lease_of_the_leader_has_lapsed);
     CPPUNIT_TEST(stops_to_one_worker_do_not_wait_for_each_others_replies);
     CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
     CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
@@ -172,6 +173,25 @@
         CPPUNIT_ASSERT_EQUAL(stopped, leader.stops().size());
     }
 
+    /** Guards against a former leader that keeps runs alive which its successor counts as ended. */
+    void workers_get_no_leases_while_the_lease_of_the_leader_has_lapsed()
+    {
+        test_leader leader{1};
+        leader.submit("job");
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 1; }));
+        leader.end_a_run();
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.leases_since_end() > 0; }));
+        leader.set_leads(false);
+        leader.run_for(std::chrono::milliseconds{100});
+        const auto polls = leader.polls_since_end();
+        const auto leases = leader.leases_since_end();
+        leader.run_for(std::chrono::seconds{1});
+        CPPUNIT_ASSERT_EQUAL(polls, leader.polls_since_end());
+        CPPUNIT_ASSERT_EQUAL(leases, leader.leases_since_end());
+        leader.set_leads(true);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.leases_since_end() > leases; }));
+    }
+
     /** A lost reply delayed the stops behind it by the timeout of 0.8 s each. */
     void stops_to_one_worker_do_not_wait_for_each_others_replies()
     {
