--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(worker_is_not_polled_continuously_while_a_completion_is_recorded);
     CPPUNIT_TEST(completion_is_acknowledged_once_it_is_recorded);
     CPPUNIT_TEST(queued_commands_outlast_a_lapse_of_the_lease);
+    CPPUNIT_TEST(queued_starts_wait_while_the_lease_of_the_leader_has_lapsed);
     CPPUNIT_TEST(workers_get_no_leases_while_the_lease_of_the_leader_has_lapsed);
     CPPUNIT_TEST(stops_to_one_worker_do_not_wait_for_each_others_replies);
     CPPUNIT_TEST(stop_waits_for_the_reply_to_its_start);
@@ -173,6 +174,26 @@
         CPPUNIT_ASSERT_EQUAL(stopped, leader.stops().size());
     }
 
+    /** Guards against a former leader that goes on with its starts when the one in flight ends. */
+    void queued_starts_wait_while_the_lease_of_the_leader_has_lapsed()
+    {
+        test_leader leader{1};
+        leader.submit("first");
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 1; }));
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.hold_start_replies(true);
+        for (const auto* name : {"second", "third", "fourth"})
+            leader.submit(name);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.starts().size() == 2; }));
+        CPPUNIT_ASSERT(leader.run_until_pass());
+        leader.set_leads(false);
+        leader.hold_start_replies(false);
+        leader.run_for(std::chrono::milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, leader.starts().size());
+        leader.set_leads(true);
+        CPPUNIT_ASSERT(leader.run_until([&] { return leader.running() == 4; }));
+    }
+
     /** Guards against a former leader that keeps runs alive which its successor counts as ended. */
     void workers_get_no_leases_while_the_lease_of_the_leader_has_lapsed()
     {
