control, schedule: the announced end of a worker ends none of its runs

Cause: a departure was taken for the proof that all runs had ended, and the worker was retired in the ledger at once. It only says that the worker is about to end.

Change: a worker that has announced its end gets no starts and its finite runs are stopped by order; what it runs ends by its report, by its lease, or because its address refuses connections or another life answers there. It is retired only then, so that a new leader asks it for its runs too. A refused connection is told from one that was not established (client_error::connection_refused). A silence after the announcement is a planned end, not a suspected crash.

Changed tests, each as strict as before: start_of_a_worker_that_left_is_in_doubt and departed_starts_are_forgotten (starts_review_test) and the placement simulation took the announcement for the end, and now also remove the worker, as the service does with the proof; exchange_without_a_connection_has_sent_nothing expects the more exact error for a closed port.

--- a/src/controld/jobannouncements.cpp
+++ b/src/controld/jobannouncements.cpp
@@ -87,14 +87,11 @@
 {
     if (!term_active_)
         return;
+    schedule::on_worker_announcement(scheduler_, presence);
+    if (presence.left)
+        return schedule_pass();
     const auto& id = presence.worker.id;
     const auto& recorded = hub_.state().workers;
-    if (presence.left) {
-        if (recorded.contains(id))
-            retire_worker(id, "left");
-        return;
-    }
-    schedule::on_worker_announcement(scheduler_, presence);
     for (const auto& earlier : schedule::earlier_lives(scheduler_, id))
         on_worker_crash(earlier, id);
     // The next leader may not have heard of a capacity that has changed.
--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -165,7 +165,8 @@
     for (const auto& [id, record] : state.workers)
         open_connection(id);
     for (const auto& [id, announced] : announcements_) {
-        if (!announced.over && now - announced.last_seen < max_announcement_age)
+        const bool is_current = now - announced.last_seen < max_announcement_age;
+        if (!announced.over && (is_current || announced.presence.left))
             apply_announcement(announced.presence);
     }
 }
@@ -406,6 +407,7 @@
         load_.longest_tick_delay = std::max(load_.longest_tick_delay, delay);
         begin_term_if_leading();
         send_due_commands();
+        retire_ended_departures();
         schedule_pass();
         log_capacity();
         schedule::forget_silent_workers(announcements_, monotonic_now());
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -126,6 +126,10 @@
     /** Logs the runs that end with the worker. */
     void log_lost_runs(const worker_id& worker, const char* cause) const;
     void retire_worker(const worker_id& worker, const char* cause);
+    /** Retires a worker that has left, and at whose address nothing listens any more. */
+    void retire_if_gone(const worker_id& worker, const command_reply& reply);
+    /** Retires the workers that have left and whose leases have expired since. */
+    void retire_ended_departures();
     /** Handles that another worker responded in its place, or `next`, its next life. */
     void on_worker_crash(const worker_id& worker, const worker_id& next = {});
     /** Retires the worker in the ledger, which admits others in the same step. */
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds best_effort_poll_wait{500};
 /** Pause before a worker that did not reply is polled again. */
 constexpr duration poll_retry_pause = std::chrono::milliseconds{200};
+/** The same for a worker that has left, whose tasks wait for its end. */
+constexpr duration departure_poll_pause = std::chrono::milliseconds{20};
 /** A worker that was silent for longer gets no new lease until it replies. */
 constexpr duration max_silence = std::chrono::milliseconds{2500};
 std::chrono::milliseconds poll_wait_for(const schedule::job_worker& worker)
@@ -102,8 +104,10 @@
             continue;
         }
         const bool replied = co_await self->poll_once(worker, generation);
-        if (!replied)
-            co_await pause(self->shared_.io, poll_retry_pause);
+        if (replied)
+            continue;
+        const bool left = schedule::has_left(self->scheduler_, worker);
+        co_await pause(self->shared_.io, left ? departure_poll_pause : poll_retry_pause);
     }
 }
 
@@ -175,6 +179,7 @@
                   {{"worker", worker},
                    {"answer", schedule::to_string(polled.reply.result)},
                    {"reason", polled.reply.reason}});
+        retire_if_gone(worker, polled.reply);
         co_return false;
     }
     const auto now = monotonic_now();
@@ -410,6 +415,7 @@
         self->drop_queued_starts(worker);
     if (reply->result == command_result::other_incarnation)
         self->on_worker_crash(worker);
+    self->retire_if_gone(worker, *reply);
     const auto connection = self->connections_.find(worker);
     if (connection == self->connections_.end())
         co_return;
--- a/src/controld/workercommands.h
+++ b/src/controld/workercommands.h
@@ -33,6 +33,8 @@
     std::string reason;
     /** No reply, because the worker closed its connection. */
     bool closed{false};
+    /** No reply, because nothing listens at the address of the worker. */
+    bool connection_refused{false};
 };
 
 struct poll_reply {
--- a/src/controld/workerlives.cpp
+++ b/src/controld/workerlives.cpp
@@ -119,6 +119,20 @@
     forget_worker(worker);
 }
 
+void job_service::retire_if_gone(const worker_id& worker, const command_reply& reply)
+{
+    if (reply.connection_refused && schedule::has_left(scheduler_, worker))
+        retire_worker(worker, "left");
+}
+
+void job_service::retire_ended_departures()
+{
+    if (!term_active_ || !hub_.leads())
+        return;
+    for (const auto& worker : schedule::ended_departures(scheduler_, monotonic_now()))
+        retire_worker(worker, "left_silently");
+}
+
 void job_service::on_worker_crash(const worker_id& worker, const worker_id& next)
 {
     log_lost_runs(worker, next.empty() ? "other_life" : "next_life");
--- a/src/libhttp/clienterrors.h
+++ b/src/libhttp/clienterrors.h
@@ -8,6 +8,8 @@
     ok,
     /** The connection was not established, so nothing of the request was sent. */
     not_connected,
+    /** The same, because nothing listens at the address. */
+    connection_refused,
 };
 
 error_code make_error_code(client_error error);
--- a/src/libhttp/sessionpool.cpp
+++ b/src/libhttp/sessionpool.cpp
@@ -133,7 +133,8 @@
         // The VM may have been suspended meanwhile, and the lease that the request relies on lost.
         if (!connected || monotonic_now() >= deadline) {
             failed_.add();
-            co_return client_error::not_connected;
+            const bool refused = !connected && connected.error() == asio::error::connection_refused;
+            co_return refused ? client_error::connection_refused : client_error::not_connected;
         }
     }
     const socket_deadlines::watch watch{deadlines_, connection->socket, deadline};
--- a/src/libhttp/sessionpool.h
+++ b/src/libhttp/sessionpool.h
@@ -24,7 +24,7 @@
 
     /**
      * Sends a request. Returns the complete response, or why there is none by `deadline`:
-     * `not_connected` if nothing was sent.
+     * `not_connected` or `connection_refused` if nothing was sent.
      */
     boost::asio::awaitable<result<response>> exchange(ip_endpoint address, request message,
                                                       time_point deadline);
--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -485,6 +485,7 @@
 
 void drain_leaving_workers(job_scheduler& state, time_point now)
 {
+    std::vector<wire::task_ref> ending;
     std::vector<wire::task_ref> running;
     std::vector<wire::task_ref> moving;
     for (const auto& [id, worker] : state.workers) {
@@ -492,16 +493,22 @@
             continue;
         for (const auto& [ref, number] : worker.runs) {
             const auto* task = find_task(state, ref);
-            // A finite task ends before the worker leaves; a long-running one moves as soon as
+            if (task == nullptr)
+                continue;
+            // A finite task has until the worker leaves; a long-running one moves as soon as
             // another worker can run it.
-            if (task == nullptr || !state.jobs.at(ref.job).spec.steps[ref.step].long_running)
+            const bool moves = state.jobs.at(ref.job).spec.steps[ref.step].long_running;
+            if (!moves && !worker.left)
                 continue;
             if (task->run->phase == run_phase::running)
-                running.push_back(ref);
-            else if (task->run->cause == stop_cause::worker_leaving)
+                (moves ? running : ending).push_back(ref);
+            else if (moves && task->run->cause == stop_cause::worker_leaving)
                 moving.push_back(ref);
         }
     }
+    // The end of the worker cuts them off without a checkpoint, at a moment that is not known.
+    for (const auto& ref : ending)
+        stop_run(state, ref, *find_task(state, ref), stop_cause::worker_leaving, now);
     if (running.empty())
         return;
     mark_ended_pauses(state, now);
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -113,12 +113,16 @@
 /** Applies the recorded progress and phase of a job in the ledger. */
 void on_job_record(job_scheduler& state, const wire::job_record& record, time_point now);
 
-/** Applies a worker's announcement. All runs of a worker that has left have certainly ended. */
+/** Applies a worker's announcement. That it has left ends none of its runs. */
 void on_worker_announcement(job_scheduler& state, const wire::worker_presence& presence);
 /** Marks the worker as recorded in the ledger: it may receive commands. */
 void admit_worker(job_scheduler& state, const worker_id& worker);
 /** Removes a worker whose runs have all ended and that will not return under the same name. */
 void remove_worker(job_scheduler& state, const worker_id& worker);
+/** Returns whether the worker has announced its end, so that it is gone once it can't be found. */
+bool has_left(const job_scheduler& state, const worker_id& worker);
+/** Returns the workers that have left and of which nothing can run any more. */
+std::vector<worker_id> ended_departures(const job_scheduler& state, time_point now);
 
 /**
  * Removes a worker that has crashed: another one responded in its place, or `next`, its next life.
@@ -178,7 +182,10 @@
                                          slice_limits limits);
 /** Returns whether a slice would place something before the next pass. */
 bool has_urgent_changes(const job_scheduler& state);
-/** Stops long-running tasks on workers that are leaving, where another worker can run them. */
+/**
+ * Stops long-running tasks on workers that are leaving, where another worker can run them, and
+ * finite ones on workers that have left.
+ */
 void drain_leaving_workers(job_scheduler& state, time_point now);
 /** Returns the stops to send now. */
 std::vector<stop_command> plan_stops(job_scheduler& state, time_point now);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -293,6 +293,8 @@
     /** Runs on it, by task. */
     std::map<wire::task_ref, std::uint32_t> runs;
     bool leaving{false};
+    /** It has announced its end. Its runs may go on until it is certainly gone. */
+    bool left{false};
     /** Recorded in the ledger, so that the next leader polls it too. */
     bool admitted{false};
     /** A complete report was read in the term of this leader. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -119,8 +119,9 @@
 expired_lease end_expired_runs(job_scheduler& state, job_worker& worker, time_point now)
 {
     expired_lease expired{worker.record.id, 0, {}};
-    // The worker may have crashed or be partitioned; its next response tells.
-    auto items = crash_items(state, worker);
+    // The worker may have crashed or be partitioned; its next response tells. One that has left is
+    // silent because it has ended.
+    auto items = worker.left ? std::vector<wire::record_crash::item>{} : crash_items(state, worker);
     const auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
         auto& run = *find_task(state, ref)->run;
@@ -156,6 +157,16 @@
     }
 }
 
+void mark_left(job_scheduler& state, const worker_id& id)
+{
+    const auto worker = state.workers.find(id);
+    if (worker == state.workers.end())
+        return;
+    worker->second.leaving = true;
+    worker->second.left = true;
+    mark_changed(state, worker->second);
+}
+
 } // namespace
 
 void forget_departed_starts(job_scheduler& state, time_point now)
@@ -168,7 +179,7 @@
 void on_worker_announcement(job_scheduler& state, const wire::worker_presence& presence)
 {
     if (presence.left)
-        return remove_worker(state, presence.worker.id);
+        return mark_left(state, presence.worker.id);
     const auto [found, added] = state.workers.try_emplace(presence.worker.id);
     auto& worker = found->second;
     if (!added && worker.leaving == presence.leaving && worker.record == presence.worker)
@@ -202,6 +213,24 @@
     state.workers.erase(worker);
 }
 
+bool has_left(const job_scheduler& state, const worker_id& id)
+{
+    const auto worker = state.workers.find(id);
+    return worker != state.workers.end() && worker->second.left;
+}
+
+std::vector<worker_id> ended_departures(const job_scheduler& state, time_point now)
+{
+    std::vector<worker_id> ended;
+    for (const auto& [id, worker] : state.workers) {
+        const bool may_run = now <= worker.lease_expires_at || !worker.runs.empty() ||
+                             state.unread_workers.contains(id) || has_known_orphans(state, id);
+        if (worker.left && !may_run)
+            ended.push_back(id);
+    }
+    return ended;
+}
+
 std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& id,
                                                       const worker_id& next, time_point now)
 {
--- a/src/libschedule/workercrashes.cpp
+++ b/src/libschedule/workercrashes.cpp
@@ -121,6 +121,8 @@
     worker->second.lost = contact_loss{now, closed};
     if (closed)
         worker->second.alive_at = std::max(worker->second.alive_at, now);
+    if (worker->second.left)
+        return;
     state.contact_losses.push_back(now);
     if (state.contact_losses.size() > max_contact_losses)
         state.contact_losses.pop_front();
--- a/src/libwire/jobs.h
+++ b/src/libwire/jobs.h
@@ -357,7 +357,7 @@
     worker_record worker;
     std::uint64_t sequence{0};
     bool leaving{false};
-    /** The worker has shut down as planned and runs nothing any more. */
+    /** The worker is about to end as planned. What it runs goes on until it has ended. */
     bool left{false};
 
     template <class Archive>
--- /dev/null
+++ b/tests/control/departurestest.cpp
@@ -0,0 +1,140 @@
+#include "restartingworkers.h"
+#include "testleader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace galenaturn::controld {
+
+namespace {
+
+constexpr duration lease = std::chrono::milliseconds{4500};
+constexpr duration lease_limit = std::chrono::milliseconds{6500};
+constexpr std::uint32_t tasks = 3;
+constexpr millicores processors_per_task{20'000};
+
+job_settings short_leases()
+{
+    job_settings settings;
+    settings.lease = lease;
+    settings.lease_limit = lease_limit;
+    settings.start_delay_limit = std::chrono::milliseconds{6000};
+    return settings;
+}
+
+wire::worker_record make_worker(const std::string& name)
+{
+    wire::worker_record worker;
+    worker.id = worker_id{name};
+    worker.service = service_id{"desk"};
+    worker.address = {"127.0.0.1", 1};
+    worker.capacity = {millicores{64'000}, bytes{std::int64_t{256} << 30}, {}};
+    return worker;
+}
+
+/** A leader with the workers a and b. All tasks run on a; nothing runs on b. */
+struct departing_worker {
+    restarting_workers* workers{nullptr};
+    test_leader leader;
+
+    departing_worker()
+        : leader{short_leases(),
+                 {{make_worker("a"), make_worker("b")}, {}},
+                 [this](boost::asio::io_context& io) {
+                     auto made = std::make_unique<restarting_workers>(io, lease_limit);
+                     made->begin_life("a", incarnation{});
+                     made->begin_life("b", incarnation{});
+                     workers = made.get();
+                     return made;
+                 }}
+    {
+        workers->cut_off("b", true);
+        leader.run_for(std::chrono::milliseconds{300});
+        leader.submit_tasks("job", tasks, processors_per_task);
+        CPPUNIT_ASSERT(leader.run_until([&] { return workers->running("a") == tasks; }));
+        workers->cut_off("b", false);
+        leader.run_for(std::chrono::seconds{1});
+    }
+
+    bool run_until_all_run_on_b(duration limit)
+    {
+        return leader.run_until([&] { return workers->running("b") == tasks; }, limit);
+    }
+};
+
+} // namespace
+
+/** Tests workers that announce their end, and are gone at once, later, or without a sign of it. */
+class departures_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(departures_test);
+    CPPUNIT_TEST(no_task_runs_twice_where_a_worker_runs_on_after_it_has_announced_its_end);
+    CPPUNIT_TEST(no_task_runs_twice_where_a_worker_is_cut_off_after_it_has_announced_its_end);
+    CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_end);
+    CPPUNIT_TEST(tasks_start_elsewhere_at_once_where_the_address_refuses_connections);
+    CPPUNIT_TEST(the_next_leader_retires_a_worker_that_had_announced_its_end);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void assert_none_doubled(const departing_worker& test)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.workers->doubled().size());
+    }
+
+    /** Its tasks are stopped by order, so they need not wait for its lease. */
+    void no_task_runs_twice_where_a_worker_runs_on_after_it_has_announced_its_end()
+    {
+        departing_worker test;
+        test.leader.announce_end(worker_id{"a"});
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::seconds{1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.workers->running("a"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{tasks}, test.workers->starts("a"));
+        assert_none_doubled(test);
+    }
+
+    void no_task_runs_twice_where_a_worker_is_cut_off_after_it_has_announced_its_end()
+    {
+        departing_worker test;
+        test.leader.announce_end(worker_id{"a"});
+        test.workers->cut_off("a", true);
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(3 * lease_limit));
+        assert_none_doubled(test);
+        CPPUNIT_ASSERT(!test.leader.knows(worker_id{"a"}));
+    }
+
+    /** Guards against a mark in the ledger that is taken for the end of the runs. */
+    void no_task_runs_twice_where_the_next_leader_has_heard_of_the_end()
+    {
+        departing_worker test;
+        test.leader.announce_end(worker_id{"a"});
+        test.workers->cut_off("a", true);
+        test.leader.run_for(std::chrono::milliseconds{100});
+        test.leader.begin_next_term();
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(3 * lease_limit));
+        assert_none_doubled(test);
+    }
+
+    void tasks_start_elsewhere_at_once_where_the_address_refuses_connections()
+    {
+        departing_worker test;
+        test.leader.announce_end(worker_id{"a"});
+        test.workers->end_life("a");
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::milliseconds{500}));
+        CPPUNIT_ASSERT(!test.leader.knows(worker_id{"a"}));
+    }
+
+    /** Otherwise each later leader waits for it. */
+    void the_next_leader_retires_a_worker_that_had_announced_its_end()
+    {
+        departing_worker test;
+        test.workers->cut_off("a", true);
+        test.leader.announce_end(worker_id{"a"});
+        test.leader.begin_next_term();
+        test.workers->end_life("a");
+        test.workers->cut_off("a", false);
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return !test.leader.knows(worker_id{"a"}); },
+                                             3 * lease_limit));
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::seconds{1}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(departures_test);
+
+} // namespace galenaturn::controld
--- a/tests/control/restartingworkers.cpp
+++ b/tests/control/restartingworkers.cpp
@@ -24,6 +24,14 @@
     return reply;
 }
 
+command_reply refused_connection()
+{
+    command_reply reply;
+    reply.result = schedule::command_result::unreachable;
+    reply.connection_refused = true;
+    return reply;
+}
+
 } // namespace
 
 void restarting_workers::begin_life(const std::string& name, incarnation life,
@@ -40,6 +48,14 @@
     worker.held_calls = std::move(held);
 }
 
+void restarting_workers::end_life(const std::string& name)
+{
+    auto& worker = workers_[name];
+    worker.over = true;
+    worker.running.clear();
+    worker.ended.clear();
+}
+
 void restarting_workers::carry_out_held_calls(const std::string& name, time_point sent_until)
 {
     for (auto& call : std::exchange(workers_[name].held_calls, {})) {
@@ -150,6 +166,8 @@
     const auto name = name_of(worker.id);
     auto& state = workers_[name];
     const bool held = state.holds_calls || state.holds_starts;
+    if (state.over && !state.cut)
+        co_return refused_connection();
     if (!state.cut && !held)
         co_return carry_out_start(name, command, header);
     if (held)
@@ -165,6 +183,8 @@
                                                         command_header header)
 {
     auto& state = workers_[name_of(worker.id)];
+    if (state.over && !state.cut)
+        co_return refused_connection();
     if (state.cut || state.holds_calls) {
         co_await wait_until(header.reply_deadline);
         co_return command_reply{};
@@ -193,6 +213,8 @@
     auto& state = workers_[name];
     const auto life = state.life;
     const auto replies_at = monotonic_now() + wait;
+    if (state.over && !state.cut)
+        co_return poll_reply{refused_connection(), {}, {}};
     if (state.holds_calls)
         state.held_calls.push_back(
             {monotonic_now(), [this, name, acknowledged_completions, header] {
@@ -201,8 +223,14 @@
     const bool arrives = !state.cut && !state.holds_calls;
     if (arrives)
         carry_out_poll(name, acknowledged_completions, header);
-    while (arrives && state.ended.empty() && state.life == life && monotonic_now() < replies_at)
+    while (arrives && state.ended.empty() && state.life == life && !state.over &&
+           monotonic_now() < replies_at)
         co_await wait_until(monotonic_now() + poll_check_interval);
+    if (state.over && !state.cut) {
+        poll_reply closed;
+        closed.reply.closed = true;
+        co_return closed;
+    }
     if (!arrives || state.life != life || state.cut) {
         co_await wait_until(header.reply_deadline);
         co_return poll_reply{};
--- a/tests/control/restartingworkers.h
+++ b/tests/control/restartingworkers.h
@@ -28,6 +28,8 @@
     /** The worker starts, or starts again with nothing of its former life. */
     void begin_life(const std::string& name, incarnation life,
                     std::chrono::milliseconds clock = std::chrono::milliseconds{0});
+    /** The worker ends with all its runs; its address refuses connections. */
+    void end_life(const std::string& name);
     /** While it is cut off, calls and replies are lost and its runs go on. */
     void cut_off(const std::string& name, bool cut) { workers_[name].cut = cut; }
     /** Calls are not carried out on their arrival, and get no reply. */
@@ -74,6 +76,7 @@
         std::vector<schedule::worker_report::ended_run> ended;
         std::uint64_t last_completion{0};
         std::uint64_t starts{0};
+        bool over{false};
         bool cut{false};
         bool holds_calls{false};
         bool holds_starts{false};
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -192,6 +192,14 @@
     service_->on_announcement(presence);
 }
 
+void test_leader::announce_end(const worker_id& worker)
+{
+    wire::worker_presence presence;
+    presence.worker.id = worker;
+    presence.left = true;
+    service_->on_announcement(presence);
+}
+
 void test_leader::submit(const std::string& name, bool long_running)
 {
     wire::job_step step;
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -82,6 +82,8 @@
     void begin_next_term();
     /** A worker announces itself. */
     void announce(const wire::worker_record& worker);
+    /** A worker announces that it is about to end. */
+    void announce_end(const worker_id& worker);
 
     /** The lease of the leader lapses, or is renewed. */
     void set_leads(bool leads) { leads_ = leads; }
@@ -91,6 +93,11 @@
 
     /** The ledger has recorded that all tasks of the job have succeeded. */
     [[nodiscard]] bool has_succeeded(const std::string& name) const;
+    /** The ledger has the worker, so that the next leader asks it for its runs. */
+    [[nodiscard]] bool knows(const worker_id& worker) const
+    {
+        return state_.workers.contains(worker);
+    }
     /** Tasks that run on any worker. */
     [[nodiscard]] std::size_t running() const;
     [[nodiscard]] const std::vector<received_stop>& stops() const { return stops_; }
--- a/tests/http/sessionpooltest.cpp
+++ b/tests/http/sessionpooltest.cpp
@@ -149,7 +149,7 @@
         // The system accepts the connection and the request, although nothing reads them.
         CPPUNIT_ASSERT(run_exchange(port) == error_code{asio::error::timed_out});
         silent.close();
-        CPPUNIT_ASSERT(run_exchange(port) == make_error_code(client_error::not_connected));
+        CPPUNIT_ASSERT(run_exchange(port) == make_error_code(client_error::connection_refused));
     }
 
     /** Guards against a command that is sent after the time for which its sender had checked it. */
--- a/tests/schedule/placementsimulation.cpp
+++ b/tests/schedule/placementsimulation.cpp
@@ -93,6 +93,7 @@
             if (worker.announcement.leaving && worker.running.empty() && worker.ended.empty()) {
                 worker.announcement.left = true;
                 on_worker_announcement(state_, worker.announcement);
+                remove_worker(state_, entry->first);
                 ++counts_.departures;
                 entry = fleet_.erase(entry);
                 continue;
--- a/tests/schedule/startsreviewtest.cpp
+++ b/tests/schedule/startsreviewtest.cpp
@@ -383,6 +383,7 @@
         auto left = presence(life.value());
         left.left = true;
         on_worker_announcement(state_, left);
+        remove_worker(state_, life);
         on_worker_announcement(state_, presence(next.value()));
         admit_worker(state_, next);
         CPPUNIT_ASSERT(!may_extend_lease(state_, next));
@@ -401,6 +402,7 @@
         auto left = presence(life.value());
         left.left = true;
         on_worker_announcement(state_, left);
+        remove_worker(state_, life);
         now_ += std::chrono::hours{1};
         add_worker("w2");
         plan_starts(state_, now_, wall_);
