tests: the check of a leader's log asks for what was committed in earlier terms

Trace: v3 is suspended as a candidate of term 12; v4 leads term 13 and commits; v3 wakes, gets the votes that waited for it and leads term 12 until it hears of term 13. Raft allows that: a leader holds what was committed in earlier terms than its own. It commits nothing, since a majority is in term 13, and gets no lease.

The check was right for the newest leader only. It is replaced by the property itself: each leader, of any term, holds every entry that was committed in an earlier term. For a leader of the newest term that is the same as before.

--- a/tests/ledger/simulation/simchecks.cpp
+++ b/tests/ledger/simulation/simchecks.cpp
@@ -42,9 +42,13 @@
                    std::to_string(node.core->hard.current_term.value()));
     const auto recorded = leaders_.emplace(node.core->hard.current_term, node.voter).first;
     require(recorded->second == node.voter, "one leader per term");
-    if (committed_.empty())
+    // A candidate of an earlier term may get its votes after a later leader has committed.
+    const auto last = std::find_if(committed_.rbegin(), committed_.rend(), [&](const auto& entry) {
+        return entry.second.committed_in < node.core->hard.current_term;
+    });
+    if (last == committed_.rend())
         return;
-    const auto& [index, entry] = *committed_.rbegin();
+    const auto& [index, entry] = *last;
     require(node.core->log.last_index() >= index,
             "a leader's log reaches the last committed entry");
     require(index < node.core->log.base() || node.core->log.term_of(index) == entry.entry_term,
@@ -54,7 +58,8 @@
 void simulation::check_committed(std::size_t node_index, const log_entry& entry)
 {
     const committed_entry committed{entry.entry_term,
-                                    digest_of(entry.payload) + static_cast<unsigned>(entry.kind)};
+                                    digest_of(entry.payload) + static_cast<unsigned>(entry.kind),
+                                    nodes_[node_index].core->hard.current_term};
     const auto recorded = committed_.emplace(entry.index, committed);
     if (recorded.second)
         ++result_.commits;
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -201,6 +201,8 @@
     struct committed_entry {
         term entry_term;
         std::uint64_t digest{0};
+        /** Term of the leader that committed it. */
+        term committed_in;
     };
     std::map<log_index, committed_entry> committed_;
     std::map<log_index, std::uint64_t> state_digests_;
