control: a worker's lease is counted from one reading of the clock

The leader read the clock for the lease that it grants, and once more for the lease that it records. Where its VM is suspended between the two, the worker's lease ends up to 2.5 s later than the leader counts, and a task may start elsewhere meanwhile. Found by reading, not seen in a run. Both are counted from the same reading now.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -146,8 +146,9 @@
     /** Asks the worker in which life it is. Such a poll is harmless in any life. */
     static boost::asio::awaitable<void> probe_life(job_service* self, worker_id worker,
                                                    std::uint64_t generation);
+    /** Returns the end of a lease that begins at `now`, on the clock of the worker. */
     [[nodiscard]] std::optional<std::chrono::milliseconds>
-    lease_for(const worker_connection& connection) const;
+    lease_for(const worker_connection& connection, time_point now) const;
     /**
      * Sends what is queued for the worker. While the lease of this leader has lapsed, it stays
      * queued.
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -111,10 +111,9 @@
     }
 }
 
-std::optional<std::chrono::milliseconds>
-job_service::lease_for(const worker_connection& connection) const
+std::optional<std::chrono::milliseconds> job_service::lease_for(const worker_connection& connection,
+                                                                time_point now) const
 {
-    const auto now = monotonic_now();
     if (!connection.clock || now - connection.last_reply_at > max_silence)
         return std::nullopt;
     const auto since_reading =
@@ -147,7 +146,7 @@
     const auto acknowledged =
         may_be_other_life || is_confirmed ? 0 : found->second.completions_acknowledged;
     if (!may_be_other_life && schedule::may_extend_lease(scheduler_, worker))
-        header.lease_until = lease_for(connections_[worker]);
+        header.lease_until = lease_for(connections_[worker], requested_at);
     const auto wait = is_urgent ? std::chrono::milliseconds{0} : poll_wait_for(found->second);
     header.reply_deadline = requested_at + wait + command_timeout;
     const auto lease_before = found->second.lease_expires_at;
@@ -282,8 +281,8 @@
         co_return;
     command_header header;
     header.token = schedule::token_for(scheduler_, token_, worker);
-    header.lease_until = lease_for(connection);
     const auto requested_at = monotonic_now();
+    header.lease_until = lease_for(connection, requested_at);
     header.reply_deadline = requested_at + command_timeout;
     auto obstacle = schedule::reason_to_drop(scheduler_, command);
     if (!obstacle && !header.lease_until)
