tests: a soak that suspends real processes like VMs

util/soak suspension suspends the leader and other control processes, one, two, all but one or all of them at once, two in a row, and entries, together with the restarts and cuts of the soak with real processes. Some suspended processes are killed instead of resumed. The steady clock of the processes stands still in most suspensions and goes on in some.

--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -20,6 +20,7 @@
 constexpr const char* jobs_prefix = "/jobs/";
 constexpr milliseconds request_deadline{3000};
 constexpr milliseconds operator_timeout{1000};
+constexpr milliseconds read_timeout{1500};
 /** From when on an accepted job has to be known. */
 constexpr milliseconds visible_after{3000};
 
@@ -263,11 +264,11 @@
     return probe;
 }
 
-config_probe ask_control(const callee& target)
+config_probe ask_control(const callee& target, http_socket& kept)
 {
     config_probe probe;
     probe.sent = monotonic_now();
-    probe.version = read_version(target);
+    probe.version = kept.is_open() ? read_version(kept) : read_version(target);
     if (probe.version > 0)
         probe.shown = shown_version::read;
     return probe;
@@ -300,9 +301,15 @@
 {
     constexpr milliseconds interval{60};
     std::mt19937_64 random{shared.seed ^ std::hash<std::string>{}(target.name)};
+    http_socket kept;
     while (!shared.stopped) {
         const auto life = shared.life_of(target.name);
-        auto probe = is_control ? ask_control(target) : ask_entry(shared, target, random);
+        const bool changes_connection = is_control && between(random, 0, 3) == 0;
+        if (changes_connection && kept.is_open())
+            kept.close();
+        else if (changes_connection)
+            kept.connect(target.address, interval);
+        auto probe = is_control ? ask_control(target, kept) : ask_entry(shared, target, random);
         probe.process = target.name;
         probe.life = life;
         probe.answered = monotonic_now();
@@ -358,13 +365,21 @@
 
 int read_version(const callee& control)
 {
-    const auto request =
-        request_text("GET", "/-/config", control.address.text(), "Connection: close\r\n", "");
-    const auto response = call_once(control.address, request, milliseconds{1500});
-    if (response.status != 200)
+    http_socket connection;
+    return connection.connect(control.address, read_timeout) ? read_version(connection) : 0;
+}
+
+int read_version(http_socket& connection)
+{
+    const auto request = request_text("GET", "/-/config", "control", "", "");
+    const bool sent = connection.send(request);
+    const auto response = sent ? connection.read(monotonic_now() + read_timeout) : std::nullopt;
+    if (!response || response->closes())
+        connection.close();
+    if (!response || response->status != 200)
         return 0;
     boost::system::error_code error;
-    const auto parsed = json::parse(response.body, error);
+    const auto parsed = json::parse(response->body, error);
     const auto* body = error ? nullptr : parsed.if_object();
     const auto* version = body == nullptr ? nullptr : body->if_contains("version");
     return version == nullptr ? 0 : version->to_number<int>();
--- a/tests/platform/soak/callers.h
+++ b/tests/platform/soak/callers.h
@@ -78,6 +78,8 @@
 bool publish_next(caller_record& shared, time_point deadline);
 /** Returns the version that the control process has, or 0. */
 int read_version(const callee& control);
+/** The same on an open connection, which is closed if no answer comes. */
+int read_version(http_socket& connection);
 /** Returns whether the entry knows the queue that all jobs go to. */
 bool serves_jobs(const callee& entry);
 
--- a/tests/platform/soak/deployment.cpp
+++ b/tests/platform/soak/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.h"
 
+#include <boost/json.hpp>
+
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -89,6 +91,19 @@
     return found;
 }
 
+soak_process* deployment::leader()
+{
+    constexpr milliseconds answer_limit{200};
+    const auto request = request_text("GET", "/v1/status", "status", "Connection: close\r\n", "");
+    for (auto* control : all_of(process_kind::control)) {
+        const auto status = call_once(control->address, request, answer_limit);
+        if (status.status == 200 &&
+            boost::json::parse(status.body).at("ledger").at("role") == "leader")
+            return control;
+    }
+    return nullptr;
+}
+
 int deployment::life_of(const std::string& name) const
 {
     const std::scoped_lock lock{lives_mutex_};
@@ -249,9 +264,9 @@
     ++worker.life;
     worker.pid = spawn(
         worker,
-        {programs_ / "tests/soak/soak_worker", "--id=" + worker.name,
-         "--address=" + worker.address.text(), "--domain=" + domain_name(worker.domain),
-         "--service=clerks", "--controls=" + controls, "--journal=" + journal().string(),
+        {SOAK_WORKER, "--id=" + worker.name, "--address=" + worker.address.text(),
+         "--domain=" + domain_name(worker.domain), "--service=clerks", "--controls=" + controls,
+         "--journal=" + journal().string(),
          "--calls=" + (folder_ / (worker.name + ".calls")).string(),
          "--listener=" + std::to_string(listener_of_child), "--clock=" + std::to_string(life.clock),
          "--clock_rate=" + std::to_string(life.clock_rate),
@@ -274,6 +289,8 @@
         target.stopping = true;
         target.stop_asked = now;
     }
+    if (observer_ && (number == SIGSTOP || number == SIGCONT || number == SIGKILL))
+        observer_(target, number == SIGSTOP);
     kill(target.pid, number);
     if (number == SIGCONT)
         disruptions_.end(target.name, monotonic_now());
--- a/tests/platform/soak/deployment.h
+++ b/tests/platform/soak/deployment.h
@@ -4,6 +4,7 @@
 #include "httpsocket.h"
 
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -45,6 +46,9 @@
     bool cut{false};
 };
 
+/** Is told before a process is suspended (true), and before one is resumed or killed (false). */
+using suspension_observer = std::function<void(const soak_process&, bool)>;
+
 /**
  * Processes of the project and stand-ins of workers on loopback addresses of their own, started and
  * signalled by one thread, with which they end.
@@ -59,6 +63,7 @@
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
 
+    void observe_suspensions(suspension_observer observer) { observer_ = std::move(observer); }
     /** Starts all. Returns false if no ports are free. */
     bool start(std::mt19937_64& random);
     void start_member(soak_process& member);
@@ -72,6 +77,8 @@
     void note(const std::string& text);
 
     [[nodiscard]] std::vector<soak_process*> all_of(process_kind kind);
+    /** Returns the control process that answers as leader, or null if none does. */
+    [[nodiscard]] soak_process* leader();
     [[nodiscard]] std::filesystem::path journal() const { return folder_ / "journal"; }
     [[nodiscard]] const std::vector<std::string>& notes() const { return notes_; }
     [[nodiscard]] disruption_log& disruptions() { return disruptions_; }
@@ -93,6 +100,7 @@
     std::uint16_t first_port_{0};
     std::vector<soak_process> processes_;
     std::vector<std::string> notes_;
+    suspension_observer observer_;
     disruption_log disruptions_;
     mutable std::mutex lives_mutex_;
     std::map<std::string, int> lives_;
--- a/tests/platform/soak/disruptor.cpp
+++ b/tests/platform/soak/disruptor.cpp
@@ -1,5 +1,7 @@
 #include "disruptor.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 
 namespace galenaturn::soak {
@@ -14,7 +16,8 @@
 
 } // namespace
 
-disruptor::disruptor(deployment& target, std::uint64_t seed) : target_{target}, random_{seed}
+disruptor::disruptor(deployment& target, std::uint64_t seed, bool suspends_vms)
+    : target_{target}, random_{seed}, suspends_vms_{suspends_vms}
 {
     after(milliseconds{between(0, 1000)}, [this] { disturb(); });
 }
@@ -91,8 +94,12 @@
     if (healed_)
         return;
     ++disturbed_;
-    const auto kind = between(0, 9);
-    if (kind < 4)
+    const bool suspends = suspends_vms_ && between(0, 2) > 0;
+    const auto kind = suspends ? 0 : between(0, 9);
+    milliseconds span{0};
+    if (suspends)
+        span = suspend_vms();
+    else if (kind < 4)
         disturb_member(process_kind::entry);
     else if (kind < 7)
         disturb_member(process_kind::control);
@@ -101,7 +108,36 @@
     else
         disturb_member(process_kind::worker);
     const bool overlaps = between(0, 2) == 0;
-    after(milliseconds{overlaps ? between(0, 300) : between(500, 2500)}, [this] { disturb(); });
+    after(overlaps ? milliseconds{between(0, 300)} : span + milliseconds{between(500, 2500)},
+          [this] { disturb(); });
+}
+
+/** The leader or others: one, two, all but one or all at once, two in a row; or an entry. */
+milliseconds disruptor::suspend_vms()
+{
+    const auto all = target_.all_of(process_kind::control).size();
+    const std::array<std::size_t, 8> counts{0, 1, 1, 1, 1, 2, all - 1, all};
+    const auto pattern = static_cast<std::size_t>(between(0, counts.size() - 1));
+    const milliseconds span{between(0, 1) == 0 ? between(500, 3000) : between(5000, 9000)};
+    auto controls = free_members(process_kind::control);
+    std::shuffle(controls.begin(), controls.end(), random_);
+    if (between(0, 2) > 0)
+        std::partition(controls.begin(), controls.end(),
+                       [leader = target_.leader()](auto* each) { return each == leader; });
+    const auto count = std::min(counts[pattern], controls.size());
+    for (std::size_t index = 0; index < count; ++index)
+        suspend(*controls[index], span + milliseconds{between(0, 1) * between(0, 1000)});
+    const bool two_in_a_row = pattern == 1 && controls.size() > 1;
+    if (two_in_a_row)
+        after(span, [this, next = controls.back()] {
+            if (is_free(*next))
+                suspend(*next, milliseconds{between(500, 4000)});
+        });
+    auto entries = free_members(process_kind::entry);
+    std::shuffle(entries.begin(), entries.end(), random_);
+    if (!entries.empty() && (count == 0 || between(0, 2) == 0))
+        suspend(*entries.front(), span);
+    return span;
 }
 
 void disruptor::disturb_member(process_kind kind)
@@ -138,8 +174,11 @@
     target_.signal(target, SIGSTOP);
     suspended_.insert(&target);
     after(span, [this, &target] {
-        if (suspended_.erase(&target) > 0)
-            target_.signal(target, SIGCONT);
+        if (suspended_.erase(&target) == 0)
+            return;
+        if (suspends_vms_ && between(0, 9) == 0)
+            return stop_and_restart(target, SIGKILL);
+        target_.signal(target, SIGCONT);
         busy_[target.name] = monotonic_now() + milliseconds{500};
     });
 }
--- a/tests/platform/soak/disruptor.h
+++ b/tests/platform/soak/disruptor.h
@@ -18,7 +18,8 @@
  */
 class disruptor {
 public:
-    disruptor(deployment& target, std::uint64_t seed);
+    /** With `suspends_vms` any number of control processes may be suspended at once. */
+    disruptor(deployment& target, std::uint64_t seed, bool suspends_vms = false);
 
     /** Does what is due. Returns what processes did against the rules. */
     std::vector<std::string> advance();
@@ -29,6 +30,8 @@
 private:
     void disturb();
     void disturb_member(process_kind kind);
+    /** Returns for how long. */
+    std::chrono::milliseconds suspend_vms();
     void stop_and_restart(soak_process& member, int number);
     void suspend(soak_process& target, std::chrono::milliseconds span);
     void restart_workers_of_domain(int domain);
@@ -42,6 +45,7 @@
 
     deployment& target_;
     std::mt19937_64 random_;
+    bool suspends_vms_;
     std::multimap<time_point, std::function<void()>> actions_;
     /** Disturbed processes, with when each may be disturbed again. */
     std::map<std::string, time_point> busy_;
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 
@@ -38,6 +39,7 @@
           processes_{options.programs, folder_, options.sizes}
     {
         std::filesystem::remove(processes_.journal());
+        processes_.observe_suspensions(options.on_suspension);
         callers_.seed = options.seed;
         callers_.life_of = [this](const std::string& name) { return processes_.life_of(name); };
     }
@@ -113,7 +115,7 @@
 
     void disturb_and_settle()
     {
-        disruptor trouble{processes_, options_.seed};
+        disruptor trouble{processes_, options_.seed, options_.on_suspension != nullptr};
         const auto never = [] { return false; };
         advance_until(trouble, monotonic_now() + options_.disturbed, never);
         trouble.heal();
@@ -266,4 +268,24 @@
     return result;
 }
 
+int run_seeds(soak_options options, int count)
+{
+    constexpr std::size_t violations_printed = 25;
+    int failed = 0;
+    for (int run = 0; run < count; ++run, ++options.seed) {
+        const auto result = run_soak(options);
+        std::cout << (result.violations.empty() ? "ok" : "FAILED") << " seed=" << options.seed
+                  << " " << result.summary << std::endl;
+        if (result.violations.empty())
+            continue;
+        ++failed;
+        const auto shown = std::min(violations_printed, result.violations.size());
+        for (std::size_t index = 0; index < shown; ++index)
+            std::cout << "  " << result.violations[index] << '\n';
+        std::cout << "  " << result.violations.size() << " in all; logs and record in "
+                  << result.folder.string() << std::endl;
+    }
+    return failed;
+}
+
 } // namespace galenaturn::soak
--- a/tests/platform/soak/soak.h
+++ b/tests/platform/soak/soak.h
@@ -16,6 +16,8 @@
     /** Folder of the programs, and the one that gets a folder for the logs of this run. */
     std::filesystem::path programs;
     std::filesystem::path logs;
+    /** If there is one, control processes and entries are suspended like VMs. */
+    suspension_observer on_suspension;
 };
 
 struct soak_result {
@@ -30,5 +32,8 @@
 
 /** Plays one seed with real processes on loopback, and checks it. */
 soak_result run_soak(const soak_options& options);
+/** Plays seeds one after the other from that of `options` on, and prints each. Returns how many
+ * failed. */
+int run_seeds(soak_options options, int count);
 
 } // namespace galenaturn::soak
--- a/tests/soak/run/soakprocesses.cpp
+++ b/tests/soak/run/soakprocesses.cpp
@@ -2,8 +2,6 @@
 
 #include <gflags/gflags.h>
 
-#include <iostream>
-
 DEFINE_uint64(seed, 1, "Seed of the first run; each later run uses the next one");
 DEFINE_int32(seconds, 30, "How long the processes of each run are disturbed");
 DEFINE_int32(runs, 1, "Number of seeds");
@@ -17,26 +15,11 @@
 {
     using namespace galenaturn::soak;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    constexpr std::size_t notes_printed = 25;
-    int failed = 0;
-    for (int run = 0; run < FLAGS_runs; ++run) {
-        soak_options options;
-        options.seed = FLAGS_seed + static_cast<std::uint64_t>(run);
-        options.disturbed = std::chrono::seconds{FLAGS_seconds};
-        options.sizes = {FLAGS_controls, FLAGS_entries, FLAGS_workers};
-        options.programs = GALENATURN_BINARY_DIR;
-        options.logs = FLAGS_logs;
-        const auto result = run_soak(options);
-        std::cout << (result.violations.empty() ? "ok" : "FAILED") << " seed=" << options.seed
-                  << " " << result.summary << std::endl;
-        if (result.violations.empty())
-            continue;
-        ++failed;
-        const auto shown = std::min(notes_printed, result.violations.size());
-        for (std::size_t index = 0; index < shown; ++index)
-            std::cout << "  " << result.violations[index] << '\n';
-        std::cout << "  " << result.violations.size() << " in all; logs and record in "
-                  << result.folder.string() << std::endl;
-    }
-    return failed == 0 ? 0 : 1;
+    soak_options options;
+    options.seed = FLAGS_seed;
+    options.disturbed = std::chrono::seconds{FLAGS_seconds};
+    options.sizes = {FLAGS_controls, FLAGS_entries, FLAGS_workers};
+    options.programs = GALENATURN_BINARY_DIR;
+    options.logs = FLAGS_logs;
+    return run_seeds(options, FLAGS_runs) == 0 ? 0 : 1;
 }
--- a/tests/suspension/suspensiontest.cpp
+++ b/tests/suspension/suspensiontest.cpp
@@ -1,5 +1,7 @@
 #include "suspendabledeployment.h"
 
+#include "platform/soak/soak.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <thread>
@@ -14,6 +16,7 @@
     CPPUNIT_TEST_SUITE(suspension_test);
     CPPUNIT_TEST(reads_at_a_leader_that_was_suspended_are_no_older_than_what_was_acknowledged);
     CPPUNIT_TEST(reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged);
+    CPPUNIT_TEST(random_suspensions_break_no_promise);
     CPPUNIT_TEST_SUITE_END();
 
     /** From when on after its acknowledgement a change is in force everywhere. */
@@ -32,7 +35,7 @@
             const bool uses_kept = read % 2 == 0 && kept.is_open();
             if (!uses_kept && !opened.connect(process.address, observed_after_resume))
                 continue;
-            const auto version = read_version(uses_kept ? kept : opened);
+            const auto version = soak::read_version(uses_kept ? kept : opened);
             if (version > 0 && version < acknowledged)
                 older.push_back(version);
             std::this_thread::sleep_for(milliseconds{10});
@@ -40,29 +43,17 @@
         return older;
     }
 
-    /** Returns the leader, or null if there is none for long. */
-    static soak::soak_process* await_leader(suspendable_deployment& processes)
-    {
-        const auto limit = monotonic_now() + seconds{20};
-        while (monotonic_now() < limit) {
-            if (auto* leader = processes.leader())
-                return leader;
-            std::this_thread::sleep_for(milliseconds{50});
-        }
-        return nullptr;
-    }
-
     static void read_after_a_change_elsewhere(steady_clock_while_away clock)
     {
         const std::filesystem::path binaries{GALENATURN_BINARY_DIR};
-        suspendable_deployment processes{SUSPENDABLE_PROGRAMS, binaries / "suspension", 3};
+        suspendable_deployment processes{SUSPENDABLE_PROGRAMS, binaries / "suspension", {3, 0, 0}};
         CPPUNIT_ASSERT(processes.start(1));
         for (int round = 0; round < 2; ++round) {
-            auto* const leader = await_leader(processes);
+            auto* const leader = processes.await_leader();
             CPPUNIT_ASSERT(leader != nullptr);
             soak::http_socket kept;
             CPPUNIT_ASSERT(kept.connect(leader->address, seconds{1}));
-            CPPUNIT_ASSERT(read_version(kept) > 0);
+            CPPUNIT_ASSERT(soak::read_version(kept) > 0);
             processes.suspend(*leader);
             CPPUNIT_ASSERT(processes.publish());
             std::this_thread::sleep_for(config_applied);
@@ -85,6 +76,23 @@
     {
         read_after_a_change_elsewhere(steady_clock_while_away::goes_on);
     }
+
+    void random_suspensions_break_no_promise()
+    {
+        soak::soak_options options;
+        options.seed = 1;
+        options.disturbed = seconds{8};
+        options.programs = SUSPENDABLE_PROGRAMS;
+        options.logs = std::filesystem::path{GALENATURN_BINARY_DIR} / "suspension";
+        options.on_suspension = suspends_like_vms(options.logs);
+        const auto result = soak::run_soak(options);
+        std::string failures;
+        for (const auto& violation : result.violations)
+            failures += violation + "\n";
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(options.seed) + "\n" + failures +
+                                   result.folder.string(),
+                               result.violations.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(suspension_test);
--- /dev/null
+++ b/tests/suspension/vmsuspensions.cpp
@@ -0,0 +1,59 @@
+#include "vmsuspensions.h"
+
+#include <arpa/inet.h>
+
+#include <cstdlib>
+
+namespace galenaturn::suspension {
+
+namespace {
+
+suspension_table* make_table(const std::filesystem::path& folder)
+{
+    std::filesystem::create_directories(folder);
+    const auto path = folder / "suspensions";
+    setenv(table_variable, path.c_str(), 1);
+    return map_table(path.c_str(), true);
+}
+
+std::size_t slot_of(const soak::socket_address& address)
+{
+    return ntohl(inet_addr(address.ip.c_str())) % suspension_table::slots;
+}
+
+} // namespace
+
+vm_suspensions::vm_suspensions(const std::filesystem::path& folder) : table_{make_table(folder)} {}
+
+void vm_suspensions::begin(const soak::soak_process& process)
+{
+    table_->is_away[slot_of(process.address)] = true;
+    suspended_at_[process.name] = monotonic_now();
+}
+
+void vm_suspensions::end(const soak::soak_process& process, steady_clock_while_away clock)
+{
+    const auto suspended = suspended_at_.extract(process.name);
+    if (suspended.empty())
+        return;
+    const auto span = monotonic_now() - suspended.mapped();
+    if (clock == steady_clock_while_away::stands_still)
+        table_->suspended_ns[static_cast<std::size_t>(process.pid) % suspension_table::slots] +=
+            std::chrono::nanoseconds{span}.count();
+    table_->is_away[slot_of(process.address)] = false;
+}
+
+soak::suspension_observer suspends_like_vms(const std::filesystem::path& folder)
+{
+    constexpr int clock_goes_on_each = 4;
+    return [suspensions = vm_suspensions{folder}, ended = 0](const soak::soak_process& process,
+                                                             bool is_suspended) mutable {
+        if (is_suspended)
+            return suspensions.begin(process);
+        const bool goes_on = ++ended % clock_goes_on_each == 0;
+        suspensions.end(process, goes_on ? steady_clock_while_away::goes_on
+                                         : steady_clock_while_away::stands_still);
+    };
+}
+
+} // namespace galenaturn::suspension
--- /dev/null
+++ b/tests/suspension/vmsuspensions.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "suspensiontable.h"
+
+#include "platform/soak/deployment.h"
+
+#include <filesystem>
+#include <map>
+#include <string>
+
+namespace galenaturn::suspension {
+
+/** What the steady clock of a VM does while the VM does not run. */
+enum class steady_clock_while_away { stands_still, goes_on };
+
+/** Makes suspended processes look like suspended VMs: to their clocks, and to who sends to them. */
+class vm_suspensions {
+public:
+    /** Makes the table in `folder`, and names it to processes started from now on. */
+    explicit vm_suspensions(const std::filesystem::path& folder);
+
+    [[nodiscard]] bool is_ready() const { return table_ != nullptr; }
+    /** To be called before the process is suspended. */
+    void begin(const soak::soak_process& process);
+    /** To be called before the process is resumed or killed; does nothing for one that runs. */
+    void end(const soak::soak_process& process, steady_clock_while_away clock);
+
+private:
+    suspension_table* table_;
+    std::map<std::string, time_point> suspended_at_;
+};
+
+/** Returns an observer of a soak's suspensions; the steady clock goes on during some of them. */
+soak::suspension_observer suspends_like_vms(const std::filesystem::path& folder);
+
+} // namespace galenaturn::suspension
