wire: reading an empty container copies nothing

The undefined-behaviour sanitizer reported a null pointer passed to memcpy (archive.h, load_binary) in the logs of control processes under asan: an empty container was read with size 0. The sanitizer only prints it, so no test failed. Seen in test_suspension and test_ledger under asan.

--- a/src/libwire/archive.h
+++ b/src/libwire/archive.h
@@ -39,6 +39,9 @@
     void load_binary(void* data, std::size_t size)
     {
         require(size);
+        // An empty container may have no address.
+        if (size == 0)
+            return;
         std::memcpy(data, source_.data(), size);
         source_.remove_prefix(size);
     }
