tests: a process that answers no read after a suspension fails the test

A process that was dead or answered nothing but 503 passed the last round of the reads at a leader that was suspended. At least one answer is asked for now.

--- a/tests/suspension/suspensiontest.cpp
+++ b/tests/suspension/suspensiontest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace galenaturn::suspension {
@@ -24,11 +25,10 @@
     /** Longer than any lease of a leader. */
     static constexpr milliseconds observed_after_resume{1500};
 
-    /** Returns the versions older than `acknowledged` that the process answers after a resume. */
-    static std::vector<int> older_versions(const soak::soak_process& process, int acknowledged,
-                                           soak::http_socket kept)
+    /** Returns the versions that the process answers after a resume. */
+    static std::vector<int> versions_read(const soak::soak_process& process, soak::http_socket kept)
     {
-        std::vector<int> older;
+        std::vector<int> versions;
         const auto end = monotonic_now() + observed_after_resume;
         for (int read = 0; monotonic_now() < end; ++read) {
             soak::http_socket opened;
@@ -36,11 +36,11 @@
             if (!uses_kept && !opened.connect(process.address, observed_after_resume))
                 continue;
             const auto version = soak::read_version(uses_kept ? kept : opened);
-            if (version > 0 && version < acknowledged)
-                older.push_back(version);
+            if (version > 0)
+                versions.push_back(version);
             std::this_thread::sleep_for(milliseconds{10});
         }
-        return older;
+        return versions;
     }
 
     static void read_after_a_change_elsewhere(steady_clock_while_away clock)
@@ -58,10 +58,13 @@
             CPPUNIT_ASSERT(processes.publish());
             std::this_thread::sleep_for(config_applied);
             processes.resume(*leader, clock);
-            const auto older =
-                older_versions(*leader, processes.acknowledged_version(), std::move(kept));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(leader->name + ", logs in " + processes.folder().string(),
-                                         std::size_t{0}, older.size());
+            const auto versions = versions_read(*leader, std::move(kept));
+            const auto acknowledged = processes.acknowledged_version();
+            const auto is_older = [&](int version) { return version < acknowledged; };
+            const auto message = leader->name + ", logs in " + processes.folder().string();
+            CPPUNIT_ASSERT_MESSAGE(message, !versions.empty());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::ptrdiff_t{0},
+                                         std::count_if(versions.begin(), versions.end(), is_older));
         }
     }
 
