ledger: a leader that was elected within the lease of another one is reported

A former leader whose clock was wrong left no trace: ledger_role said higher_term, as after any election. A message of a leader of a later term that arrives within the lease proves that a clock or a promise failed, since a voter of the lease's quorum took part in that election. It is now a warning (ledger_lease_contradicted) and a counter; ledger_role says how much of the lease was left.

--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -34,6 +34,7 @@
       elections{metrics.make_counter("galenaturn_ledger_role_changes_total")},
       snapshots_offered{metrics.make_counter("galenaturn_ledger_images_offered_total")},
       snapshots_installed{metrics.make_counter("galenaturn_ledger_images_installed_total")},
+      leases_contradicted{metrics.make_counter("galenaturn_ledger_leases_contradicted_total")},
       term_number{metrics.make_gauge("galenaturn_ledger_term")},
       applied_index{metrics.make_gauge("galenaturn_ledger_applied_index")},
       log_bytes{metrics.make_gauge("galenaturn_ledger_log_bytes")},
@@ -222,9 +223,18 @@
                   {{"role", replica_->role},
                    {"cause", done.role_change_cause},
                    {"term", replica_->hard.current_term},
-                   {"committed", replica_->committed}});
+                   {"committed", replica_->committed},
+                   {"lease_left_us", done.lease_left.count()}});
         events_.leadership(replica_->leads);
     }
+    if (!done.contradicting_leader.empty()) {
+        counters_.leases_contradicted.add();
+        log_event(log_level::warning, "ledger_lease_contradicted",
+                  {{"leader", done.contradicting_leader},
+                   {"term", replica_->hard.current_term},
+                   {"lease_left_us", done.lease_left.count()},
+                   {"advice", "a clock stood still or ran slowly; see docs/operators/state.md"}});
+    }
     if (!done.committed.empty() && std::exchange(founding_, false) && replica_->leads)
         log_event(log_level::info, "ledger_formed",
                   {{"voters", replica_->log.voters().voters.size()}});
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -28,6 +28,8 @@
     counter& elections;
     counter& snapshots_offered;
     counter& snapshots_installed;
+    /** Leaders of later terms that were elected within the lease of this one. */
+    counter& leases_contradicted;
     gauge& term_number;
     gauge& applied_index;
     gauge& log_bytes;
--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -47,11 +47,14 @@
             handle(context, message, *request);
         return;
     }
-    if (message.sender_term > context.self.hard.current_term)
+    const bool from_leader = std::holds_alternative<append_request>(message.body) ||
+                             std::holds_alternative<snapshot_chunk>(message.body);
+    if (message.sender_term > context.self.hard.current_term) {
+        if (from_leader && context.self.leads && context.now < context.self.lease_expires)
+            context.out.contradicting_leader = message.from;
         adopt_term(context, message.sender_term);
+    }
     if (is_outdated(context, message)) {
-        const bool from_leader = std::holds_alternative<append_request>(message.body) ||
-                                 std::holds_alternative<snapshot_chunk>(message.body);
         if (from_leader)
             send(context, message.from, append_response{false, {}, 0, context.self.incarnation});
         return;
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -153,6 +153,13 @@
     bool role_changed{false};
     /** The event of the state chart that changed the role. */
     std::string role_change_cause;
+    /** How much was left of the lease of a leader that has ceased to lead. */
+    duration lease_left{};
+    /**
+     * Another leader, of a later term, that was elected within this leader's lease: a clock or a
+     * voter did not keep its promise.
+     */
+    voter_id contradicting_leader;
 };
 
 /** Parameters of make_replica; `hard` and `log` are as loaded from the disk. */
--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -51,6 +51,7 @@
 
 void step_down(step_context& context)
 {
+    context.out.lease_left = std::max(context.self.lease_expires - context.now, duration{});
     context.self.leads = false;
     context.self.leader = voter_id{};
     context.self.lease_expires = time_point{};
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
+    CPPUNIT_TEST(a_leader_of_a_later_term_within_a_lease_is_reported);
     CPPUNIT_TEST(a_candidate_that_hears_of_its_leader_votes_only_after_the_lease);
     CPPUNIT_TEST(a_replica_that_restarts_withholds_its_vote_for_the_election_timeout);
     CPPUNIT_TEST(no_second_leader_is_elected_within_the_lease_of_the_first);
@@ -111,6 +112,21 @@
         CPPUNIT_ASSERT(done.role_changed && !leader.leads);
     }
 
+    void a_leader_of_a_later_term_within_a_lease_is_reported()
+    {
+        for (const bool lapsed : {false, true}) {
+            auto leader = make("a");
+            elect(leader);
+            acknowledge(leader, "a", 2);
+            acknowledge(leader, "b", 2);
+            now_ += lapsed ? leader.options.lease : std::chrono::milliseconds{300};
+            const auto left = leader.lease_expires - now_;
+            const auto done = from(leader, "c", term{3}, append_request{});
+            CPPUNIT_ASSERT(!leader.leads && done.lease_left == left);
+            CPPUNIT_ASSERT_EQUAL(voter_id{lapsed ? "" : "c"}, done.contradicting_leader);
+        }
+    }
+
     append_request heartbeat_of(const replica& leader) const
     {
         const auto& log = leader.log;
--- a/tests/ledger/simulation/simulation.cpp
+++ b/tests/ledger/simulation/simulation.cpp
@@ -222,6 +222,7 @@
     write.batches.push_back({{}, done.hard, done.truncate_after, std::move(done.entries)});
     if (!write.batches.front().empty())
         node.disk.queue(std::move(write));
+    require(done.contradicting_leader.empty(), "no leader is elected within the lease of another");
     if (done.role_changed && node.core->leads) {
         check_leader(node_index);
         // Leaders that crash soon after election leave entries that only some replicas have.
