tests: a leader whose VM was paused unseen by all its clocks

VMs are paused by their hosts without telling the system; CLOCK_BOOTTIME leaves that time out like CLOCK_MONOTONIC. After such a pause the leader's lease is valid for what was left of it, although another leads. The configuration is then read with an older version, as the users saw; at an entry a cancelled job is shown as running, an accepted one is unknown, a new queue is unknown.

--- a/tests/suspension/process/suspendedcalls.cpp
+++ b/tests/suspension/process/suspendedcalls.cpp
@@ -1,6 +1,6 @@
 /**
- * Replaces calls of the C library in a daemon that a test suspends: CLOCK_MONOTONIC leaves out the
- * time for which the process was suspended, and what is sent to a suspended VM is lost.
+ * Replaces calls of the C library in a daemon that a test suspends: clocks leave out the time for
+ * which the process was suspended, and what is sent to a suspended VM is lost.
  */
 
 #include "suspension/suspensiontable.h"
@@ -29,6 +29,15 @@
     return mapped;
 }
 
+/** Returns the time that a clock of this process has left out. */
+std::int64_t left_out_ns(clockid_t clock)
+{
+    const auto slot = static_cast<std::size_t>(getpid()) % suspension_table::slots;
+    if (clock == CLOCK_MONOTONIC)
+        return table()->steady_behind_ns[slot];
+    return clock == CLOCK_BOOTTIME ? table()->boot_behind_ns[slot].load() : 0;
+}
+
 /** Returns whether the peer that the socket has connected to is suspended. */
 bool is_lost(int socket)
 {
@@ -55,10 +64,9 @@
 int clock_gettime(clockid_t clock, timespec* now) noexcept
 {
     const auto status = static_cast<int>(syscall(SYS_clock_gettime, clock, now));
-    if (status != 0 || clock != CLOCK_MONOTONIC || table() == nullptr)
+    if (status != 0 || table() == nullptr)
         return status;
-    const auto slot = static_cast<std::size_t>(getpid()) % suspension_table::slots;
-    const auto ns = now->tv_sec * ns_per_second + now->tv_nsec - table()->suspended_ns[slot];
+    const auto ns = now->tv_sec * ns_per_second + now->tv_nsec - left_out_ns(clock);
     now->tv_sec = ns / ns_per_second;
     now->tv_nsec = ns % ns_per_second;
     return 0;
--- a/tests/suspension/resumedleadertest.cpp
+++ b/tests/suspension/resumedleadertest.cpp
@@ -74,10 +74,10 @@
 
 class resumed_leader {
 public:
-    resumed_leader()
-        : processes_{SUSPENDABLE_PROGRAMS,
-                     std::filesystem::path{GALENATURN_BINARY_DIR} / "suspension",
-                     {3, 2, 2}}
+    explicit resumed_leader(clocks_left_behind clocks)
+        : clocks_{clocks}, processes_{SUSPENDABLE_PROGRAMS,
+                                      std::filesystem::path{GALENATURN_BINARY_DIR} / "suspension",
+                                      {3, 2, 2}}
     {
         answers_.folder = processes_.folder().string();
     }
@@ -93,8 +93,8 @@
         std::this_thread::sleep_for(shown_everywhere);
         auto waiting = send_reads();
         submit();
-        processes_.resume(*leader, steady_clock_while_away::stands_still);
-        processes_.resume(suspended_entry(), steady_clock_while_away::stands_still);
+        processes_.resume(*leader, clocks_);
+        processes_.resume(suspended_entry(), clocks_);
         note(waiting);
         observe();
         note_submitted();
@@ -211,6 +211,7 @@
         }
     }
 
+    clocks_left_behind clocks_;
     suspendable_deployment processes_;
     entry_answers answers_;
     std::vector<std::pair<std::string, soak::http_socket>> submissions_;
@@ -230,9 +231,9 @@
     CPPUNIT_TEST_SUITE_END();
 
     /** One play serves all tests. */
-    static const entry_answers& answers()
+    virtual const entry_answers& answers() const
     {
-        static const auto played = resumed_leader{}.play();
+        static const auto played = resumed_leader{clocks_left_behind::steady}.play();
         return played;
     }
 
@@ -265,6 +266,19 @@
     }
 };
 
+/** The same with VMs that were paused by their host: no clock shows for how long. */
+class paused_leader_test : public resumed_leader_test {
+    CPPUNIT_TEST_SUB_SUITE(paused_leader_test, resumed_leader_test);
+    CPPUNIT_TEST_SUITE_END();
+
+    const entry_answers& answers() const override
+    {
+        static const auto played = resumed_leader{clocks_left_behind::steady_and_boot}.play();
+        return played;
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(resumed_leader_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(paused_leader_test);
 
 } // namespace galenaturn::suspension
--- a/tests/suspension/suspendabledeployment.cpp
+++ b/tests/suspension/suspendabledeployment.cpp
@@ -40,9 +40,9 @@
     processes_.signal(process, SIGSTOP);
 }
 
-void suspendable_deployment::resume(soak::soak_process& process, steady_clock_while_away clock)
+void suspendable_deployment::resume(soak::soak_process& process, clocks_left_behind clocks)
 {
-    suspensions_.end(process, clock);
+    suspensions_.end(process, clocks);
     processes_.signal(process, SIGCONT);
 }
 
--- a/tests/suspension/suspendabledeployment.h
+++ b/tests/suspension/suspendabledeployment.h
@@ -20,7 +20,7 @@
     /** Starts all and publishes a first configuration. Returns false if that did not succeed. */
     bool start(std::uint64_t seed);
     void suspend(soak::soak_process& process);
-    void resume(soak::soak_process& process, steady_clock_while_away clock);
+    void resume(soak::soak_process& process, clocks_left_behind clocks);
     /** Publishes the next configuration at a process that is not suspended. */
     bool publish();
     /** Waits for a leader; returns null if there is none for long. */
--- a/tests/suspension/suspensiontable.h
+++ b/tests/suspension/suspensiontable.h
@@ -13,8 +13,10 @@
 struct suspension_table {
     static constexpr std::size_t slots = 1U << 16U;
 
-    /** By the low 16 bits of the process id: for how long the process was suspended so far. */
-    std::atomic<std::int64_t> suspended_ns[slots];
+    /** By the low 16 bits of the process id: the time that its CLOCK_MONOTONIC has left out. */
+    std::atomic<std::int64_t> steady_behind_ns[slots];
+    /** The same of its CLOCK_BOOTTIME. */
+    std::atomic<std::int64_t> boot_behind_ns[slots];
     /** By the low 16 bits of the IPv4 address: whether what is sent there is lost. */
     std::atomic<bool> is_away[slots];
 };
--- a/tests/suspension/suspensiontest.cpp
+++ b/tests/suspension/suspensiontest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST_SUITE(suspension_test);
     CPPUNIT_TEST(reads_at_a_leader_that_was_suspended_are_no_older_than_what_was_acknowledged);
     CPPUNIT_TEST(reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged);
+    CPPUNIT_TEST(reads_at_a_leader_whose_clocks_all_stood_still_are_no_older_than_acknowledged);
     CPPUNIT_TEST(random_suspensions_break_no_promise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -43,7 +44,7 @@
         return versions;
     }
 
-    static void read_after_a_change_elsewhere(steady_clock_while_away clock)
+    static void read_after_a_change_elsewhere(clocks_left_behind clocks)
     {
         const std::filesystem::path binaries{GALENATURN_BINARY_DIR};
         suspendable_deployment processes{SUSPENDABLE_PROGRAMS, binaries / "suspension", {3, 0, 0}};
@@ -57,7 +58,7 @@
             processes.suspend(*leader);
             CPPUNIT_ASSERT(processes.publish());
             std::this_thread::sleep_for(config_applied);
-            processes.resume(*leader, clock);
+            processes.resume(*leader, clocks);
             const auto versions = versions_read(*leader, std::move(kept));
             const auto acknowledged = processes.acknowledged_version();
             const auto is_older = [&](int version) { return version < acknowledged; };
@@ -72,12 +73,18 @@
     /** A lease on a clock that leaves suspensions out outlasts the term of the leader. */
     void reads_at_a_leader_that_was_suspended_are_no_older_than_what_was_acknowledged()
     {
-        read_after_a_change_elsewhere(steady_clock_while_away::stands_still);
+        read_after_a_change_elsewhere(clocks_left_behind::steady);
     }
 
     void reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged()
     {
-        read_after_a_change_elsewhere(steady_clock_while_away::goes_on);
+        read_after_a_change_elsewhere(clocks_left_behind::none);
+    }
+
+    /** No clock of a VM that its host paused shows the pause, so no lease ends by it. */
+    void reads_at_a_leader_whose_clocks_all_stood_still_are_no_older_than_acknowledged()
+    {
+        read_after_a_change_elsewhere(clocks_left_behind::steady_and_boot);
     }
 
     void random_suspensions_break_no_promise()
--- a/tests/suspension/vmsuspensions.cpp
+++ b/tests/suspension/vmsuspensions.cpp
@@ -31,15 +31,17 @@
     suspended_at_[process.name] = monotonic_now();
 }
 
-void vm_suspensions::end(const soak::soak_process& process, steady_clock_while_away clock)
+void vm_suspensions::end(const soak::soak_process& process, clocks_left_behind clocks)
 {
     const auto suspended = suspended_at_.extract(process.name);
     if (suspended.empty())
         return;
-    const auto span = monotonic_now() - suspended.mapped();
-    if (clock == steady_clock_while_away::stands_still)
-        table_->suspended_ns[static_cast<std::size_t>(process.pid) % suspension_table::slots] +=
-            std::chrono::nanoseconds{span}.count();
+    const std::chrono::nanoseconds span{monotonic_now() - suspended.mapped()};
+    const auto slot = static_cast<std::size_t>(process.pid) % suspension_table::slots;
+    if (clocks != clocks_left_behind::none)
+        table_->steady_behind_ns[slot] += span.count();
+    if (clocks == clocks_left_behind::steady_and_boot)
+        table_->boot_behind_ns[slot] += span.count();
     table_->is_away[slot_of(process.address)] = false;
 }
 
@@ -51,8 +53,7 @@
         if (is_suspended)
             return suspensions.begin(process);
         const bool goes_on = ++ended % clock_goes_on_each == 0;
-        suspensions.end(process, goes_on ? steady_clock_while_away::goes_on
-                                         : steady_clock_while_away::stands_still);
+        suspensions.end(process, goes_on ? clocks_left_behind::none : clocks_left_behind::steady);
     };
 }
 
--- a/tests/suspension/vmsuspensions.h
+++ b/tests/suspension/vmsuspensions.h
@@ -10,8 +10,11 @@
 
 namespace galenaturn::suspension {
 
-/** What the steady clock of a VM does while the VM does not run. */
-enum class steady_clock_while_away { stands_still, goes_on };
+/**
+ * The clocks of a VM that leave out the time for which it was suspended. A VM whose host pauses it
+ * without telling its system leaves the time out on CLOCK_BOOTTIME too.
+ */
+enum class clocks_left_behind { none, steady, steady_and_boot };
 
 /** Makes suspended processes look like suspended VMs: to their clocks, and to who sends to them. */
 class vm_suspensions {
@@ -23,7 +26,7 @@
     /** To be called before the process is suspended. */
     void begin(const soak::soak_process& process);
     /** To be called before the process is resumed or killed; does nothing for one that runs. */
-    void end(const soak::soak_process& process, steady_clock_while_away clock);
+    void end(const soak::soak_process& process, clocks_left_behind clocks);
 
 private:
     suspension_table* table_;
