ledger, control: a quorum confirms the leader before a read is answered

Callers read an older configuration than had been acknowledged, were shown a cancelled job as running, and were told 404 and 410 of a queue and a job that others had accepted, at a leader whose VM had been paused and at entries that asked it.

Cause: such an answer rested on the leader's lease, and a lease on the clock of one VM. A pause that this clock leaves out leaves the lease valid although another leader was elected. The clock that counts suspensions mends the case in which the system knows of them.

An answer that a later leader could contradict now waits for a round of heartbeats that begins after the request arrived and that a quorum acknowledges in the leader's term (ReadIndex). Whoever acknowledges has not voted for a later leader, so no clock is needed. One round serves all reads that wait for it. All linearizable queries of the ledger, the configuration, 404, 410 and the states of open jobs go this way; counts, which may be 2 s old, and commands to workers, which carry a token, stay under the lease.

--- a/src/controld/controlhub.h
+++ b/src/controld/controlhub.h
@@ -15,6 +15,12 @@
     std::function<const ledger::ledger_state&()> state;
     /** Returns whether this voter leads and has a valid lease; set by the ledger service. */
     std::function<bool()> leads;
+    /**
+     * Returns whether a quorum confirms, after this call, that this voter still leads in the same
+     * term; false after the deadline. What its state showed at the call was then the newest,
+     * whatever its clock shows. Set by the ledger service.
+     */
+    std::function<boost::asio::awaitable<bool>(time_point deadline)> confirm_leadership;
     /** Returns how much is left of that lease; set by the ledger service. */
     std::function<duration()> lease_left;
     /**
--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -7,6 +7,22 @@
 using wire::command_status;
 using wire::job_response_status;
 
+namespace {
+
+/**
+ * Returns whether a later leader may have accepted changes after which the answer would be another.
+ * The end of a job is final, and counts may be some seconds old.
+ */
+bool may_be_outdated(wire::job_verb verb, const wire::job_response& response)
+{
+    if (verb == wire::job_verb::show && response.status == job_response_status::ok)
+        return response.phase == wire::job_phase::open;
+    return response.status == job_response_status::unknown_queue ||
+           response.status == job_response_status::unknown_job;
+}
+
+} // namespace
+
 asio::awaitable<wire::job_response> job_service::handle_request(wire::job_request request)
 {
     const auto arrived = monotonic_now();
@@ -40,7 +56,11 @@
         response.waiting = schedule::jobs_waiting(scheduler_, queue_name);
         log_count(queue_name, response.waiting);
     }
-    if (leads) {
+    const bool confirmed = !may_be_outdated(verb, response) ||
+                           co_await hub_.confirm_leadership(arrived + ledger_command_timeout);
+    if (!confirmed)
+        response = wire::unavailable_response("no quorum confirms that this process leads");
+    if (leads && confirmed) {
         response.queues_version = version;
         response.queues_term = decided_in;
     }
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -58,6 +58,7 @@
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return runner_.may_read(); };
     hub_.lease_left = [this] { return runner_.lease_left(); };
+    hub_.confirm_leadership = [this](time_point deadline) { return confirm_leadership(deadline); };
     hub_.current_term = [this] {
         return runner_.running() ? runner_.state().hard.current_term : term{};
     };
@@ -99,12 +100,14 @@
             std::move(request).value(),
             [reply](const wire::command_response& response) { reply(wire::encode(response)); });
     });
-    shared_.frames.on(wire::frame_kind::ledger_query, [this](const wire::hello& /*from*/,
-                                                             const wire::frame& received,
-                                                             const wire::reply_function& reply) {
-        const auto request = wire::decode<wire::query_request>(received.payload);
-        reply(wire::encode(request ? answer_query(request.value()) : wire::query_response{}));
-    });
+    shared_.frames.on(wire::frame_kind::ledger_query,
+                      [this](const wire::hello& /*from*/, const wire::frame& received,
+                             const wire::reply_function& reply) {
+                          const auto request = wire::decode<wire::query_request>(received.payload);
+                          if (!request)
+                              return reply(wire::encode(wire::query_response{}));
+                          answer_query(request.value(), reply);
+                      });
     shared_.frames.on(wire::frame_kind::voter_change, [this](const wire::hello& /*from*/,
                                                              const wire::frame& received,
                                                              const wire::reply_function& reply) {
@@ -300,22 +303,39 @@
     });
 }
 
-wire::query_response ledger_service::answer_query(const wire::query_request& request) const
+void ledger_service::answer_query(const wire::query_request& request,
+                                  const wire::reply_function& reply)
+{
+    if (request.stale_allowed || !runner_.may_read())
+        return reply(wire::encode(answer_now(request)));
+    runner_.confirm_leadership([this, request, reply](bool confirmed) {
+        reply(wire::encode(confirmed ? read(request.body) : refuse_query()));
+    });
+}
+
+wire::query_response ledger_service::refuse_query() const
 {
     wire::query_response response;
     response.leader = leader();
-    if (!runner_.running())
-        return response;
-    const bool wants_status = std::holds_alternative<wire::get_ledger_status>(request.body);
-    // After a restart the state may be older than what was read before, until it has caught up.
-    const bool usable = request.stale_allowed ? runner_.state().caught_up || runner_.may_read()
-                                              : runner_.may_read();
-    if (!usable && !(wants_status && request.stale_allowed)) {
+    if (runner_.running())
         response.status = runner_.state().leads ? wire::query_status::unavailable
                                                 : wire::query_status::not_leader;
-        return response;
-    }
-    response = ledger::answer_query(state_, request.body);
+    return response;
+}
+
+wire::query_response ledger_service::answer_now(const wire::query_request& request) const
+{
+    const bool wants_status = std::holds_alternative<wire::get_ledger_status>(request.body);
+    // After a restart the state may be older than what was read before, until it has caught up.
+    const bool usable = request.stale_allowed && runner_.running() &&
+                        (wants_status || runner_.state().caught_up || runner_.may_read());
+    return usable ? read(request.body) : refuse_query();
+}
+
+wire::query_response ledger_service::read(const wire::query& query) const
+{
+    const bool wants_status = std::holds_alternative<wire::get_ledger_status>(query);
+    auto response = ledger::answer_query(state_, query);
     response.leader = leader();
     if (wants_status)
         response.ledger = status();
@@ -395,6 +415,24 @@
     co_return co_await shared_.ledger.submit(std::move(request), deadline);
 }
 
+asio::awaitable<bool> ledger_service::confirm_leadership(time_point deadline)
+{
+    struct pending {
+        explicit pending(asio::io_context& io) : timer{io} {}
+        wire::boot_timer timer;
+        std::optional<bool> confirmed;
+    };
+    const auto call = std::make_shared<pending>(shared_.io);
+    call->timer.expires_at(deadline);
+    runner_.confirm_leadership([call](bool confirmed) {
+        call->confirmed = confirmed;
+        call->timer.cancel();
+    });
+    if (!call->confirmed)
+        co_await call->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return call->confirmed.value_or(false);
+}
+
 asio::awaitable<wire::command_response> ledger_service::submit_here(wire::command_request request,
                                                                     time_point deadline)
 {
--- a/src/controld/ledgerservice.h
+++ b/src/controld/ledgerservice.h
@@ -42,7 +42,14 @@
     void stop_after_disk_failure();
     void schedule_expiry();
     void schedule_voter_maintenance();
-    wire::query_response answer_query(const wire::query_request& request) const;
+    /** Answers a query; unless it allows a stale answer, once a quorum has confirmed this leader.
+     */
+    void answer_query(const wire::query_request& request, const wire::reply_function& reply);
+    /** Answers a query that allows a stale answer, and refuses any other. */
+    wire::query_response answer_now(const wire::query_request& request) const;
+    wire::query_response refuse_query() const;
+    wire::query_response read(const wire::query& query) const;
+    boost::asio::awaitable<bool> confirm_leadership(time_point deadline);
     wire::ledger_status status() const;
     static boost::asio::awaitable<http::response>
     handle_voter_change(ledger_service* self, wire::voter_change_kind kind, std::string member);
--- a/src/controld/queuepublication.cpp
+++ b/src/controld/queuepublication.cpp
@@ -31,8 +31,10 @@
     const auto began = monotonic_now();
     const bool leads = hub->leads();
     const auto lease_left = leads ? hub->lease_left() : duration{};
+    // A lease rests on the clock of this VM, which may have stood still.
+    const bool confirmed = leads && co_await hub->confirm_leadership(deadline);
     wire::query_response response;
-    if (leads) {
+    if (confirmed) {
         response.leader = hub->leader();
         if (hub->state().queues.version > 0)
             response.queues = hub->state().queues;
@@ -44,6 +46,7 @@
               {{"version", response.queues ? response.queues->version : 0},
                {"leader", response.leader},
                {"leads", leads},
+               {"confirmed", confirmed},
                {"lease_left_us", lease_left.count()},
                {"held", hub->state().queues.version},
                {"term", hub->current_term()},
--- a/src/controld/replicarunner.cpp
+++ b/src/controld/replicarunner.cpp
@@ -35,6 +35,10 @@
       snapshots_offered{metrics.make_counter("galenaturn_ledger_images_offered_total")},
       snapshots_installed{metrics.make_counter("galenaturn_ledger_images_installed_total")},
       leases_contradicted{metrics.make_counter("galenaturn_ledger_leases_contradicted_total")},
+      reads_confirmed{
+          metrics.make_counter("galenaturn_ledger_reads_total", {{"confirmed", "yes"}})},
+      reads_refused{metrics.make_counter("galenaturn_ledger_reads_total", {{"confirmed", "no"}})},
+      read_rounds{metrics.make_counter("galenaturn_ledger_read_rounds_total")},
       term_number{metrics.make_gauge("galenaturn_ledger_term")},
       applied_index{metrics.make_gauge("galenaturn_ledger_applied_index")},
       log_bytes{metrics.make_gauge("galenaturn_ledger_log_bytes")},
@@ -166,6 +170,17 @@
     return indexes;
 }
 
+void replica_runner::confirm_leadership(pending_reads::answer read)
+{
+    auto counted = [this, read = std::move(read)](bool confirmed) {
+        (confirmed ? counters_.reads_confirmed : counters_.reads_refused).add();
+        read(confirmed);
+    };
+    if (!running() || !replica_->leads || !reads_.add(counted))
+        return counted(false);
+    answer_reads();
+}
+
 ledger::refusal_reason replica_runner::change_voters(const ledger::voter_change& change)
 {
     ledger::refusal_reason reason;
@@ -204,6 +219,23 @@
     }
     executing_effects_ = false;
     start_disk_write();
+    answer_reads();
+}
+
+void replica_runner::answer_reads()
+{
+    if (executing_effects_)
+        return;
+    if (failed_ || !replica_->leads)
+        return reads_.refuse_all();
+    reads_.confirm(ledger::confirmed_round(*replica_));
+    if (!reads_.needs_round())
+        return;
+    std::uint64_t round = 0;
+    auto begun = ledger::begin_read(*replica_, monotonic_now(), round);
+    reads_.begin(round);
+    counters_.read_rounds.add();
+    process_effects(std::move(begun));
 }
 
 void replica_runner::execute(ledger::effects done)
@@ -217,6 +249,7 @@
                                 std::make_move_iterator(done.after_sync.begin()),
                                 std::make_move_iterator(done.after_sync.end()));
     if (done.role_changed) {
+        reads_.refuse_all();
         counters_.elections.add();
         counters_.term_number.set(static_cast<double>(replica_->hard.current_term.value()));
         log_event(log_level::info, "ledger_role",
@@ -333,6 +366,7 @@
 {
     if (!outcome) {
         failed_ = true;
+        reads_.refuse_all();
         log_event(log_level::error, "ledger_disk_failed",
                   {{"error", outcome.error().message()},
                    {"folder", shared_.settings.data_folder},
--- a/src/controld/replicarunner.h
+++ b/src/controld/replicarunner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pendingreads.h"
+
 #include <galenaturn/daemon.h>
 #include <galenaturn/ledger.h>
 
@@ -30,6 +32,10 @@
     counter& snapshots_installed;
     /** Leaders of later terms that were elected within the lease of this one. */
     counter& leases_contradicted;
+    counter& reads_confirmed;
+    counter& reads_refused;
+    /** Rounds of heartbeats that were begun for reads. */
+    counter& read_rounds;
     gauge& term_number;
     gauge& applied_index;
     gauge& log_bytes;
@@ -83,6 +89,11 @@
 
     std::vector<log_index> propose(std::vector<std::string> commands);
     ledger::refusal_reason change_voters(const ledger::voter_change& change);
+    /**
+     * Calls `read` once a quorum has confirmed that this process still leads, or with false once
+     * it does not. Rests on no clock. The term is the same from this call to that one.
+     */
+    void confirm_leadership(pending_reads::answer read);
     /** Starts the next voter change, if any, towards the number of voters in the settings. */
     void maintain_voters();
 
@@ -101,6 +112,8 @@
     void process_effects(ledger::effects done);
     void execute(ledger::effects done);
     void on_effects_executed();
+    /** Answers the reads that are decided, and begins a round for those that wait for one. */
+    void answer_reads();
     void install_snapshot(ledger::state_snapshot snapshot);
     void queue_writes(ledger::effects& done);
     void start_disk_write();
@@ -142,6 +155,7 @@
     bool snapshot_needed_{false};
     std::deque<disk_job> jobs_;
     std::vector<ledger::peer_message> messages_after_sync_;
+    pending_reads reads_;
     std::size_t last_snapshot_bytes_{0};
     bool disk_busy_{false};
     bool failed_{false};
--- a/src/libledger/replica.cpp
+++ b/src/libledger/replica.cpp
@@ -100,11 +100,8 @@
         check_quorum(context);
         if (disk_hangs(self, now))
             raise_event(context, "disk_hangs");
-        if (self.leads && now >= self.heartbeat_due) {
-            begin_round(context);
-            for (const auto& [member, process] : all_members(self.log.voters()))
-                replicate_to(context, member, true);
-        }
+        if (self.leads && now >= self.heartbeat_due)
+            send_heartbeats(context);
         return out;
     }
     if (now >= self.election_due) {
@@ -141,6 +138,17 @@
     return out;
 }
 
+namespace {
+
+/** Returns whether this replica leads and has applied all that was committed before its term. */
+bool has_applied_earlier_terms(const replica& self)
+{
+    return self.leads && self.applied == self.committed &&
+           self.log.term_of(self.committed) == self.hard.current_term;
+}
+
+} // namespace
+
 bool needs_announcement(const replica& self)
 {
     return self.log.last_index().value() == 0 || !is_member(self, self.self) ||
@@ -149,14 +157,31 @@
 
 bool may_read(const replica& self, time_point now)
 {
-    if (!self.leads || self.applied != self.committed)
-        return false;
-    if (self.log.term_of(self.committed) != self.hard.current_term)
+    if (!has_applied_earlier_terms(self))
         return false;
     return now < self.lease_expires || self.faults.skips_quorum_check ||
            self.faults.reads_without_lease;
 }
 
+effects begin_read(replica& self, time_point now, std::uint64_t& round)
+{
+    effects out;
+    step_context context{self, now, out};
+    round = 0;
+    if (!self.leads)
+        return out;
+    send_heartbeats(context);
+    round = self.last_round;
+    return out;
+}
+
+std::uint64_t confirmed_round(const replica& self)
+{
+    if (!has_applied_earlier_terms(self))
+        return 0;
+    return self.faults.reads_without_round ? self.last_round : acknowledged_round(self);
+}
+
 bool may_propose(const replica& self)
 {
     if (!self.leads)
--- a/src/libledger/replica.h
+++ b/src/libledger/replica.h
@@ -54,6 +54,7 @@
     bool overlaps_voter_changes{false};
     bool ignores_candidate_log{false};
     bool reads_without_lease{false};
+    bool reads_without_round{false};
     bool counts_lease_from_receipt{false};
     bool ignores_own_promise{false};
     bool forgets_promise_at_start{false};
@@ -216,6 +217,17 @@
 
 /** Returns whether a read here is linearizable: leader with a valid lease, all commits applied. */
 bool may_read(const replica& self, time_point now);
+/**
+ * Begins a round of heartbeats. A read that arrived before it is linearizable once
+ * `confirmed_round` has reached `round`, whatever the clocks show (ReadIndex of Raft). `round` is 0
+ * if this replica does not lead.
+ */
+effects begin_read(replica& self, time_point now, std::uint64_t& round);
+/**
+ * Returns the newest round that a quorum has acknowledged to this leader; 0 if it does not lead or
+ * has not yet applied all that was committed before its term.
+ */
+std::uint64_t confirmed_round(const replica& self);
 /**
  * Returns whether a replica has to announce itself to other control processes: it has no log, the
  * voter set it knows does not contain it, or no leader sends it messages. A voter that was replaced
--- a/src/libledger/replicaleader.cpp
+++ b/src/libledger/replicaleader.cpp
@@ -73,6 +73,21 @@
     renew_lease(context);
 }
 
+void send_heartbeats(step_context& context)
+{
+    begin_round(context);
+    for (const auto& [member, process] : all_members(context.self.log.voters()))
+        replicate_to(context, member, true);
+}
+
+std::uint64_t acknowledged_round(const replica& self)
+{
+    std::map<voter_id, std::uint64_t> acknowledged;
+    for (const auto& [member, progress] : self.progress)
+        acknowledged.emplace(member, progress.acknowledged_round);
+    return quorum_value(self.log.voters(), acknowledged);
+}
+
 void record_contact(step_context& context, follower_progress& follower, std::uint64_t round)
 {
     follower.last_contact = context.now;
@@ -87,10 +102,7 @@
 void renew_lease(step_context& context)
 {
     auto& self = context.self;
-    std::map<voter_id, std::uint64_t> acknowledged;
-    for (const auto& [member, progress] : self.progress)
-        acknowledged.emplace(member, progress.acknowledged_round);
-    const auto reached = quorum_value(self.log.voters(), acknowledged);
+    const auto reached = acknowledged_round(self);
     for (const auto& round : self.rounds) {
         if (round.number == reached)
             self.lease_expires = std::max(self.lease_expires, round.sent + self.options.lease);
--- a/src/libledger/replicasteps.h
+++ b/src/libledger/replicasteps.h
@@ -32,6 +32,10 @@
 /** Returns the progress of a member that the leader starts to replicate to. */
 follower_progress initial_progress(const step_context& context);
 void begin_round(step_context& context);
+/** Begins a round and sends it to all members. */
+void send_heartbeats(step_context& context);
+/** Returns the newest round that a quorum has acknowledged. */
+std::uint64_t acknowledged_round(const replica& self);
 void replicate(step_context& context);
 void replicate_to(step_context& context, const voter_id& follower, bool heartbeat);
 void advance_commit(step_context& context);
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(event_loop_goes_on_during_a_pass);
     CPPUNIT_TEST(tasks_do_not_start_again_when_more_of_them_end_than_a_report_lists);
     CPPUNIT_TEST(an_answer_names_the_version_that_decided_only_while_the_lease_is_valid);
+    CPPUNIT_TEST(an_answer_that_a_later_leader_may_contradict_needs_a_quorum);
     CPPUNIT_TEST(a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling);
     CPPUNIT_TEST(a_submission_after_the_cancelling_of_its_job_does_not_run);
     CPPUNIT_TEST(a_cancelling_is_answered_only_once_it_is_recorded);
@@ -31,6 +32,40 @@
     static constexpr std::size_t jobs = 20;
 
     /** The cancelling was answered as "no such job" at once, and the job ran after that. */
+    /** A leader whose clock stood still showed a cancelled job as running, and denied new ones. */
+    void an_answer_that_a_later_leader_may_contradict_needs_a_quorum()
+    {
+        test_leader leader{1};
+        leader.publish(1);
+        leader.run_for(std::chrono::milliseconds{50});
+        leader.submit("open");
+        leader.submit("ended");
+        leader.cancel("ended");
+        const auto status_of = [&](wire::job_verb verb, const std::string& job) {
+            const auto answer = leader.request(verb, job);
+            CPPUNIT_ASSERT(leader.run_until([&] { return answer->has_value(); }));
+            return answer->value().status;
+        };
+        const auto ok = wire::job_response_status::ok;
+        const auto unavailable = wire::job_response_status::unavailable;
+        CPPUNIT_ASSERT(status_of(wire::job_verb::show, "open") == ok);
+        CPPUNIT_ASSERT(status_of(wire::job_verb::show, "other") ==
+                       wire::job_response_status::unknown_job);
+        leader.set_quorum_confirms(false);
+        CPPUNIT_ASSERT(status_of(wire::job_verb::show, "open") == unavailable);
+        CPPUNIT_ASSERT(status_of(wire::job_verb::show, "other") == unavailable);
+        const auto confirmations = leader.confirmations();
+        CPPUNIT_ASSERT(status_of(wire::job_verb::show, "ended") == ok);
+        CPPUNIT_ASSERT(status_of(wire::job_verb::count, "") == ok);
+        CPPUNIT_ASSERT_EQUAL(confirmations, leader.confirmations());
+        // A queue that this leader does not know.
+        const auto refused = leader.count_jobs();
+        CPPUNIT_ASSERT(refused.status == unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, refused.queues_version);
+        leader.set_quorum_confirms(true);
+        CPPUNIT_ASSERT(leader.count_jobs().status == wire::job_response_status::unknown_queue);
+    }
+
     void a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling()
     {
         test_leader leader{1};
--- a/tests/control/queuepublicationtest.cpp
+++ b/tests/control/queuepublicationtest.cpp
@@ -13,7 +13,7 @@
 /** Tests which process may say what the newest queues are, and which queue a request selects. */
 class queue_publication_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(queue_publication_test);
-    CPPUNIT_TEST(only_a_leader_under_its_lease_answers_from_its_own_state);
+    CPPUNIT_TEST(only_a_leader_that_a_quorum_confirms_answers_from_its_own_state);
     CPPUNIT_TEST(the_longest_prefix_at_the_host_selects_the_queue);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,15 +35,19 @@
         return queue;
     }
 
-    void only_a_leader_under_its_lease_answers_from_its_own_state()
+    void only_a_leader_that_a_quorum_confirms_answers_from_its_own_state()
     {
         daemon::context shared{settings_of_one_control()};
         ledger::ledger_state state;
         state.queues.version = 7;
         control_hub hub;
         bool leads = true;
+        bool quorum_confirms = true;
         hub.state = [&]() -> const ledger::ledger_state& { return state; };
         hub.leads = [&] { return leads; };
+        hub.confirm_leadership = [&](time_point /*deadline*/) -> asio::awaitable<bool> {
+            co_return quorum_confirms;
+        };
         hub.lease_left = [] { return std::chrono::milliseconds{100}; };
         hub.leader = [] { return process_id{"control-a"}; };
         hub.current_term = [] { return term{3}; };
@@ -67,6 +71,9 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, read_version());
         leads = true;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read_version());
+        // The lease rests on a clock that stood still.
+        quorum_confirms = false;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, read_version());
     }
 
     void the_longest_prefix_at_the_host_selects_the_queue()
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -155,6 +155,10 @@
     hub_.state = [this]() -> const ledger::ledger_state& { return state_; };
     hub_.leads = [this] { return leads_; };
     hub_.lease_left = [] { return std::chrono::milliseconds{900}; };
+    hub_.confirm_leadership = [this](time_point /*deadline*/) -> asio::awaitable<bool> {
+        ++confirmations_;
+        co_return quorum_confirms_;
+    };
     hub_.current_term = [this] { return term{term_}; };
     hub_.leader = [] { return process_id{"control-a"}; };
     hub_.submit = [this](wire::command command,
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -87,6 +87,10 @@
 
     /** The lease of the leader lapses, or is renewed. */
     void set_leads(bool leads) { leads_ = leads; }
+    /** Whether a quorum confirms that this process leads, whatever its lease says. */
+    void set_quorum_confirms(bool confirms) { quorum_confirms_ = confirms; }
+    /** How often a quorum was asked. */
+    [[nodiscard]] std::uint64_t confirmations() const { return confirmations_; }
     /** Workers carry out starts and stops at once, but reply only once they are not held. */
     void hold_start_replies(bool hold) { start_replies_held_ = hold; }
     void hold_stop_replies(bool hold) { stop_replies_held_ = hold; }
@@ -138,6 +142,8 @@
     std::vector<schedule::start_command> starts_;
     std::uint64_t rounds_{0};
     bool leads_{true};
+    bool quorum_confirms_{true};
+    std::uint64_t confirmations_{0};
     std::size_t max_listed_ends_{std::numeric_limits<std::size_t>::max()};
     bool start_replies_held_{false};
     bool stop_replies_held_{false};
--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -9,6 +9,9 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting_replicas);
     CPPUNIT_TEST(a_leader_without_a_quorum_serves_no_reads_and_steps_down);
+    CPPUNIT_TEST(a_read_is_confirmed_by_a_quorum_that_responds_to_a_later_round);
+    CPPUNIT_TEST(a_read_of_a_leader_whose_clock_stands_still_is_not_confirmed_after_its_term);
+    CPPUNIT_TEST(a_read_while_a_voter_is_replaced_needs_both_majorities);
     CPPUNIT_TEST(a_leader_of_a_later_term_within_a_lease_is_reported);
     CPPUNIT_TEST(a_candidate_that_hears_of_its_leader_votes_only_after_the_lease);
     CPPUNIT_TEST(a_replica_that_restarts_withholds_its_vote_for_the_election_timeout);
@@ -112,6 +115,75 @@
         CPPUNIT_ASSERT(done.role_changed && !leader.leads);
     }
 
+    std::uint64_t begin_read_at(replica& leader)
+    {
+        std::uint64_t round = 0;
+        const auto done = begin_read(leader, now_, round);
+        CPPUNIT_ASSERT(!done.messages.empty());
+        return round;
+    }
+
+    void a_read_is_confirmed_by_a_quorum_that_responds_to_a_later_round()
+    {
+        auto leader = make("a");
+        elect(leader);
+        const auto before_commit = begin_read_at(leader);
+        from(leader, "b", term{2}, append_response{true, log_index{1}, before_commit, 1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, confirmed_round(leader));
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        CPPUNIT_ASSERT_EQUAL(before_commit, confirmed_round(leader));
+        const auto round = begin_read_at(leader);
+        from(leader, "b", term{2}, append_response{true, log_index{2}, before_commit, 1});
+        CPPUNIT_ASSERT_EQUAL(before_commit, confirmed_round(leader));
+        from(leader, "c", term{2}, append_response{false, log_index{1}, round, 1});
+        CPPUNIT_ASSERT_EQUAL(round, confirmed_round(leader));
+    }
+
+    void a_read_of_a_leader_whose_clock_stands_still_is_not_confirmed_after_its_term()
+    {
+        for (const bool faulty : {false, true}) {
+            replica_faults faults;
+            faults.reads_without_round = faulty;
+            auto leader = make("a", faults);
+            elect(leader);
+            acknowledge(leader, "a", 2);
+            acknowledge(leader, "b", 2);
+            // The VM is suspended, others elect a leader, and no clock here shows that.
+            CPPUNIT_ASSERT(may_read(leader, now_));
+            const auto round = begin_read_at(leader);
+            CPPUNIT_ASSERT_EQUAL(faulty, confirmed_round(leader) >= round);
+            from(leader, "b", term{3}, append_response{false, {}, 0, 1});
+            CPPUNIT_ASSERT(!leader.leads && confirmed_round(leader) == 0);
+        }
+    }
+
+    void a_read_while_a_voter_is_replaced_needs_both_majorities()
+    {
+        auto leader = make("a");
+        elect(leader);
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        refusal_reason reason;
+        change_voters(leader, now_,
+                      {voter_change_kind::add_learner, voter_id{"d"}, process_id{"d"}, {}}, reason);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, reason);
+        for (const auto* member : {"a", "b", "d"})
+            acknowledge(leader, member, 3);
+        tick(leader, now_ += leader.options.heartbeat_interval);
+        for (const auto* member : {"a", "b", "d"})
+            acknowledge(leader, member, 3);
+        change_voters(leader, now_,
+                      {voter_change_kind::replace, voter_id{"d"}, process_id{"d"}, voter_id{"c"}},
+                      reason);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, reason);
+        const auto round = begin_read_at(leader);
+        acknowledge(leader, "d", 3);
+        CPPUNIT_ASSERT(confirmed_round(leader) < round);
+        acknowledge(leader, "c", 2);
+        CPPUNIT_ASSERT_EQUAL(round, confirmed_round(leader));
+    }
+
     void a_leader_of_a_later_term_within_a_lease_is_reported()
     {
         for (const bool lapsed : {false, true}) {
