ledger: the simulation confirms reads by rounds, also while no clock shows suspensions

Reads wait for their round and are checked against what was acknowledged when they arrived, under every kind of failure and with suspensions that all clocks leave out. Reads without a round are detected (fault 14).

--- a/tests/ledger/simulation/simchecks.cpp
+++ b/tests/ledger/simulation/simchecks.cpp
@@ -107,6 +107,8 @@
 void simulation::check_reads(std::size_t node_index)
 {
     auto& node = nodes_[node_index];
+    if (!options_.checks_leases)
+        return;
     if (may_read(*node.core, local_time(node))) {
         ++result_.fresh_reads;
         require(catalogue_in_force(node.state).version >= acknowledged_version_ &&
@@ -120,6 +122,25 @@
     }
 }
 
+void simulation::check_confirmed_reads(std::size_t node_index)
+{
+    auto& node = nodes_[node_index];
+    const auto confirmed = confirmed_round(*node.core);
+    std::erase_if(node.reads, [&](const waiting_read& read) {
+        if (!node.core->leads || node.core->hard.current_term != read.begun_in) {
+            ++result_.refused_reads;
+            return true;
+        }
+        if (confirmed < read.round)
+            return false;
+        ++result_.confirmed_reads;
+        require(catalogue_in_force(node.state).version >= read.acknowledged_version &&
+                    node.core->applied >= read.acknowledged_index,
+                "a confirmed read sees every acknowledged write: " + node.voter.value());
+        return true;
+    });
+}
+
 bool simulation::quorum_survives_disk_loss(std::size_t node_index) const
 {
     const auto keeps_quorum = [&](const voter_set& set) {
--- a/tests/ledger/simulation/simfaults.cpp
+++ b/tests/ledger/simulation/simfaults.cpp
@@ -33,6 +33,8 @@
     if (!node.alive() || is_suspended(node))
         return;
     check_reads(node_index);
+    if (options_.confirmed_reads && node.core->leads && chance(300))
+        start_read(node_index);
     if (!node.core->leads || is_quiet(node))
         return;
     // Sometimes resends an open request with the same id.
@@ -56,6 +58,18 @@
     process_effects(node_index, propose(*node.core, local_time(node), std::move(batch), indexes));
 }
 
+void simulation::start_read(std::size_t node_index)
+{
+    auto& node = nodes_[node_index];
+    waiting_read read;
+    read.begun_in = node.core->hard.current_term;
+    read.acknowledged_index = acknowledged_index_;
+    read.acknowledged_version = acknowledged_version_;
+    auto begun = begin_read(*node.core, local_time(node), read.round);
+    node.reads.push_back(read);
+    process_effects(node_index, std::move(begun));
+}
+
 wire::command simulation::make_command(const ledger_state& seen)
 {
     const task_id task{"t" + std::to_string(pick(task_id_count))};
@@ -130,6 +144,7 @@
     node.core.reset();
     node.messages_for_next_sync.clear();
     node.messages_of_current_sync.clear();
+    node.reads.clear();
     ++node.incarnation;
     if (options_.suspensions && chance(500))
         schedule(event_kind::restart, node_index, duration{pick(max_prompt_restart_us)});
--- a/tests/ledger/simulation/simulation.cpp
+++ b/tests/ledger/simulation/simulation.cpp
@@ -222,7 +222,8 @@
     write.batches.push_back({{}, done.hard, done.truncate_after, std::move(done.entries)});
     if (!write.batches.front().empty())
         node.disk.queue(std::move(write));
-    require(done.contradicting_leader.empty(), "no leader is elected within the lease of another");
+    require(done.contradicting_leader.empty() || !options_.checks_leases,
+            "no leader is elected within the lease of another");
     if (done.role_changed && node.core->leads) {
         check_leader(node_index);
         // Leaders that crash soon after election leave entries that only some replicas have.
@@ -238,6 +239,7 @@
     if (done.snapshot_needed && node.core->leads)
         process_effects(node_index,
                         offer_snapshot(*node.core, local_time(node), encode_snapshot(node.state)));
+    check_confirmed_reads(node_index);
     compact_log_if_large(node_index);
     start_sync(node_index);
 }
--- a/tests/ledger/simulation/simulation.h
+++ b/tests/ledger/simulation/simulation.h
@@ -38,8 +38,12 @@
      * one again right after it woke.
      */
     bool suspensions{false};
-    /** An injected bug: the clocks leave out the time of suspensions. */
+    /** The clocks leave out the time of suspensions, so no lease ends by them. */
     bool clocks_omit_suspensions{false};
+    /** Leaders confirm reads by rounds of heartbeats. */
+    bool confirmed_reads{false};
+    /** Whether reads under a lease are checked; they need true clocks. */
+    bool checks_leases{true};
 };
 
 struct simulation_result {
@@ -58,6 +62,9 @@
     /** How often a leader has ceased to lead since its disk completed no write. */
     std::uint64_t leaders_with_hung_disk{0};
     std::uint64_t fresh_reads{0};
+    std::uint64_t confirmed_reads{0};
+    /** Reads that were begun at a leader and not confirmed in its term. */
+    std::uint64_t refused_reads{0};
     std::uint64_t write_races_won{0};
     std::uint64_t suspensions{0};
     std::uint64_t suspended_leaders{0};
@@ -68,6 +75,14 @@
     using std::runtime_error::runtime_error;
 };
 
+/** A read that waits for a round, and what had been acknowledged when it arrived. */
+struct waiting_read {
+    std::uint64_t round{0};
+    term begun_in;
+    log_index acknowledged_index;
+    catalogue_version acknowledged_version;
+};
+
 /** One process with its replica, its disk and its own clock. */
 struct sim_node {
     process_id process;
@@ -78,6 +93,7 @@
     /** Messages to send after the next sync, and after the running one. */
     std::vector<peer_message> messages_for_next_sync;
     std::vector<peer_message> messages_of_current_sync;
+    std::vector<waiting_read> reads;
     /** Number of starts and crashes; events of an earlier incarnation are ignored. */
     std::uint64_t incarnation{0};
     /** How much faster its clock runs; negative if slower. */
@@ -155,6 +171,7 @@
 
     // simfaults.cpp: client requests and injected failures.
     void act_as_client(std::size_t node_index);
+    void start_read(std::size_t node_index);
     wire::command make_command(const ledger_state& seen);
     void inject_fault();
     void crash(std::size_t node_index);
@@ -176,6 +193,7 @@
                        const applied_change& change);
     void check_state(std::size_t node_index, log_index index);
     void check_reads(std::size_t node_index);
+    void check_confirmed_reads(std::size_t node_index);
     [[nodiscard]] bool quorum_survives_disk_loss(std::size_t node_index) const;
     void check_convergence();
     void require(bool holds, const std::string& invariant);
--- a/tests/ledger/simulationtest.cpp
+++ b/tests/ledger/simulationtest.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(counting_a_lease_from_the_receipt_of_responses_is_detected);
     CPPUNIT_TEST(breaking_the_promise_to_a_leader_is_detected);
     CPPUNIT_TEST(trusting_appends_of_before_a_restart_is_detected);
+    CPPUNIT_TEST(confirmed_reads_are_no_older_than_what_was_acknowledged);
+    CPPUNIT_TEST(confirmed_reads_hold_although_no_clock_shows_suspensions);
+    CPPUNIT_TEST(reading_without_a_round_is_detected);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string text_of(const simulation_options& options, const simulation_result& result)
@@ -221,6 +224,64 @@
         faults.trusts_delayed_appends = true;
         assert_old_read(faults);
     }
+
+    /** Returns the options of a run in which no clock shows the suspensions. */
+    static simulation_options unseen_suspension_options(std::uint64_t seed)
+    {
+        auto options = suspension_options(seed);
+        options.clocks_omit_suspensions = true;
+        options.checks_leases = false;
+        options.confirmed_reads = true;
+        return options;
+    }
+
+    static void add_sound_run(const simulation_options& options, simulation_result& sum)
+    {
+        const auto result = run_simulation(options);
+        CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+        sum.commits += result.commits;
+        sum.suspended_leaders += result.suspended_leaders;
+        sum.voter_changes += result.voter_changes;
+        sum.confirmed_reads += result.confirmed_reads;
+        sum.refused_reads += result.refused_reads;
+    }
+
+    void confirmed_reads_are_no_older_than_what_was_acknowledged()
+    {
+        simulation_result sum;
+        for (std::uint64_t seed = 601; seed < 621; ++seed) {
+            auto options = options_for_seed(seed);
+            options.confirmed_reads = true;
+            add_sound_run(options, sum);
+        }
+        CPPUNIT_ASSERT(sum.commits > 1'000);
+        CPPUNIT_ASSERT(sum.voter_changes > 5);
+        CPPUNIT_ASSERT(sum.confirmed_reads > 1'000);
+    }
+
+    void confirmed_reads_hold_although_no_clock_shows_suspensions()
+    {
+        simulation_result sum;
+        for (std::uint64_t seed = 701; seed < 741; ++seed)
+            add_sound_run(unseen_suspension_options(seed), sum);
+        CPPUNIT_ASSERT(sum.commits > 1'000);
+        CPPUNIT_ASSERT(sum.suspended_leaders > 100);
+        CPPUNIT_ASSERT(sum.confirmed_reads > 1'000);
+        CPPUNIT_ASSERT(sum.refused_reads > 20);
+    }
+
+    void reading_without_a_round_is_detected()
+    {
+        for (std::uint64_t seed = 31; seed < 71; ++seed) {
+            auto options = unseen_suspension_options(seed);
+            options.faults.reads_without_round = true;
+            const auto result = run_simulation(options);
+            if (result.violation.starts_with("a confirmed read sees"))
+                return;
+            CPPUNIT_ASSERT_MESSAGE(text_of(options, result), result.violation.empty());
+        }
+        CPPUNIT_FAIL("no run detected the injected bug");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(simulation_test);
--- a/tests/ledger/soak/soakledger.cpp
+++ b/tests/ledger/soak/soakledger.cpp
@@ -12,6 +12,8 @@
 DEFINE_bool(power_lost_with_disks, false, "All power is lost whenever a disk is lost");
 DEFINE_bool(suspensions, false, "Processes are suspended");
 DEFINE_bool(clocks_omit_suspensions, false, "Injected bug: clocks leave out suspensions");
+DEFINE_bool(confirmed_reads, false, "Leaders confirm reads by rounds of heartbeats");
+DEFINE_bool(checks_leases, true, "Check reads under a lease, which need true clocks");
 
 namespace {
 
@@ -33,6 +35,7 @@
     faults.ignores_own_promise = number == 11;
     faults.forgets_promise_at_start = number == 12;
     faults.trusts_delayed_appends = number == 13;
+    faults.reads_without_round = number == 14;
     return faults;
 }
 
@@ -63,6 +66,8 @@
         options.faults = fault_of(FLAGS_fault);
         options.power_lost_with_disks = FLAGS_power_lost_with_disks;
         options.clocks_omit_suspensions = FLAGS_clocks_omit_suspensions;
+        options.confirmed_reads = FLAGS_confirmed_reads;
+        options.checks_leases = FLAGS_checks_leases;
         const auto result = ledger::run_simulation(options);
         if (!result.violation.empty()) {
             print_failure(options, result);
@@ -78,6 +83,8 @@
         sum.power_losses += result.power_losses;
         sum.leaders_with_hung_disk += result.leaders_with_hung_disk;
         sum.fresh_reads += result.fresh_reads;
+        sum.confirmed_reads += result.confirmed_reads;
+        sum.refused_reads += result.refused_reads;
         sum.write_races_won += result.write_races_won;
         sum.suspensions += result.suspensions;
         sum.suspended_leaders += result.suspended_leaders;
@@ -88,7 +95,8 @@
               << " voter_changes=" << sum.voter_changes << " disks_lost=" << sum.disks_lost
               << " power_losses=" << sum.power_losses
               << " leaders_with_hung_disk=" << sum.leaders_with_hung_disk
-              << " fresh_reads=" << sum.fresh_reads << " races_won=" << sum.write_races_won
+              << " fresh_reads=" << sum.fresh_reads << " confirmed_reads=" << sum.confirmed_reads
+              << " refused_reads=" << sum.refused_reads << " races_won=" << sum.write_races_won
               << " suspensions=" << sum.suspensions
               << " suspended_leaders=" << sum.suspended_leaders << '\n';
     return 0;
