tests: a soak that cuts links between control processes and loses their disks

The soak with suspensions had three control processes, and its faults overlapped only in part. A read of the configuration must now show what had been acknowledged when it was sent; the soak allowed 2 s.

--- a/tests/platform/soak/configrecord.cpp
+++ b/tests/platform/soak/configrecord.cpp
@@ -55,7 +55,7 @@
              const disruption_log& disruptions, const config_bounds& bounds)
 {
     if (probe.shown == shown_version::read)
-        return is_older(probe, changes, acknowledged_by(changes, probe.sent, bounds.applied));
+        return is_older(probe, changes, acknowledged_by(changes, probe.sent, bounds.read));
     const auto from = probe.sent - bounds.contact;
     if (disruptions.disturbed(probe.process, from, probe.answered))
         return false;
--- a/tests/platform/soak/configrecord.h
+++ b/tests/platform/soak/configrecord.h
@@ -39,6 +39,8 @@
 
 /** Bounds of the rules. */
 struct config_bounds {
+    /** A read is linearizable: no older than what had been acknowledged when it was sent. */
+    duration read{};
     duration applied = std::chrono::milliseconds{2000};
     duration applied_unstable = std::chrono::milliseconds{2500};
     /** How long after a disruption a process counts as disturbed. */
--- a/tests/platform/soak/deployment.cpp
+++ b/tests/platform/soak/deployment.cpp
@@ -211,6 +211,7 @@
     for (const auto& word : words)
         arguments.push_back(const_cast<char*>(word.c_str()));
     arguments.push_back(nullptr);
+    setenv(own_address_variable, process.address.ip.c_str(), 1);
     const auto parent = getpid();
     const pid_t pid = fork();
     if (pid != 0)
@@ -309,6 +310,24 @@
     [[maybe_unused]] const auto size = write(worker.orders, line.data(), line.size());
 }
 
+void deployment::lose_disk(soak_process& member)
+{
+    signal(member, SIGKILL);
+    std::filesystem::remove_all(data_ / member.name);
+    note("disk of " + member.name + " lost");
+}
+
+void deployment::note_cut(const std::vector<soak_process*>& members, bool is_cut)
+{
+    for (const auto* member : members) {
+        note((is_cut ? "cut " : "heal ") + member->name);
+        if (is_cut)
+            disruptions_.begin(member->name, true, false, monotonic_now());
+        else
+            disruptions_.end(member->name, monotonic_now());
+    }
+}
+
 std::vector<std::string> deployment::collect_ended()
 {
     std::vector<std::string> faults;
--- a/tests/platform/soak/deployment.h
+++ b/tests/platform/soak/deployment.h
@@ -48,6 +48,12 @@
 
 /** Is told before a process is suspended (true), and before one is resumed or killed (false). */
 using suspension_observer = std::function<void(const soak_process&, bool)>;
+/** Loses what the first process sends to the second, or no longer. */
+using link_cutter =
+    std::function<void(const soak_process& from, const soak_process& to, bool is_cut)>;
+
+/** Environment variable with the address of a process. */
+inline constexpr const char* own_address_variable = "GALENATURN_SOAK_ADDRESS";
 
 /**
  * Processes of the project and stand-ins of workers on loopback addresses of their own, started and
@@ -71,6 +77,10 @@
     /** Sends a signal; SIGKILL waits for the end. */
     void signal(soak_process& target, int number);
     void order(soak_process& worker, const std::string& word);
+    /** Kills a control process and empties its data folder. */
+    void lose_disk(soak_process& member);
+    /** Marks the processes as disturbed while what they send or are sent is lost. */
+    void note_cut(const std::vector<soak_process*>& members, bool is_cut);
     /** Collects the processes that have ended. Returns what each did against the rules. */
     std::vector<std::string> collect_ended();
     /** Lines for the record of what happened. */
--- a/tests/platform/soak/disruptor.cpp
+++ b/tests/platform/soak/disruptor.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-disruptor::disruptor(deployment& target, std::uint64_t seed, bool suspends_vms)
-    : target_{target}, random_{seed}, suspends_vms_{suspends_vms}
+disruptor::disruptor(deployment& target, std::uint64_t seed, bool suspends_vms, link_cutter cutter)
+    : target_{target}, random_{seed}, suspends_vms_{suspends_vms}, cutter_{std::move(cutter)}
 {
     after(milliseconds{between(0, 1000)}, [this] { disturb(); });
 }
@@ -94,10 +94,15 @@
     if (healed_)
         return;
     ++disturbed_;
+    const auto fault = cutter_ ? between(0, 9) : -1;
     const bool suspends = suspends_vms_ && between(0, 2) > 0;
     const auto kind = suspends ? 0 : between(0, 9);
     milliseconds span{0};
-    if (suspends)
+    if (fault >= 0 && fault < 4)
+        span = cut_links();
+    else if (fault == 4)
+        span = lose_disk();
+    else if (suspends)
         span = suspend_vms();
     else if (kind < 4)
         disturb_member(process_kind::entry);
@@ -107,7 +112,8 @@
         restart_workers_of_domain(static_cast<int>(between(0, deployment::domain_count - 1)));
     else
         disturb_member(process_kind::worker);
-    const bool overlaps = between(0, 2) == 0;
+    // Before a disk is lost all stay sound.
+    const bool overlaps = between(0, 2) == 0 && fault != 4;
     after(overlaps ? milliseconds{between(0, 300)} : span + milliseconds{between(500, 2500)},
           [this] { disturb(); });
 }
@@ -140,6 +146,82 @@
     return span;
 }
 
+std::vector<soak_process*> disruptor::choose_controls(std::size_t count)
+{
+    auto controls = free_members(process_kind::control);
+    std::shuffle(controls.begin(), controls.end(), random_);
+    if (between(0, 2) > 0)
+        std::partition(controls.begin(), controls.end(),
+                       [leader = target_.leader()](auto* each) { return each == leader; });
+    controls.resize(std::min(count, controls.size()));
+    return controls;
+}
+
+void disruptor::set_links(const std::vector<soak_process*>& group, std::int64_t direction,
+                          bool is_cut)
+{
+    constexpr std::int64_t only_incoming = 1;
+    constexpr std::int64_t only_outgoing = 2;
+    for (const auto* member : group) {
+        for (const auto* other : target_.all_of(process_kind::control)) {
+            if (std::find(group.begin(), group.end(), other) != group.end())
+                continue;
+            if (direction != only_incoming)
+                cutter_(*member, *other, is_cut);
+            if (direction != only_outgoing)
+                cutter_(*other, *member, is_cut);
+        }
+    }
+    target_.note_cut(group, is_cut);
+}
+
+std::chrono::milliseconds disruptor::cut_links()
+{
+    const auto all = target_.all_of(process_kind::control).size();
+    const auto most = std::max<std::int64_t>(1, static_cast<std::int64_t>(all - 1) / 2);
+    const auto group = choose_controls(static_cast<std::size_t>(between(1, most)));
+    const milliseconds span{between(0, 1) == 0 ? between(300, 1500) : between(2000, 7000)};
+    if (group.empty())
+        return milliseconds{0};
+    const auto direction = between(0, 2);
+    for (auto* member : group)
+        busy_[member->name] = time_point::max();
+    set_links(group, direction, true);
+    cuts_.emplace(++last_cut_, link_cut{group, direction});
+    after(span, [this, number = last_cut_] { heal_cut(number); });
+    return span;
+}
+
+void disruptor::heal_cut(std::uint64_t number)
+{
+    const auto cut = cuts_.extract(number);
+    if (cut.empty())
+        return;
+    set_links(cut.mapped().group, cut.mapped().direction, false);
+    for (auto* member : cut.mapped().group)
+        busy_[member->name] = monotonic_now() + milliseconds{500};
+}
+
+std::chrono::milliseconds disruptor::lose_disk()
+{
+    // Longer than a voter takes to be replaced and to catch up.
+    constexpr milliseconds sound_for{6000};
+    const auto all_free = [this] {
+        return free_members(process_kind::control).size() ==
+               target_.all_of(process_kind::control).size();
+    };
+    if (!all_free())
+        return milliseconds{0};
+    after(sound_for, [this, all_free] {
+        if (!all_free())
+            return;
+        auto* const member = choose_controls(1).front();
+        busy_[member->name] = time_point::max();
+        target_.lose_disk(*member);
+    });
+    return sound_for;
+}
+
 void disruptor::disturb_member(process_kind kind)
 {
     const auto free = free_members(kind);
@@ -237,6 +319,8 @@
     restarting_.clear();
     for (auto* process : suspended_)
         target_.signal(*process, SIGCONT);
+    while (!cuts_.empty())
+        heal_cut(cuts_.begin()->first);
     cut({cut_off_.begin(), cut_off_.end()}, false);
     for (auto* worker : standing_still_) {
         target_.signal(*worker, SIGKILL);
--- a/tests/platform/soak/disruptor.h
+++ b/tests/platform/soak/disruptor.h
@@ -18,8 +18,12 @@
  */
 class disruptor {
 public:
-    /** With `suspends_vms` any number of control processes may be suspended at once. */
-    disruptor(deployment& target, std::uint64_t seed, bool suspends_vms = false);
+    /**
+     * With `suspends_vms` any number of control processes may be suspended at once. With `cutter`
+     * links between control processes are cut, and their disks are lost one at a time.
+     */
+    disruptor(deployment& target, std::uint64_t seed, bool suspends_vms = false,
+              link_cutter cutter = {});
 
     /** Does what is due. Returns what processes did against the rules. */
     std::vector<std::string> advance();
@@ -32,6 +36,14 @@
     void disturb_member(process_kind kind);
     /** Returns for how long. */
     std::chrono::milliseconds suspend_vms();
+    /** Some control processes, the leader more often, are cut off from the others. */
+    std::chrono::milliseconds cut_links();
+    /** Loses a disk once all control processes have been sound for long enough. */
+    std::chrono::milliseconds lose_disk();
+    void heal_cut(std::uint64_t number);
+    void set_links(const std::vector<soak_process*>& group, std::int64_t direction, bool is_cut);
+    /** Returns up to `count` free control processes, more often with the leader. */
+    std::vector<soak_process*> choose_controls(std::size_t count);
     void stop_and_restart(soak_process& member, int number);
     void suspend(soak_process& target, std::chrono::milliseconds span);
     void restart_workers_of_domain(int domain);
@@ -46,9 +58,16 @@
     deployment& target_;
     std::mt19937_64 random_;
     bool suspends_vms_;
+    link_cutter cutter_;
     std::multimap<time_point, std::function<void()>> actions_;
     /** Disturbed processes, with when each may be disturbed again. */
     std::map<std::string, time_point> busy_;
+    struct link_cut {
+        std::vector<soak_process*> group;
+        std::int64_t direction{0};
+    };
+    std::map<std::uint64_t, link_cut> cuts_;
+    std::uint64_t last_cut_{0};
     std::set<soak_process*> suspended_;
     std::set<soak_process*> standing_still_;
     std::set<soak_process*> cut_off_;
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -115,7 +115,8 @@
 
     void disturb_and_settle()
     {
-        disruptor trouble{processes_, options_.seed, options_.on_suspension != nullptr};
+        disruptor trouble{processes_, options_.seed, options_.on_suspension != nullptr,
+                          options_.cutter};
         const auto never = [] { return false; };
         advance_until(trouble, monotonic_now() + options_.disturbed, never);
         trouble.heal();
--- a/tests/platform/soak/soak.h
+++ b/tests/platform/soak/soak.h
@@ -18,6 +18,8 @@
     std::filesystem::path logs;
     /** If there is one, control processes and entries are suspended like VMs. */
     suspension_observer on_suspension;
+    /** If there is one, links between control processes are cut, and their disks are lost. */
+    link_cutter cutter;
 };
 
 struct soak_result {
--- a/tests/suspension/process/suspendedcalls.cpp
+++ b/tests/suspension/process/suspendedcalls.cpp
@@ -5,6 +5,9 @@
 
 #include "suspension/suspensiontable.h"
 
+#include "platform/soak/deployment.h"
+
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -38,7 +41,17 @@
     return clock == CLOCK_BOOTTIME ? table()->boot_behind_ns[slot].load() : 0;
 }
 
-/** Returns whether the peer that the socket has connected to is suspended. */
+std::size_t own_link_slot()
+{
+    static const auto slot = [] {
+        const auto* address = std::getenv(galenaturn::soak::own_address_variable);
+        return galenaturn::suspension::link_slot(address == nullptr ? 0
+                                                                    : ntohl(inet_addr(address)));
+    }();
+    return slot;
+}
+
+/** Returns whether the peer is suspended, or the link to it is cut. */
 bool is_lost(int socket)
 {
     sockaddr_in peer{};
@@ -46,7 +59,9 @@
     if (table() == nullptr || getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
         peer.sin_family != AF_INET)
         return false;
-    return table()->is_away[ntohl(peer.sin_addr.s_addr) % suspension_table::slots];
+    const auto address = ntohl(peer.sin_addr.s_addr);
+    return table()->is_away[address % suspension_table::slots] ||
+           table()->is_cut[own_link_slot()][galenaturn::suspension::link_slot(address)];
 }
 
 ssize_t total_size(const iovec* parts, std::size_t count)
--- a/tests/suspension/suspensiontest.cpp
+++ b/tests/suspension/suspensiontest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(reads_at_a_leader_that_stood_still_are_no_older_than_what_was_acknowledged);
     CPPUNIT_TEST(reads_at_a_leader_whose_clocks_all_stood_still_are_no_older_than_acknowledged);
     CPPUNIT_TEST(random_suspensions_break_no_promise);
+    CPPUNIT_TEST(overlapping_cuts_suspensions_and_lost_disks_break_no_promise);
     CPPUNIT_TEST_SUITE_END();
 
     /** From when on after its acknowledgement a change is in force everywhere. */
@@ -87,14 +88,34 @@
         read_after_a_change_elsewhere(clocks_left_behind::steady_and_boot);
     }
 
-    void random_suspensions_break_no_promise()
+    void random_suspensions_break_no_promise() { run_soak_with_suspensions(make_soak_options()); }
+
+    /** With as many control processes as the users' grown deployment has. */
+    void overlapping_cuts_suspensions_and_lost_disks_break_no_promise()
+    {
+        auto options = make_soak_options();
+        options.sizes.controls = 8;
+        options.disturbed = seconds{15};
+        run_soak_with_suspensions(options, true);
+    }
+
+private:
+    static soak::soak_options make_soak_options()
     {
         soak::soak_options options;
         options.seed = 1;
         options.disturbed = seconds{8};
         options.programs = SUSPENDABLE_PROGRAMS;
         options.logs = std::filesystem::path{GALENATURN_BINARY_DIR} / "suspension";
-        options.on_suspension = suspends_like_vms(options.logs);
+        return options;
+    }
+
+    static void run_soak_with_suspensions(soak::soak_options options, bool cuts = false)
+    {
+        const auto suspensions = std::make_shared<vm_suspensions>(options.logs);
+        options.on_suspension = suspends_like_vms(suspensions);
+        if (cuts)
+            options.cutter = cuts_links(suspensions);
         const auto result = soak::run_soak(options);
         std::string failures;
         for (const auto& violation : result.violations)
--- a/tests/suspension/vmsuspensions.cpp
+++ b/tests/suspension/vmsuspensions.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <cstdlib>
+#include <utility>
 
 namespace galenaturn::suspension {
 
@@ -45,15 +46,30 @@
     table_->is_away[slot_of(process.address)] = false;
 }
 
-soak::suspension_observer suspends_like_vms(const std::filesystem::path& folder)
+void vm_suspensions::set_link(const soak::soak_process& from, const soak::soak_process& to,
+                              bool is_cut)
+{
+    table_->is_cut[link_slot(ntohl(inet_addr(from.address.ip.c_str())))]
+                  [link_slot(ntohl(inet_addr(to.address.ip.c_str())))] = is_cut;
+}
+
+soak::suspension_observer suspends_like_vms(std::shared_ptr<vm_suspensions> suspensions)
 {
     constexpr int clock_goes_on_each = 4;
-    return [suspensions = vm_suspensions{folder}, ended = 0](const soak::soak_process& process,
+    return [suspensions = std::move(suspensions), ended = 0](const soak::soak_process& process,
                                                              bool is_suspended) mutable {
         if (is_suspended)
-            return suspensions.begin(process);
+            return suspensions->begin(process);
         const bool goes_on = ++ended % clock_goes_on_each == 0;
-        suspensions.end(process, goes_on ? clocks_left_behind::none : clocks_left_behind::steady);
+        suspensions->end(process, goes_on ? clocks_left_behind::none : clocks_left_behind::steady);
+    };
+}
+
+soak::link_cutter cuts_links(std::shared_ptr<vm_suspensions> suspensions)
+{
+    return [suspensions = std::move(suspensions)](const soak::soak_process& from,
+                                                  const soak::soak_process& to, bool is_cut) {
+        suspensions->set_link(from, to, is_cut);
     };
 }
 
--- a/tests/suspension/vmsuspensions.h
+++ b/tests/suspension/vmsuspensions.h
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace galenaturn::suspension {
@@ -27,13 +28,16 @@
     void begin(const soak::soak_process& process);
     /** To be called before the process is resumed or killed; does nothing for one that runs. */
     void end(const soak::soak_process& process, clocks_left_behind clocks);
+    void set_link(const soak::soak_process& from, const soak::soak_process& to, bool is_cut);
 
 private:
     suspension_table* table_;
     std::map<std::string, time_point> suspended_at_;
 };
 
-/** Returns an observer of a soak's suspensions; the steady clock goes on during some of them. */
-soak::suspension_observer suspends_like_vms(const std::filesystem::path& folder);
+/** Observes a soak's suspensions, which some clocks show and others do not. */
+soak::suspension_observer suspends_like_vms(std::shared_ptr<vm_suspensions> suspensions);
+/** Cuts links between the processes of a soak. */
+soak::link_cutter cuts_links(std::shared_ptr<vm_suspensions> suspensions);
 
 } // namespace galenaturn::suspension
