control, schedule: a worker that is lost for good is retired

Cause: nothing retired a worker that neither announces its end nor comes back. It stayed in the ledger, and each new leader starts no task that it has taken over before every worker in the ledger has reported or inherited runs have certainly ended.

The leader retires a worker that neither responds nor has announced itself for 10 s, once its lease has expired, no start without a reply can be carried out, and its lost tasks have waited 30 s for a next life to tell of a crash. One that returns announces itself and is recorded anew; starts that it may still carry out are kept for it, as for one that left.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -21,8 +21,6 @@
  * pass at once.
  */
 constexpr duration tick_interval = std::chrono::milliseconds{100};
-/** A new leader uses announcements up to this age. */
-constexpr duration max_announcement_age = std::chrono::seconds{10};
 /**
  * Interval at which the tail model is shared; the model changes slowly, so a new leader misses
  * little.
@@ -408,6 +406,7 @@
         begin_term_if_leading();
         send_due_commands();
         retire_ended_departures();
+        retire_silent_workers();
         schedule_pass();
         log_capacity();
         schedule::forget_silent_workers(announcements_, monotonic_now());
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -22,6 +22,8 @@
 
 /** Maximum time that a caller waits for the ledger. */
 inline constexpr duration ledger_command_timeout = std::chrono::milliseconds{1500};
+/** A worker whose latest announcement is older may be gone. */
+inline constexpr duration max_announcement_age = std::chrono::seconds{10};
 
 /**
  * Accepts jobs and runs their tasks on workers while this process leads the ledger. The term of the
@@ -130,6 +132,11 @@
     void retire_if_gone(const worker_id& worker, const command_reply& reply);
     /** Retires the workers that have left and whose leases have expired since. */
     void retire_ended_departures();
+    /**
+     * Retires workers that neither respond nor announce themselves, so that a later leader does not
+     * wait for them.
+     */
+    void retire_silent_workers();
     /** Handles that another worker responded in its place, or `next`, its next life. */
     void on_worker_crash(const worker_id& worker, const worker_id& next = {});
     /** Retires the worker in the ledger, which admits others in the same step. */
--- a/src/controld/workerlives.cpp
+++ b/src/controld/workerlives.cpp
@@ -133,6 +133,23 @@
         retire_worker(worker, "left_silently");
 }
 
+void job_service::retire_silent_workers()
+{
+    const auto now = monotonic_now();
+    if (!term_active_ || !hub_.leads() || now - term_began_at_ < max_announcement_age)
+        return;
+    for (const auto& worker : schedule::silent_workers(scheduler_, now)) {
+        const auto announced = announcements_.find(worker);
+        if (announced != announcements_.end() &&
+            now - announced->second.last_seen < max_announcement_age)
+            continue;
+        log_lost_runs(worker, "silent");
+        schedule::remove_worker(scheduler_, worker);
+        connections_.erase(worker);
+        update_ledger_workers({}, {worker});
+    }
+}
+
 void job_service::on_worker_crash(const worker_id& worker, const worker_id& next)
 {
     log_lost_runs(worker, next.empty() ? "other_life" : "next_life");
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -123,6 +123,11 @@
 bool has_left(const job_scheduler& state, const worker_id& worker);
 /** Returns the workers that have left and of which nothing can run any more. */
 std::vector<worker_id> ended_departures(const job_scheduler& state, time_point now);
+/**
+ * Returns the workers that do not respond, of which nothing runs and no earlier start can be
+ * carried out any more. One of them that comes back announces itself again.
+ */
+std::vector<worker_id> silent_workers(const job_scheduler& state, time_point now);
 
 /**
  * Removes a worker that has crashed: another one responded in its place, or `next`, its next life.
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -10,9 +10,19 @@
 
 namespace {
 
+/** How long after its lease a crashed worker may return in its next life, which tells of it. */
+constexpr duration max_crash_silence = std::chrono::seconds{30};
 /** No start is carried out later than this after it was sent. */
 constexpr duration max_start_delay = std::chrono::seconds{60};
 
+/** Returns whether a task may run on the worker, be it of an earlier leader. */
+bool may_run(const job_scheduler& state, const job_worker& worker, time_point now)
+{
+    return now <= worker.lease_expires_at || !worker.runs.empty() ||
+           state.unread_workers.contains(worker.record.id) ||
+           has_known_orphans(state, worker.record.id);
+}
+
 /** Returns whether the run has not begun, or has certainly begun in this life of the worker and
  * ended with it. */
 bool has_ended_with(const job_worker& worker, const task_run& run)
@@ -36,15 +46,13 @@
     state.workers_in_doubt.insert(worker.record.id);
 }
 
-/** Keeps the starts that the next life of a worker which is gone may carry out. */
+/** Keeps the starts that a worker which is gone may carry out if it comes back. */
 void keep_departed_starts(job_scheduler& state, const job_worker& worker)
 {
-    if (incarnation_of(worker.record.id) == incarnation{})
-        return;
     auto starts = worker.doubtful_starts;
     for (const auto& [ref, number] : worker.runs) {
         const auto& run = *find_task(state, ref)->run;
-        if (is_unanswered_start(run))
+        if (is_unanswered_start(run) && incarnation_of(worker.record.id) != incarnation{})
             starts.push_back({ref, number, run.phase_since, std::nullopt, 0});
     }
     if (starts.empty())
@@ -223,14 +231,30 @@
 {
     std::vector<worker_id> ended;
     for (const auto& [id, worker] : state.workers) {
-        const bool may_run = now <= worker.lease_expires_at || !worker.runs.empty() ||
-                             state.unread_workers.contains(id) || has_known_orphans(state, id);
-        if (worker.left && !may_run)
+        if (worker.left && !may_run(state, worker, now))
             ended.push_back(id);
     }
     return ended;
 }
 
+std::vector<worker_id> silent_workers(const job_scheduler& state, time_point now)
+{
+    std::vector<worker_id> silent;
+    for (const auto& [id, worker] : state.workers) {
+        const bool awaits_next_life =
+            !worker.unexplained.empty() && now <= worker.lease_expires_at + max_crash_silence;
+        const bool may_start = std::any_of(
+            worker.doubtful_starts.begin(), worker.doubtful_starts.end(), [&](const auto& start) {
+                return now <= last_possible_end(state.settings, start.since);
+            });
+        const bool responds = worker.has_reported && !worker.lost;
+        if (!responds && !worker.left && !awaits_next_life && !may_start &&
+            worker.recording.empty() && !may_run(state, worker, now))
+            silent.push_back(id);
+    }
+    return silent;
+}
+
 std::vector<wire::record_crash::item> on_worker_crash(job_scheduler& state, const worker_id& id,
                                                       const worker_id& next, time_point now)
 {
