control: retirements of workers that the ledger has not recorded are repeated

A command that retires a worker may fail, as when the leader's backlog is full. The leader had forgotten the worker by then, and the ledger kept it, so each later leader waited for it.

The other way round, a silent worker may announce itself while its retirement is on its way: it would get tasks that a later leader does not know of. Its admission is withdrawn when the retirement is applied, and it is recorded anew before it gets tasks.

--- a/src/controld/jobservice.cpp
+++ b/src/controld/jobservice.cpp
@@ -219,6 +219,10 @@
             schedule::admit_worker(scheduler_, id);
             open_connection(id);
         }
+        // A silent worker may announce itself again while its retirement is being recorded.
+        auto withdrawn = schedule::withdraw_admissions(scheduler_, state.workers);
+        if (!withdrawn.empty())
+            update_ledger_workers(std::move(withdrawn), {});
     }
     if (change.jobs.empty())
         return;
@@ -407,6 +411,7 @@
         send_due_commands();
         retire_ended_departures();
         retire_silent_workers();
+        repeat_retirements();
         schedule_pass();
         log_capacity();
         schedule::forget_silent_workers(announcements_, monotonic_now());
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -137,6 +137,8 @@
      * wait for them.
      */
     void retire_silent_workers();
+    /** Retires the workers again that the ledger still has after their retirement. */
+    void repeat_retirements();
     /** Handles that another worker responded in its place, or `next`, its next life. */
     void on_worker_crash(const worker_id& worker, const worker_id& next = {});
     /** Retires the worker in the ledger, which admits others in the same step. */
@@ -249,6 +251,7 @@
     schedule::job_counts counts_;
     counter_mirror counters_;
     std::map<worker_id, worker_connection> connections_;
+    time_point next_retirement_check_;
     /** Workers with commands that are held while the lease of this leader has lapsed. */
     std::set<worker_id> held_workers_;
     bool due_commands_posted_{false};
--- a/src/controld/workerlives.cpp
+++ b/src/controld/workerlives.cpp
@@ -150,6 +150,25 @@
     }
 }
 
+void job_service::repeat_retirements()
+{
+    // Longer than a command to the ledger takes.
+    constexpr duration interval = 2 * ledger_command_timeout;
+    const auto now = monotonic_now();
+    if (!term_active_ || !hub_.leads() || now < next_retirement_check_)
+        return;
+    next_retirement_check_ = now + interval;
+    std::vector<worker_id> remaining;
+    for (const auto& [id, record] : hub_.state().workers) {
+        if (!scheduler_.workers.contains(id))
+            remaining.push_back(id);
+    }
+    if (remaining.empty())
+        return;
+    log_event(log_level::info, "retirements_repeated", {{"workers", remaining.size()}});
+    update_ledger_workers({}, std::move(remaining));
+}
+
 void job_service::on_worker_crash(const worker_id& worker, const worker_id& next)
 {
     log_lost_runs(worker, next.empty() ? "other_life" : "next_life");
--- a/src/libschedule/jobscheduler.h
+++ b/src/libschedule/jobscheduler.h
@@ -117,6 +117,12 @@
 void on_worker_announcement(job_scheduler& state, const wire::worker_presence& presence);
 /** Marks the worker as recorded in the ledger: it may receive commands. */
 void admit_worker(job_scheduler& state, const worker_id& worker);
+/**
+ * Marks the workers that are not in `recorded` as not recorded: they get no tasks until they are
+ * again. Returns those that were.
+ */
+std::vector<wire::worker_record>
+withdraw_admissions(job_scheduler& state, const std::map<worker_id, wire::worker_record>& recorded);
 /** Removes a worker whose runs have all ended and that will not return under the same name. */
 void remove_worker(job_scheduler& state, const worker_id& worker);
 /** Returns whether the worker has announced its end, so that it is gone once it can't be found. */
--- a/src/libschedule/jobworkers.cpp
+++ b/src/libschedule/jobworkers.cpp
@@ -208,6 +208,20 @@
     mark_changed(state, worker->second);
 }
 
+std::vector<wire::worker_record>
+withdraw_admissions(job_scheduler& state, const std::map<worker_id, wire::worker_record>& recorded)
+{
+    std::vector<wire::worker_record> withdrawn;
+    for (auto& [id, worker] : state.workers) {
+        if (!worker.admitted || recorded.contains(id))
+            continue;
+        worker.admitted = false;
+        mark_changed(state, worker);
+        withdrawn.push_back(worker.record);
+    }
+    return withdrawn;
+}
+
 void remove_worker(job_scheduler& state, const worker_id& id)
 {
     state.unread_workers.erase(id);
--- a/tests/control/departurestest.cpp
+++ b/tests/control/departurestest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(no_task_runs_twice_where_the_next_leader_has_heard_of_the_end);
     CPPUNIT_TEST(tasks_start_elsewhere_at_once_where_the_address_refuses_connections);
     CPPUNIT_TEST(the_next_leader_retires_a_worker_that_had_announced_its_end);
+    CPPUNIT_TEST(a_retirement_that_the_ledger_refuses_is_repeated);
+    CPPUNIT_TEST(a_worker_that_returns_during_its_retirement_is_recorded_before_it_gets_tasks);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_none_doubled(const departing_worker& test)
@@ -74,6 +76,30 @@
                                              3 * lease_limit));
         CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::seconds{1}));
     }
+    /** Otherwise each later leader waits for the worker. */
+    void a_retirement_that_the_ledger_refuses_is_repeated()
+    {
+        departing_worker test;
+        test.leader.announce_end(worker_id{"a"});
+        test.leader.refuse_next_workers();
+        test.workers->end_life("a");
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::seconds{1}));
+        CPPUNIT_ASSERT(test.leader.knows(worker_id{"a"}));
+        CPPUNIT_ASSERT(test.leader.run_until([&] { return !test.leader.knows(worker_id{"a"}); }));
+    }
+    /** Otherwise the next leader does not know of its tasks. */
+    void a_worker_that_returns_during_its_retirement_is_recorded_before_it_gets_tasks()
+    {
+        departing_worker test;
+        test.leader.hold_commands(true);
+        test.leader.retire(worker_id{"b"});
+        test.leader.submit_tasks("more", tasks, processors_per_task);
+        test.leader.run_for(std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.workers->running("b"));
+        test.leader.hold_commands(false);
+        CPPUNIT_ASSERT(test.run_until_all_run_on_b(std::chrono::seconds{2}));
+        CPPUNIT_ASSERT(test.leader.knows(worker_id{"b"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(departures_test);
--- a/tests/control/testleader.cpp
+++ b/tests/control/testleader.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace galenaturn::controld {
 
@@ -169,7 +170,9 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
         co_await wait_for_turn(++commands_received_);
-        auto response = apply(std::move(command));
+        const bool refused = std::holds_alternative<wire::record_workers>(command) &&
+                             std::exchange(refuses_workers_, false);
+        auto response = refused ? wire::command_response{} : apply(std::move(command));
         ++commands_applied_;
         co_return response;
     };
--- a/tests/control/testleader.h
+++ b/tests/control/testleader.h
@@ -42,6 +42,8 @@
     /** Hands in a caller's request for a job of the only queue. Its answer comes later. */
     std::shared_ptr<std::optional<wire::job_response>> request(wire::job_verb verb,
                                                                const std::string& name);
+    /** The ledger refuses the next command that records workers. */
+    void refuse_next_workers() { refuses_workers_ = true; }
     /** While held, commands wait for the disk; then they are applied in their order. */
     void hold_commands(bool hold) { commands_held_ = hold; }
     /** Value of a counter of requests that were refused. */
@@ -50,6 +52,8 @@
     void publish(std::uint64_t version) { apply(wire::publish_queues{version, {}}); }
     /** Accepts a job with one task. */
     void submit(const std::string& name, bool long_running = true);
+    /** The ledger has forgotten the worker. */
+    void retire(const worker_id& worker) { apply(wire::record_workers{{}, {worker}}); }
     void cancel(const std::string& name);
     /** Accepts a job with one step of this many tasks. */
     void submit_tasks(const std::string& name, std::uint32_t count,
@@ -142,6 +146,7 @@
     std::vector<schedule::start_command> starts_;
     std::uint64_t rounds_{0};
     bool leads_{true};
+    bool refuses_workers_{false};
     bool quorum_confirms_{true};
     std::uint64_t confirmations_{0};
     std::size_t max_listed_ends_{std::numeric_limits<std::size_t>::max()};
