tests: a former leader that learns of its successor from an answer to its read

Operators saw no ledger_lease_contradicted, and its counter stayed at 0, although a paused leader had woken within its lease. With confirmed reads such a leader sends a round at once, and mostly learns of the later term from a voter's answer; only a message of the new leader itself is reported.

--- a/tests/ledger/replicatest.cpp
+++ b/tests/ledger/replicatest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_read_of_a_leader_whose_clock_stands_still_is_not_confirmed_after_its_term);
     CPPUNIT_TEST(a_read_while_a_voter_is_replaced_needs_both_majorities);
     CPPUNIT_TEST(a_leader_of_a_later_term_within_a_lease_is_reported);
+    CPPUNIT_TEST(a_leader_of_which_a_read_round_tells_first_is_reported_too);
     CPPUNIT_TEST(a_candidate_that_hears_of_its_leader_votes_only_after_the_lease);
     CPPUNIT_TEST(a_replica_that_restarts_withholds_its_vote_for_the_election_timeout);
     CPPUNIT_TEST(no_second_leader_is_elected_within_the_lease_of_the_first);
@@ -199,6 +200,22 @@
         }
     }
 
+    /** A leader that woke within its lease learnt of the later term from an answer to its round. */
+    void a_leader_of_which_a_read_round_tells_first_is_reported_too()
+    {
+        auto leader = make("a");
+        elect(leader);
+        acknowledge(leader, "a", 2);
+        acknowledge(leader, "b", 2);
+        now_ += std::chrono::milliseconds{300};
+        begin_read_at(leader);
+        const auto answered = from(leader, "b", term{3}, append_response{false, {}, 0, 1});
+        CPPUNIT_ASSERT(!leader.leads && answered.lease_left > duration{});
+        const auto heard = from(leader, "c", term{3}, append_request{});
+        CPPUNIT_ASSERT(!answered.contradicting_leader.empty() ||
+                       !heard.contradicting_leader.empty());
+    }
+
     append_request heartbeat_of(const replica& leader) const
     {
         const auto& log = leader.log;
