tests: the count of a queue that was removed while the leader's VM was paused

Callers are shown a count of a queue that no configuration has any more, at an entry that was paused with the leader: the count of waiting jobs rests on the lease alone, also for whether the queue exists. Whether it does may be no older than the configuration, unlike the count, which may be 2 s old.

--- a/tests/suspension/resumedleadertest.cpp
+++ b/tests/suspension/resumedleadertest.cpp
@@ -68,6 +68,7 @@
     std::vector<std::string> states_of_cancelled;
     std::size_t accepted_unknown{0};
     std::size_t queue_unknown{0};
+    std::size_t removed_queue_counted{0};
     std::vector<std::string> lost;
     std::vector<std::string> run_violations;
 };
@@ -124,6 +125,7 @@
 
     void change_elsewhere()
     {
+        removed_version_ = processes_.acknowledged_version();
         CPPUNIT_ASSERT(processes_.publish());
         CPPUNIT_ASSERT(wait_until([&] {
             return call(running_entry(), "DELETE", path_of(cancelled_job)).status / 100 == 2;
@@ -143,13 +145,14 @@
         return socket;
     }
 
-    /** Asks for both jobs and the added queue, each on its own connection. */
+    /** Asks for both jobs, the added and the removed queue, each on its own connection. */
     std::vector<soak::http_socket> send_reads()
     {
         const auto version = std::to_string(processes_.acknowledged_version());
         std::vector<soak::http_socket> waiting;
-        for (const auto& path :
-             {path_of(cancelled_job), path_of(accepted_job), "/change" + version + "/"})
+        const auto removed = std::to_string(removed_version_);
+        for (const auto& path : {path_of(cancelled_job), path_of(accepted_job),
+                                 "/change" + version + "/", "/change" + removed + "/"})
             waiting.push_back(send(job_text("GET", path)));
         return waiting;
     }
@@ -172,6 +175,7 @@
             answers_.states_of_cancelled.push_back(answers[0].body);
         answers_.accepted_unknown += answers[1].status == 410 ? 1 : 0;
         answers_.queue_unknown += answers[2].status == 404 ? 1 : 0;
+        answers_.removed_queue_counted += answers[3].status == 200 ? 1 : 0;
     }
 
     void observe()
@@ -213,6 +217,8 @@
 
     clocks_left_behind clocks_;
     suspendable_deployment processes_;
+    /** The only version with its added queue. */
+    int removed_version_{0};
     entry_answers answers_;
     std::vector<std::pair<std::string, soak::http_socket>> submissions_;
     std::vector<std::string> submitted_;
@@ -226,6 +232,7 @@
     CPPUNIT_TEST(job_cancelled_meanwhile_is_not_shown_as_running);
     CPPUNIT_TEST(job_accepted_meanwhile_is_known);
     CPPUNIT_TEST(queue_added_meanwhile_is_known);
+    CPPUNIT_TEST(queue_removed_meanwhile_is_not_counted);
     CPPUNIT_TEST(acknowledged_job_is_not_lost);
     CPPUNIT_TEST(tasks_run_once);
     CPPUNIT_TEST_SUITE_END();
@@ -254,6 +261,12 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answers().folder, std::size_t{0}, answers().queue_unknown);
     }
 
+    void queue_removed_meanwhile_is_not_counted()
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answers().folder, std::size_t{0},
+                                     answers().removed_queue_counted);
+    }
+
     void acknowledged_job_is_not_lost()
     {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answers().folder, std::size_t{0}, answers().lost.size());
