control: the count of a queue is confirmed by a quorum too

A leader whose VM had been paused unseen by its clocks counted the jobs of a queue that had been removed 2.5 s before the request. The count may be 2 s old, but whether the queue exists may not be older than the configuration, and after such a pause the count is as old as the pause. Counts wait for a round now like the other answers that a later leader may contradict.

--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -11,10 +11,12 @@
 
 /**
  * Returns whether a later leader may have accepted changes after which the answer would be another.
- * The end of a job is final, and counts may be some seconds old.
+ * The end of a job is final, and submissions and cancellations are committed.
  */
 bool may_be_outdated(wire::job_verb verb, const wire::job_response& response)
 {
+    if (verb == wire::job_verb::count && response.status == job_response_status::ok)
+        return true;
     if (verb == wire::job_verb::show && response.status == job_response_status::ok)
         return response.phase == wire::job_phase::open;
     return response.status == job_response_status::unknown_queue ||
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -56,8 +56,8 @@
         CPPUNIT_ASSERT(status_of(wire::job_verb::show, "other") == unavailable);
         const auto confirmations = leader.confirmations();
         CPPUNIT_ASSERT(status_of(wire::job_verb::show, "ended") == ok);
-        CPPUNIT_ASSERT(status_of(wire::job_verb::count, "") == ok);
         CPPUNIT_ASSERT_EQUAL(confirmations, leader.confirmations());
+        CPPUNIT_ASSERT(status_of(wire::job_verb::count, "") == unavailable);
         // A queue that this leader does not know.
         const auto refused = leader.count_jobs();
         CPPUNIT_ASSERT(refused.status == unavailable);
