control: a worker that returns after its retirement has one poll at a time

The last poll of a retired worker, still in flight when the worker was recorded anew, found the new connection and went on beside its polls for the rest of the term. A connection has a number now, and polls end with theirs.

returning_workers_test::a_worker_that_returns_at_once_has_one_poll_at_a_time was red 2 of 2; test_silentworkers: 4 passed.

--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -51,6 +51,8 @@
 
     /** Connection state of one worker in the current term. */
     struct worker_connection {
+        /** Tells it from earlier connections to the same worker. */
+        std::uint64_t number{0};
         /** The clock of the worker; empty while it is not known whose clock it would be. */
         std::optional<std::chrono::milliseconds> clock;
         time_point clock_read_at;
@@ -110,8 +112,11 @@
     // Connections to workers.
     void open_connection(const worker_id& worker);
     static boost::asio::awaitable<void> poll_worker(job_service* self, worker_id worker,
-                                                    std::uint64_t generation);
-    boost::asio::awaitable<bool> poll_once(worker_id worker, std::uint64_t generation);
+                                                    std::uint64_t connection);
+    /** Returns whether the connection of this number is still the one to the worker. */
+    [[nodiscard]] bool is_connected(const worker_id& worker, std::uint64_t connection) const;
+    boost::asio::awaitable<bool> poll_once(worker_id worker, std::uint64_t number,
+                                           std::uint64_t generation);
     boost::asio::awaitable<void> submit_until_recorded(wire::command body, std::size_t items,
                                                        std::uint64_t generation);
     static boost::asio::awaitable<void> record_crash(job_service* self, wire::record_crash crash,
@@ -251,6 +256,7 @@
     schedule::job_counts counts_;
     counter_mirror counters_;
     std::map<worker_id, worker_connection> connections_;
+    std::uint64_t last_connection_{0};
     time_point next_retirement_check_;
     /** Workers with commands that are held while the lease of this leader has lapsed. */
     std::set<worker_id> held_workers_;
--- a/src/controld/jobworkers.cpp
+++ b/src/controld/jobworkers.cpp
@@ -91,19 +91,28 @@
 void job_service::open_connection(const worker_id& worker)
 {
     const auto [connection, added] = connections_.try_emplace(worker);
-    if (added)
-        asio::co_spawn(shared_.io, poll_worker(this, worker, generation_), asio::detached);
+    if (!added)
+        return;
+    connection->second.number = ++last_connection_;
+    asio::co_spawn(shared_.io, poll_worker(this, worker, last_connection_), asio::detached);
+}
+
+bool job_service::is_connected(const worker_id& worker, std::uint64_t connection) const
+{
+    const auto found = connections_.find(worker);
+    return found != connections_.end() && found->second.number == connection;
 }
 
 asio::awaitable<void> job_service::poll_worker(job_service* self, worker_id worker,
-                                               std::uint64_t generation)
+                                               std::uint64_t connection)
 {
-    while (self->in_term(generation) && self->connections_.contains(worker)) {
+    const auto generation = self->generation_;
+    while (self->in_term(generation) && self->is_connected(worker, connection)) {
         if (!self->hub_.leads()) {
             co_await pause(self->shared_.io, poll_retry_pause);
             continue;
         }
-        const bool replied = co_await self->poll_once(worker, generation);
+        const bool replied = co_await self->poll_once(worker, connection, generation);
         if (replied)
             continue;
         const bool left = schedule::has_left(self->scheduler_, worker);
@@ -123,7 +132,8 @@
     return *connection.clock + since_reading + lease;
 }
 
-asio::awaitable<bool> job_service::poll_once(worker_id worker, std::uint64_t generation)
+asio::awaitable<bool> job_service::poll_once(worker_id worker, std::uint64_t number,
+                                             std::uint64_t generation)
 {
     const auto found = scheduler_.workers.find(worker);
     if (found == scheduler_.workers.end()) {
@@ -153,9 +163,9 @@
     if (header.lease_until)
         schedule::extend_lease(scheduler_, worker, requested_at);
     const auto polled = co_await commands_->poll(std::move(target), acknowledged, wait, header);
-    const auto connection = connections_.find(worker);
-    if (!in_term(generation) || connection == connections_.end())
+    if (!in_term(generation) || !is_connected(worker, number))
         co_return false;
+    const auto connection = connections_.find(worker);
     if (polled.reply.result == command_result::other_incarnation) {
         log_event(log_level::info, "poll_reached_other_life",
                   {{"worker", worker},
