schedule: a suspect that finds no worker holds up no other task of its step

Seen in randomised runs of placement: one start is missed although a worker has room, until the next change. Best-effort tasks of a job of which nothing runs wait behind one of their step that is suspected of a crash.

A suspect that found no worker without recent starts, also not below full speed, ended the turn of its step, as if the others needed what it needs. So they were not compared with any worker in that pass. The next pass tried them only where the suspect was skipped for another reason, as when enough workers are isolated already. The memory of failed placements has no part in it.

The other tasks are tried now. A job of which another task has started meanwhile doesn't oversubscribe a worker in the same pass.

--- a/src/libschedule/jobcommands.cpp
+++ b/src/libschedule/jobcommands.cpp
@@ -218,7 +218,8 @@
         if (start_slowed(slice, job, ref, task, false))
             return true;
         slice.state.pass.unplaced.push_back({*job.unplaced_since, ref});
-        return false;
+        // The others need no worker without recent starts.
+        return suspect;
     }
     start_run(slice, job, ref, task, *worker, task.last_run + 1);
     if (suspect)
@@ -398,7 +399,8 @@
         if (job == nullptr || job->ending)
             continue;
         auto& task = *find_task(slice.state, ref);
-        if (!needs_run(task) || !start_slowed(slice, *job, ref, task, true))
+        // Another task of the job may have started since in this pass.
+        if (!needs_run(task) || has_runs(*job) || !start_slowed(slice, *job, ref, task, true))
             continue;
         slice.state.last_oversubscription = slice.now;
         return true;
--- a/tests/schedule/workercrashestest.cpp
+++ b/tests/schedule/workercrashestest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(command_that_was_not_sent_leaves_the_lease_of_another_one);
     CPPUNIT_TEST(worker_reserved_for_a_suspect_that_is_gone_is_used_again);
     CPPUNIT_TEST(suspects_leave_most_workers_to_others);
+    CPPUNIT_TEST(suspect_that_cannot_start_slowed_holds_up_no_task_of_its_step);
     CPPUNIT_TEST(silent_worker_that_responds_again_has_not_crashed);
     CPPUNIT_TEST(crash_found_after_the_lease_expired_is_recorded);
     CPPUNIT_TEST(recorded_crash_does_not_release_a_task_whose_success_is_being_recorded);
@@ -52,10 +53,12 @@
     void setUp() override { state_.settings.lease = std::chrono::seconds{8}; }
 
 private:
-    void add_worker(const std::string& id)
+    void add_worker(const std::string& id, const std::string& label = "")
     {
         wire::worker_presence announcement;
         announcement.worker.id = worker_id{id};
+        if (!label.empty())
+            announcement.worker.labels = {label};
         announcement.worker.service = service_id{"desk"};
         announcement.worker.capacity = {millicores{8000}, bytes{std::int64_t{64} << 30}, {}};
         workers_in_ledger_[announcement.worker.id] = announcement.worker;
@@ -384,6 +387,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, start().size());
     }
 
+    /** Otherwise they wait for the next pass although a worker has room. */
+    void suspect_that_cannot_start_slowed_holds_up_no_task_of_its_step()
+    {
+        constexpr duration wait_for_full_speed = std::chrono::milliseconds{1500};
+        add_worker("w1");
+        add_worker("w2");
+        auto mixed = job("mixed", 2);
+        mixed.spec.steps[0].best_effort = true;
+        mixed.spec.steps[0].required_label = "a";
+        mixed.crashes[0].count = 1;
+        add_job(state_, mixed, now_);
+        CPPUNIT_ASSERT(start().empty());
+        now_ += wait_for_full_speed;
+        // The suspect gets one of the workers only later, the other task gets the other one now.
+        add_job(state_, wide_job("other", 2, 0), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, start().size());
+        add_worker("w1", "a");
+        add_worker("w2", "a");
+        now_ += moment;
+        const auto commands = start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        CPPUNIT_ASSERT(!commands.front().suspect);
+    }
+
     /** Starts a task on the only worker, which is then silent until its lease has expired. */
     start_command start_and_lose_contact()
     {
