schedule: large jobs that are not served are noticed within one objective

Each queue counts how often its jobs, its largest tenth and its largest third complete while they are useful, and places large jobs first while these get less.

A job now counts as not served once it can no longer be in time and has not begun. All others come before it then. The order of jobs is as work-conserving as before.

The price: fewer jobs are served in number, more of them large.

--- a/src/libschedule/jobpriority.cpp
+++ b/src/libschedule/jobpriority.cpp
@@ -204,9 +204,14 @@
         count_outcome_once(state, job, false);
         return {placement_group::too_late, true, seconds_of(job.arrived)};
     }
-    const auto group = outlook == deadline_outlook::in_time ? placement_group::in_time
-                       : has_begun(job)                     ? placement_group::begun_and_late
-                                                            : placement_group::late;
+    auto group = placement_group::in_time;
+    if (outlook == deadline_outlook::late) {
+        group = has_begun(job) ? placement_group::begun_and_late : placement_group::late;
+        // All others come first, so an overloaded queue does not serve it. That is known here
+        // several objectives before it is too late, which is long for large jobs.
+        if (group == placement_group::late)
+            count_outcome_once(state, job, false);
+    }
     if (!job.ranked_by_size)
         return {group, false, rank_regardless_of_size(job)};
     const auto queue = state.queue_sizes_of.find(job.queue.name);
--- a/src/libschedule/jobstate.h
+++ b/src/libschedule/jobstate.h
@@ -193,7 +193,7 @@
     bool long_running{false};
     /** Among equals, less work comes first; otherwise the size of the job does not count. */
     bool ranked_by_size{true};
-    /** Its completion, or that it will be too late, is counted in its queue_sizes. */
+    /** Its useful completion, or that none is expected, is counted in its queue_sizes. */
     bool outcome_counted{false};
 };
 
--- a/src/libschedule/queuesizes.h
+++ b/src/libschedule/queuesizes.h
@@ -29,7 +29,7 @@
 
 /** Counts a new job. */
 void count_arrival(queue_sizes& queue, double work);
-/** Counts a job that has completed while it was useful, or no longer can. */
+/** Counts a job that has completed while it was useful, or that is not expected to. */
 void count_outcome(queue_sizes& queue, double work, bool useful);
 /** Returns whether jobs with this work complete much less often than all jobs of the queue. */
 bool is_underserved(const queue_sizes& queue, double work);
--- a/tests/schedule/jobordertest.cpp
+++ b/tests/schedule/jobordertest.cpp
@@ -11,13 +11,15 @@
 class job_order_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(job_order_test);
     CPPUNIT_TEST(largest_jobs_of_an_overloaded_queue_are_served);
+    CPPUNIT_TEST(largest_jobs_with_long_objectives_are_served_soon_after_an_overload_begins);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr duration task_length = std::chrono::seconds{1};
+    static constexpr duration second = std::chrono::seconds{1};
     static constexpr duration tick = std::chrono::milliseconds{50};
 
     struct submitted_job {
         std::uint32_t tasks{0};
+        duration task_length{};
         time_point useful_until;
         bool useful{false};
     };
@@ -46,7 +48,7 @@
         admit_worker(state_, announcement.worker.id);
     }
 
-    void submit(std::uint32_t tasks)
+    void submit(std::uint32_t tasks, duration task_length)
     {
         wire::job_record record;
         record.id = submission_id{"job-" + std::to_string(jobs_.size())};
@@ -60,7 +62,8 @@
         record.spec.steps = {step};
         record.tasks.resize(tasks);
         add_job(state_, record, now_);
-        jobs_[record.id] = {tasks, state_.jobs.at(record.id).latest_useful_completion, false};
+        jobs_[record.id] = {tasks, task_length, state_.jobs.at(record.id).latest_useful_completion,
+                            false};
         records_.emplace(record.id, std::move(record));
     }
 
@@ -90,8 +93,11 @@
         on_completions_recorded(state_, items);
     }
 
-    /** Runs jobs of 1 to 10 tasks for a minute; `cores` of 55 would suffice for all of them. */
-    void run_overloaded(std::int64_t cores)
+    /**
+     * Runs jobs of 1 to 10 tasks for a minute. A task takes a second, or a second for each task of
+     * its job; then `cores` of 55, or of 385, would suffice for all of them.
+     */
+    void run_overloaded(std::int64_t cores, bool large_jobs_take_longer)
     {
         state_ = job_scheduler{};
         state_.settings.lease = std::chrono::seconds{8};
@@ -104,12 +110,15 @@
         std::mt19937_64 random{7};
         for (int number = 0; number < 1200; ++number) {
             now_ += tick;
-            if (number % 2 == 0)
-                submit(std::uniform_int_distribution<std::uint32_t>{1, 10}(random));
+            if (number % 2 == 0) {
+                const auto tasks = std::uniform_int_distribution<std::uint32_t>{1, 10}(random);
+                submit(tasks, large_jobs_take_longer ? second * tasks : second);
+            }
             complete_tasks();
             for (auto& command : plan_starts(state_, now_, wall_)) {
                 on_start_result(state_, command, command_result::accepted, now_);
-                running_.push_back({std::move(command), now_ + task_length});
+                const auto length = jobs_.at(command.task.job).task_length;
+                running_.push_back({std::move(command), now_ + length});
             }
         }
     }
@@ -133,11 +142,26 @@
     void largest_jobs_of_an_overloaded_queue_are_served()
     {
         for (const std::int64_t cores : {14, 28, 40}) {
-            run_overloaded(cores);
+            run_overloaded(cores, false);
             const auto message = std::to_string(cores) + " processors";
             CPPUNIT_ASSERT_MESSAGE(message, share_served(10) >= share_served(1) / 2);
         }
     }
+
+    /**
+     * Guards against noticing only after several objectives that the largest jobs are not served:
+     * theirs last as long as the overload.
+     */
+    void largest_jobs_with_long_objectives_are_served_soon_after_an_overload_begins()
+    {
+        for (const std::int64_t cores : {100, 200, 280}) {
+            run_overloaded(cores, true);
+            const auto message = std::to_string(cores) +
+                                 " processors: " + std::to_string(share_served(10)) + " of " +
+                                 std::to_string(share_served(1));
+            CPPUNIT_ASSERT_MESSAGE(message, share_served(10) >= share_served(1) / 2);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(job_order_test);
