--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -31,7 +31,6 @@
 
     static constexpr std::size_t jobs = 20;
 
-    /** The cancelling was answered as "no such job" at once, and the job ran after that. */
     /** A leader whose clock stood still showed a cancelled job as running, and denied new ones. */
     void an_answer_that_a_later_leader_may_contradict_needs_a_quorum()
     {
@@ -66,6 +65,7 @@
         CPPUNIT_ASSERT(leader.count_jobs().status == wire::job_response_status::unknown_queue);
     }
 
+    /** The cancelling was answered as "no such job" at once, and the job ran after that. */
     void a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling()
     {
         test_leader leader{1};
