--- a/tests/suspension/suspensiontest.cpp
+++ b/tests/suspension/suspensiontest.cpp
@@ -90,7 +90,7 @@
 
     void random_suspensions_break_no_promise() { run_soak_with_suspensions(make_soak_options()); }
 
-    /** With as many control processes as the users' grown deployment has. */
+    /** Several faults at once, with more control processes than voters. */
     void overlapping_cuts_suspensions_and_lost_disks_break_no_promise()
     {
         auto options = make_soak_options();
