--- a/tests/suspension/resumedleadertest.cpp
+++ b/tests/suspension/resumedleadertest.cpp
@@ -1,3 +1,4 @@
+#include "jobcalls.h"
 #include "suspendabledeployment.h"
 
 #include "platform/soak/runrecord.h"
@@ -18,49 +19,8 @@
 constexpr milliseconds shown_everywhere{2500};
 /** Longer than any lease of a leader. */
 constexpr milliseconds observed_after_resume{1500};
-constexpr milliseconds answer_limit{1500};
-constexpr seconds step_limit{20};
 constexpr const char* cancelled_job = "00000000000000a1";
 constexpr const char* accepted_job = "00000000000000a2";
-constexpr const char* long_job =
-    R"({"spec":"work_ms=60000 cpu=1000","steps":[{"count":2,"cpu":1000}]})";
-constexpr const char* short_job =
-    R"({"spec":"work_ms=300 cpu=1000","steps":[{"count":2,"cpu":1000}]})";
-
-std::string job_text(const std::string& method, const std::string& path,
-                     const std::string& body = {})
-{
-    return soak::request_text(method, path, "jobs.example", "Galenaturn-Request-Deadline: 1000\r\n",
-                              body);
-}
-
-soak::http_message call(const soak::soak_process& entry, const std::string& method,
-                        const std::string& path, const std::string& body = {})
-{
-    return soak::call_once(entry.address, job_text(method, path, body), answer_limit);
-}
-
-std::string path_of(const std::string& job)
-{
-    return "/jobs/" + job;
-}
-
-bool shows(const soak::http_message& answer, const std::string& state)
-{
-    return answer.status == 200 && answer.body.find('"' + state + '"') != std::string::npos;
-}
-
-template <class Predicate>
-bool wait_until(Predicate done)
-{
-    const auto limit = monotonic_now() + step_limit;
-    while (!done()) {
-        if (monotonic_now() > limit)
-            return false;
-        std::this_thread::sleep_for(milliseconds{30});
-    }
-    return true;
-}
 
 /** What an entry answered whose last leader it was suspended with. */
 struct entry_answers {
