--- a/tests/platform/calleredgetest.cpp
+++ b/tests/platform/calleredgetest.cpp
@@ -1,6 +1,7 @@
 #include "platform/calleredge.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -33,7 +34,7 @@
                                   time_point) -> asio::awaitable<wire::job_response> {
             relayed.push_back(request.verb);
             wire::job_response response;
-            response.status = wire::job_response_status::ok;
+            response.status = answer;
             co_return response;
         };
         add_caller_routes(routes_, relay, metrics_);
@@ -57,7 +58,18 @@
         return metrics_.make_counter("galenaturn_caller_requests_abandoned_total").value();
     }
 
+    /** Returns what the caller receives. */
+    std::string exchange(const std::string& request)
+    {
+        auto caller = send(request);
+        resume();
+        std::string received(caller.available(), '\0');
+        asio::read(caller, asio::buffer(received));
+        return received;
+    }
+
     std::vector<wire::job_verb> relayed;
+    wire::job_response_status answer{wire::job_response_status::ok};
 
 private:
     asio::io_context io_{1};
@@ -75,6 +87,7 @@
     CPPUNIT_TEST(a_submission_is_not_handed_in_after_its_caller_has_left);
     CPPUNIT_TEST(a_submission_that_was_read_late_is_handed_in_for_a_caller_who_waits);
     CPPUNIT_TEST(a_cancelling_is_handed_in_after_its_caller_has_left);
+    CPPUNIT_TEST(an_unknown_job_is_not_said_to_never_run);
     CPPUNIT_TEST_SUITE_END();
 
     /** Its caller had cancelled the job through another entry meanwhile. */
@@ -105,6 +118,29 @@
         entry.resume();
         CPPUNIT_ASSERT(entry.relayed == std::vector{wire::job_verb::cancel});
     }
+
+    /** A caller was told "not run" of a job whose submission was on its way, and which ran later.
+     */
+    void an_unknown_job_is_not_said_to_never_run()
+    {
+        suspended_entry entry;
+        const auto says_not_run = [&](const std::string& request,
+                                      wire::job_response_status status) {
+            entry.answer = status;
+            const auto received = entry.exchange(request);
+            const bool marked = received.find("Galenaturn-Not-Run") != std::string::npos;
+            CPPUNIT_ASSERT_EQUAL(marked, received.find("\"not_run\":true") != std::string::npos);
+            return marked;
+        };
+        using enum wire::job_response_status;
+        for (const auto status : {unknown_job, unknown_queue, unavailable}) {
+            CPPUNIT_ASSERT(!says_not_run(request_for("GET", {}), status));
+            CPPUNIT_ASSERT(!says_not_run(request_for("DELETE", {}), status));
+        }
+        CPPUNIT_ASSERT(says_not_run(submission(), unavailable));
+        CPPUNIT_ASSERT(says_not_run(submission(), unknown_queue));
+        CPPUNIT_ASSERT(!says_not_run(submission(), unknown));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_edge_test);
