ledger: a jump of the time of day removes no record early

What callers saw: a job was cancelled, 410, before its submission arrived; the leader's time of day jumped by 15 minutes, and the late submission was accepted and ran. A cancelled job was unknown, 410, seconds after its cancelling was answered with 200, and its submission, had it been repeated, would have run again. The same while the time of day of a leader is 15 minutes behind.

Cause: the clock by which records age was set to the leader's time of day every 5 s. A jump by more than their retention (10 minutes) removed all ended jobs, cancelled submissions and keys at once, and as the clock never goes back, each job that ended under the next leader was removed as too old within 5 s. The end of a job was the leader's time of day too, so under one that was behind it was too old at once.

Change: the clock of the ledger follows the time of day at no less than half and no more than twice the speed of the time that passed since this process saw it change (boot clock). Ends and cancellings are recorded at the ledger's clock.

--- a/include/galenaturn/ledger.h
+++ b/include/galenaturn/ledger.h
@@ -5,6 +5,7 @@
 #include "libledger/bootstrap.h"
 #include "libledger/ledgererrors.h"
 #include "libledger/ledgerstate.h"
+#include "libledger/recordclock.h"
 #include "libledger/replica.h"
 #include "libledger/statemachine.h"
 #include "libledger/statesnapshot.h"
--- a/src/controld/completionrecords.cpp
+++ b/src/controld/completionrecords.cpp
@@ -49,7 +49,7 @@
 {
     wire::record_completions completions;
     completions.items = items;
-    completions.now = wall_now();
+    completions.now = ledger::record_time(self->hub_.state(), wall_now());
     wire::command body{std::move(completions)};
     co_await self->submit_until_recorded(std::move(body), items.size(), generation);
     if (!self->in_term(generation))
--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -135,7 +135,7 @@
     // A job that is not known may be submitted by a request that is still on the way.
     wire::cancel_job cancelled;
     cancelled.id = request.job;
-    cancelled.now = wall_now();
+    cancelled.now = ledger::record_time(state, wall_now());
     wire::command body{std::move(cancelled)};
     const auto outcome =
         co_await hub_.submit(std::move(body), monotonic_now() + ledger_command_timeout);
--- a/src/controld/ledgerservice.cpp
+++ b/src/controld/ledgerservice.cpp
@@ -222,6 +222,7 @@
     GN_INVARIANT(request.has_value(), {"index", entry.index});
     ledger::applied_change change;
     auto response = ledger::apply_command(state_, request.value(), entry.index, change);
+    ledger::observe_clock(record_clock_, state_, monotonic_now());
     const auto waiting = proposals_in_flight_.find(entry.index);
     if (waiting != proposals_in_flight_.end()) {
         GN_INVARIANT(waiting->second.request.id == request.value().id, {"index", entry.index});
@@ -247,6 +248,7 @@
     if (!read)
         return false;
     state_ = std::move(read).value();
+    ledger::observe_clock(record_clock_, state_, monotonic_now());
     ledger::applied_change change;
     change.catalogue = true;
     change.stewardships = true;
@@ -296,7 +298,8 @@
             wire::command_request request;
             request.id = request_id{shared_.settings.self.id.value() + "-expiry-" +
                                     std::to_string(++last_expiry_)};
-            request.body = wire::expire_records{wall_now()};
+            request.body = wire::expire_records{
+                ledger::next_clock(record_clock_, wall_now(), monotonic_now())};
             enqueue_command(std::move(request), [](const wire::command_response&) {});
         }
         schedule_expiry();
--- a/src/controld/ledgerservice.h
+++ b/src/controld/ledgerservice.h
@@ -72,6 +72,7 @@
     std::map<log_index, proposal> proposals_in_flight_;
     wire::boot_timer expiry_timer_;
     wire::boot_timer voter_maintenance_timer_;
+    ledger::record_clock record_clock_;
     std::uint64_t last_expiry_{0};
     std::map<wire::command_status, counter*> command_counters_;
 };
--- a/src/controld/workerlives.cpp
+++ b/src/controld/workerlives.cpp
@@ -175,7 +175,7 @@
     wire::record_crash crash;
     crash.worker = worker;
     crash.items = schedule::on_worker_crash(scheduler_, worker, next, monotonic_now());
-    crash.now = wall_now();
+    crash.now = ledger::record_time(hub_.state(), wall_now());
     for (const auto& item : crash.items) {
         if (item.suspicion != wire::crash_suspicion::cleared)
             log_event(log_level::info, "crash_suspected",
--- a/src/libledger/ledgerstate.h
+++ b/src/libledger/ledgerstate.h
@@ -96,7 +96,10 @@
     wire::publish_queues queues;
     /** Every worker that may be running a task of a job. */
     std::map<worker_id, wire::worker_record> workers;
-    /** Wall time in the latest expire_records command; the state machine's only clock. */
+    /**
+     * Time by which records age: that of the latest expire_records command. The state machine's
+     * only clock.
+     */
     wall_time clock;
     /**
      * Latest submission time of a finished task that was removed early. A start submitted at or
--- a/src/libwire/commands.h
+++ b/src/libwire/commands.h
@@ -223,7 +223,7 @@
     }
 };
 
-/** Removes keys and sessions whose deadline has passed by the leader's wall clock. */
+/** Sets the clock of the ledger, and removes the records that are too old by it. */
 struct expire_records {
     wall_time now;
 
--- a/tests/suspension/process/suspendedcalls.cpp
+++ b/tests/suspension/process/suspendedcalls.cpp
@@ -1,6 +1,7 @@
 /**
  * Replaces calls of the C library in a daemon that a test suspends: clocks leave out the time for
- * which the process was suspended, and what is sent to a suspended VM is lost.
+ * which the process was suspended, the time of day jumps, and what is sent to a suspended VM is
+ * lost.
  */
 
 #include "suspension/suspensiontable.h"
@@ -32,12 +33,14 @@
     return mapped;
 }
 
-/** Returns the time that a clock of this process has left out. */
-std::int64_t left_out_ns(clockid_t clock)
+/** Returns how far a clock of this process is behind. */
+std::int64_t behind_ns(clockid_t clock)
 {
     const auto slot = static_cast<std::size_t>(getpid()) % suspension_table::slots;
     if (clock == CLOCK_MONOTONIC)
         return table()->steady_behind_ns[slot];
+    if (clock == CLOCK_REALTIME)
+        return -table()->time_of_day_ahead_ns[slot];
     return clock == CLOCK_BOOTTIME ? table()->boot_behind_ns[slot].load() : 0;
 }
 
@@ -81,7 +84,7 @@
     const auto status = static_cast<int>(syscall(SYS_clock_gettime, clock, now));
     if (status != 0 || table() == nullptr)
         return status;
-    const auto ns = now->tv_sec * ns_per_second + now->tv_nsec - left_out_ns(clock);
+    const auto ns = now->tv_sec * ns_per_second + now->tv_nsec - behind_ns(clock);
     now->tv_sec = ns / ns_per_second;
     now->tv_nsec = ns % ns_per_second;
     return 0;
--- a/tests/suspension/suspendabledeployment.h
+++ b/tests/suspension/suspendabledeployment.h
@@ -21,6 +21,10 @@
     bool start(std::uint64_t seed);
     void suspend(soak::soak_process& process);
     void resume(soak::soak_process& process, clocks_left_behind clocks);
+    void set_time_of_day(const soak::soak_process& process, duration ahead)
+    {
+        suspensions_.set_time_of_day(process, ahead);
+    }
     /** Publishes the next configuration at a process that is not suspended. */
     bool publish();
     /** Waits for a leader; returns null if there is none for long. */
--- a/tests/suspension/suspensiontable.h
+++ b/tests/suspension/suspensiontable.h
@@ -18,6 +18,8 @@
     std::atomic<std::int64_t> steady_behind_ns[slots];
     /** The same of its CLOCK_BOOTTIME. */
     std::atomic<std::int64_t> boot_behind_ns[slots];
+    /** The same: how far its time of day is ahead. */
+    std::atomic<std::int64_t> time_of_day_ahead_ns[slots];
     /** By the low 16 bits of the IPv4 address: whether what is sent there is lost. */
     std::atomic<bool> is_away[slots];
     /** By `link_slot` of the sender and of the receiver: whether what is sent is lost. */
--- a/tests/suspension/vmsuspensions.cpp
+++ b/tests/suspension/vmsuspensions.cpp
@@ -22,6 +22,11 @@
     return ntohl(inet_addr(address.ip.c_str())) % suspension_table::slots;
 }
 
+std::size_t slot_of(int pid)
+{
+    return static_cast<std::size_t>(pid) % suspension_table::slots;
+}
+
 } // namespace
 
 vm_suspensions::vm_suspensions(const std::filesystem::path& folder) : table_{make_table(folder)} {}
@@ -38,7 +43,7 @@
     if (suspended.empty())
         return;
     const std::chrono::nanoseconds span{monotonic_now() - suspended.mapped()};
-    const auto slot = static_cast<std::size_t>(process.pid) % suspension_table::slots;
+    const auto slot = slot_of(process.pid);
     if (clocks != clocks_left_behind::none)
         table_->steady_behind_ns[slot] += span.count();
     if (clocks == clocks_left_behind::steady_and_boot)
@@ -46,6 +51,11 @@
     table_->is_away[slot_of(process.address)] = false;
 }
 
+void vm_suspensions::set_time_of_day(const soak::soak_process& process, duration ahead)
+{
+    table_->time_of_day_ahead_ns[slot_of(process.pid)] = std::chrono::nanoseconds{ahead}.count();
+}
+
 void vm_suspensions::set_link(const soak::soak_process& from, const soak::soak_process& to,
                               bool is_cut)
 {
--- a/tests/suspension/vmsuspensions.h
+++ b/tests/suspension/vmsuspensions.h
@@ -28,6 +28,8 @@
     void begin(const soak::soak_process& process);
     /** To be called before the process is resumed or killed; does nothing for one that runs. */
     void end(const soak::soak_process& process, clocks_left_behind clocks);
+    /** Sets the time of day of the running process this far ahead, or behind if negative. */
+    void set_time_of_day(const soak::soak_process& process, duration ahead);
     void set_link(const soak::soak_process& from, const soak::soak_process& to, bool is_cut);
 
 private:
