platform, daemon: an entry that stood still hands in no submission past its deadline

What callers saw: an entry was paused with a submission in its socket. Its caller's VM was lost, so nothing closed the connection. Another entry answered a GET of the job with 410, no such job; the first entry woke and handed the job in, seconds after the deadline of its caller.

Cause: the deadline of a submission counted from when the entry had read it.

Change: the pause monitor, which sees that its timer is late on the clock that counts suspensions, tells since when input may have waited: until the check after a pause, since the check before it. A submission whose deadline may have passed by that is refused as certainly not run, without Retry-After, and counted. Its caller, if there still is one, can repeat it at once, at any entry; nothing can tell a submission that arrived just before the process resumed from an older one. Status requests and cancellings are handed in as before. Of a timeout at most half is reserved for the response, so that a deadline of 50 ms or less is not over at once; a submission with a deadline of 0 is refused. Pauses that no clock shows remain.

--- a/src/entryd/main.cpp
+++ b/src/entryd/main.cpp
@@ -44,7 +44,7 @@
         [target](wire::job_request request, time_point deadline) {
             return target->forward(std::move(request), deadline);
         },
-        shared.metrics);
+        [&shared](time_point now) { return shared.pauses.input_waits_since(now); }, shared.metrics);
     services.push_back(std::move(roster));
     services.push_back(std::move(relay));
     return services;
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -163,8 +163,7 @@
     if (!open_listeners_and_start(shared, server, readiness_server, peers, services))
         return exit_failure;
     open_metrics(shared, metrics_server);
-    pause_monitor pauses{shared.io, shared.metrics};
-    pauses.start();
+    shared.pauses.start();
 
     boost::asio::signal_set signals{shared.io, SIGTERM, SIGINT};
     signals.async_wait([&daemon_lifecycle](const boost::system::error_code& error, int /*signal*/) {
@@ -188,7 +187,7 @@
                                                     {settings.self.id, settings.self.domain},
                                                     settings.refused_domains,
                                                     wire::channel_counters{metrics}},
-      peers{channels, settings}, ledger{channels, peers}
+      peers{channels, settings}, ledger{channels, peers}, pauses{io, metrics}
 {
 }
 
--- a/src/libdaemon/daemon.h
+++ b/src/libdaemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pausemonitor.h"
 #include "processstatus.h"
 
 #include <galenaturn/http.h>
@@ -26,6 +27,7 @@
     wire::channel_context channels;
     wire::peer_directory peers;
     wire::ledger_client ledger;
+    pause_monitor pauses;
 
     /** Whether /readyz succeeds, so that the load balancer sends requests here. */
     bool ready{false};
--- a/src/libdaemon/pausemonitor.cpp
+++ b/src/libdaemon/pausemonitor.cpp
@@ -28,6 +28,15 @@
     return pause;
 }
 
+time_point input_waits_since(time_point last, time_point due,
+                             std::optional<time_point> paused_since, time_point now)
+{
+    // The process has just resumed, and the check comes after this input.
+    if (now - due >= min_pause)
+        return last;
+    return paused_since.value_or(now);
+}
+
 pause_monitor::pause_monitor(boost::asio::io_context& io, metrics_registry& metrics)
     : timer_{io}, stops_{metrics.make_counter("galenaturn_process_pauses_total",
                                               {{"cause", "stopped"}})},
@@ -42,6 +51,11 @@
     schedule_check();
 }
 
+time_point pause_monitor::input_waits_since(time_point now) const
+{
+    return daemon::input_waits_since(last_.at, due_, paused_since_, now);
+}
+
 void pause_monitor::schedule_check()
 {
     due_ = last_.at + check_interval;
@@ -57,7 +71,9 @@
 void pause_monitor::check()
 {
     const auto now = read_clocks();
-    if (const auto pause = find_pause(last_, due_, now)) {
+    const auto pause = find_pause(last_, due_, now);
+    paused_since_ = pause ? std::optional{last_.at} : std::nullopt;
+    if (pause) {
         (pause->suspended < min_pause ? stops_ : suspensions_).add();
         log_event(log_level::warning, "process_paused",
                   {{"late_us", pause->late.count()}, {"suspended_us", pause->suspended.count()}});
--- a/src/libdaemon/pausemonitor.h
+++ b/src/libdaemon/pausemonitor.h
@@ -28,12 +28,22 @@
 std::optional<process_pause> find_pause(const clock_check& before, time_point due,
                                         const clock_check& after);
 
+/**
+ * Returns since when input that is read at `now` may have waited for this process. `last` is the
+ * latest check, the next one is due at `due`, and `paused_since` is set if that check found a
+ * pause.
+ */
+time_point input_waits_since(time_point last, time_point due,
+                             std::optional<time_point> paused_since, time_point now);
+
 /** Logs and counts when this process did not run for a while: stopped, frozen or suspended. */
 class pause_monitor {
 public:
     pause_monitor(boost::asio::io_context& io, metrics_registry& metrics);
 
     void start();
+    /** Returns since when input that is read at `now` may have waited for this process. */
+    [[nodiscard]] time_point input_waits_since(time_point now) const;
 
 private:
     void check();
@@ -41,6 +51,8 @@
 
     clock_check last_;
     time_point due_;
+    /** The check before the pause that the last check found. */
+    std::optional<time_point> paused_since_;
     wire::boot_timer timer_;
     counter& stops_;
     counter& suspensions_;
--- a/tests/platform/calleredgetest.cpp
+++ b/tests/platform/calleredgetest.cpp
@@ -14,15 +14,17 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-std::string request_for(const std::string& method, const std::string& body)
+/** `headers` are complete lines. */
+std::string request_for(const std::string& method, const std::string& body,
+                        const std::string& headers = {})
 {
-    return method + " /desk/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h.example\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
+    return method + " /desk/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h.example\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string submission()
+std::string submission(const std::string& headers = {})
 {
-    return request_for("POST", R"({"spec":"text","steps":[{"count":1,"cpu":500}]})");
+    return request_for("POST", R"({"spec":"text","steps":[{"count":1,"cpu":500}]})", headers);
 }
 
 /** The callers' routes of an entry that reads nothing until it resumes. */
@@ -37,7 +39,8 @@
             response.status = answer;
             co_return response;
         };
-        add_caller_routes(routes_, relay, metrics_);
+        const auto waits_since = [this](time_point now) { return now - paused_for; };
+        add_caller_routes(routes_, relay, waits_since, metrics_);
         CPPUNIT_ASSERT(server_.listen({"127.0.0.1", 0}));
     }
 
@@ -68,6 +71,13 @@
         return received;
     }
 
+    std::uint64_t overdue()
+    {
+        return metrics_.make_counter("galenaturn_caller_requests_overdue_total").value();
+    }
+
+    /** For how long the process did not run before it reads requests. */
+    duration paused_for{};
     std::vector<wire::job_verb> relayed;
     wire::job_response_status answer{wire::job_response_status::ok};
 
@@ -88,6 +98,8 @@
     CPPUNIT_TEST(a_submission_that_was_read_late_is_handed_in_for_a_caller_who_waits);
     CPPUNIT_TEST(a_cancelling_is_handed_in_after_its_caller_has_left);
     CPPUNIT_TEST(an_unknown_job_is_not_said_to_never_run);
+    CPPUNIT_TEST(a_submission_that_may_have_waited_past_its_deadline_is_not_handed_in);
+    CPPUNIT_TEST(a_submission_with_a_short_deadline_is_handed_in);
     CPPUNIT_TEST_SUITE_END();
 
     /** Its caller had cancelled the job through another entry meanwhile. */
@@ -119,6 +131,35 @@
         CPPUNIT_ASSERT(entry.relayed == std::vector{wire::job_verb::cancel});
     }
 
+    /** Its caller had left without closing the connection, as one whose VM is lost. */
+    void a_submission_that_may_have_waited_past_its_deadline_is_not_handed_in()
+    {
+        suspended_entry entry;
+        // A caller without a deadline waits for two seconds.
+        entry.paused_for = std::chrono::milliseconds{1800};
+        entry.exchange(submission());
+        CPPUNIT_ASSERT(entry.relayed == std::vector{wire::job_verb::submit});
+        entry.paused_for = std::chrono::milliseconds{2000};
+        const auto received = entry.exchange(submission());
+        CPPUNIT_ASSERT(received.find(" 503 ") != std::string::npos);
+        CPPUNIT_ASSERT(received.find("\"not_run\":true") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry.overdue());
+        entry.exchange(request_for("DELETE", {}));
+        entry.exchange(request_for("GET", {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, entry.relayed.size());
+    }
+
+    /** It was handed in, and answered as an unknown outcome at the same moment. */
+    void a_submission_with_a_short_deadline_is_handed_in()
+    {
+        suspended_entry entry;
+        entry.exchange(submission("Galenaturn-Request-Deadline: 40\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.relayed.size());
+        entry.exchange(submission("Galenaturn-Request-Deadline: 0\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.relayed.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry.overdue());
+    }
+
     /** A caller was told "not run" of a job whose submission was on its way, and which ran later.
      */
     void an_unknown_job_is_not_said_to_never_run()
