tests: callers that leave and cancel, in the soak with real processes

Once all is healed no job runs whose cancelling was acknowledged 6.2 s before, and no job ever runs whose submission was refused as certainly not run.

--- a/tests/platform/soak/runrecord.cpp
+++ b/tests/platform/soak/runrecord.cpp
@@ -139,7 +139,11 @@
     summary.late_calls = all.late_calls;
     for (const auto& [task, runs] : all.tasks) {
         summary.runs += runs.size();
-        summary.jobs.insert(task.substr(0, task.find('.')));
+        const auto job = task.substr(0, task.find('.'));
+        summary.jobs.insert(job);
+        if (std::any_of(runs.begin(), runs.end(),
+                        [](const auto& run) { return run.end == still_running; }))
+            summary.running_jobs.insert(job);
         check_task(task, runs, summary.violations);
     }
     return summary;
--- a/tests/platform/soak/runrecord.h
+++ b/tests/platform/soak/runrecord.h
@@ -16,6 +16,8 @@
     /** Calls that a worker carried out after a cut, or for its former life. */
     std::size_t late_calls{0};
     std::set<std::string> jobs;
+    /** Jobs of which a task runs at the end of the journal. */
+    std::set<std::string> running_jobs;
     /** One text for each task that ran twice at once or began after an acknowledged end. */
     std::vector<std::string> violations;
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -2,6 +2,7 @@
 
 #include "callers.h"
 #include "disruptor.h"
+#include "leavingcaller.h"
 #include "runrecord.h"
 
 #include <unistd.h>
@@ -22,12 +23,14 @@
 /** Bounds of the rules. */
 constexpr milliseconds contact{3000};
 constexpr milliseconds loss_slack{200};
+constexpr milliseconds cancelled_job_stops_within{3200};
 constexpr seconds acknowledged_within{4};
 constexpr seconds recovery{12};
 constexpr seconds jobs_finish_within{14};
 
 constexpr seconds start_limit{60};
 constexpr std::size_t most_callers{24};
+constexpr std::size_t leaving_callers{3};
 
 class running_soak {
 public:
@@ -83,6 +86,8 @@
                                 static_cast<std::size_t>(std::max(options_.sizes.workers, 2));
         for (std::size_t number = 0; number < count; ++number)
             threads_.emplace_back([this, number] { run_caller(callers_, number); });
+        for (std::size_t number = 0; number < leaving_callers; ++number)
+            threads_.emplace_back([this, number] { run_leaving_caller(callers_, left_, number); });
         threads_.emplace_back([this] { run_operator(callers_); });
         return true;
     }
@@ -127,11 +132,36 @@
         advance_until(trouble, monotonic_now() + contact, never);
         if (!advance_until(trouble, jobs_end, [this] { return open_jobs() == 0; }))
             report_open_jobs();
+        advance_until(trouble, last_cancelling() + contact + cancelled_job_stops_within, never);
+        check_cancelled_jobs(monotonic_now() - contact - cancelled_job_stops_within);
         callers_.operates = false;
         check_last_change(trouble);
         stop_all(trouble);
     }
 
+    time_point last_cancelling()
+    {
+        const std::scoped_lock lock{left_.mutex};
+        time_point last;
+        for (const auto& [job, acknowledged] : left_.cancelled)
+            last = std::max(last, acknowledged);
+        return last;
+    }
+
+    /** The jobs whose cancelling was acknowledged by `due` do not run any more. */
+    void check_cancelled_jobs(time_point due)
+    {
+        std::ifstream journal{processes_.journal()};
+        const auto running = check_runs(journal).running_jobs;
+        const std::scoped_lock lock{left_.mutex};
+        for (const auto& [job, acknowledged] : left_.cancelled) {
+            if (acknowledged <= due && running.contains(job))
+                violations_.push_back(
+                    "cancelled job " + job + " runs on; its cancelling was acknowledged at " +
+                    std::to_string(acknowledged.time_since_epoch() / milliseconds{1}));
+        }
+    }
+
     void report_open_jobs()
     {
         const std::scoped_lock lock{callers_.mutex};
@@ -226,11 +256,17 @@
             if (runs.jobs.contains(job))
                 violations_.push_back("refused job " + job + " ran");
         }
+        for (const auto& job : left_.refused) {
+            if (runs.jobs.contains(job))
+                violations_.push_back("job " + job + " ran, refused as certainly not run");
+        }
         std::ostringstream summary;
         summary << "disturbances=" << disturbances_ << " requests=" << callers_.requests
                 << " unanswered=" << callers_.unanswered << " jobs=" << callers_.accepted
                 << " refused=" << callers_.refused.size() << " tasks=" << runs.tasks
                 << " runs=" << runs.runs << " late_calls=" << runs.late_calls
+                << " cancelled=" << left_.cancelled.size()
+                << " not_cancelled=" << left_.unacknowledged << " not_run=" << left_.refused.size()
                 << " changes=" << callers_.changes.size() << " probes=" << callers_.probes.size();
         return {violations_, processes_.notes(), summary.str(), folder_};
     }
@@ -240,6 +276,7 @@
     std::filesystem::path folder_;
     deployment processes_;
     caller_record callers_;
+    left_jobs left_;
     std::vector<std::thread> threads_;
     std::vector<std::string> violations_;
     std::size_t disturbances_{0};
