ledger, control: cancelling unknown jobs of one queue leaves room for other queues

What callers saw: once 40,000 unknown jobs had been cancelled within 10 minutes, every cancelling of an unknown job was refused with 503, whoever had sent the others: 67 a second by one caller were enough.

Cause: one limit for all, first come first served.

Change: the leader counts by queue what it has recorded, and a queue may hold as many records as are still free (a dynamic threshold): one queue gets half of the limit, the next one half of the rest. Nothing is removed early. What an earlier leader has recorded counts for no queue. What is applied is as before.

--- a/include/galenaturn/ledger.h
+++ b/include/galenaturn/ledger.h
@@ -10,4 +10,5 @@
 #include "libledger/statemachine.h"
 #include "libledger/statesnapshot.h"
 #include "libledger/storage.h"
+#include "libledger/unknowncancels.h"
 #include "libledger/voterplan.h"
--- a/src/controld/jobrequests.cpp
+++ b/src/controld/jobrequests.cpp
@@ -50,7 +50,7 @@
     else if (verb == wire::job_verb::submit)
         response = co_await submit(std::move(request), *queue);
     else if (verb == wire::job_verb::cancel)
-        response = co_await cancel(std::move(request));
+        response = co_await cancel(std::move(request), queue_name);
     else if (verb == wire::job_verb::show)
         response = show(request);
     else {
@@ -120,7 +120,8 @@
     co_return response;
 }
 
-asio::awaitable<wire::job_response> job_service::cancel(wire::job_request request)
+asio::awaitable<wire::job_response> job_service::cancel(wire::job_request request,
+                                                        std::string queue)
 {
     wire::job_response response;
     const auto& state = hub_.state();
@@ -130,16 +131,19 @@
     if (known ? found->second.phase != wire::job_phase::open
               : state.cancelled_submissions.contains(request.job))
         co_return response;
-    if (!known && !ledger::can_cancel_unknown_job(state))
-        co_return refuse_unknown_cancel("too many unknown jobs were cancelled");
+    if (!known && !ledger::may_cancel_unknown_job(unknown_cancels_, state, queue))
+        co_return refuse_unknown_cancel("too many unknown jobs of the queue were cancelled");
     // A job that is not known may be submitted by a request that is still on the way.
     wire::cancel_job cancelled;
     cancelled.id = request.job;
-    cancelled.now = ledger::record_time(state, wall_now());
+    const auto recorded_at = ledger::record_time(state, wall_now());
+    cancelled.now = recorded_at;
     wire::command body{std::move(cancelled)};
     const auto outcome =
         co_await hub_.submit(std::move(body), monotonic_now() + ledger_command_timeout);
     const auto status = outcome.status;
+    if (status == command_status::rejected)
+        ledger::note_unknown_cancel(unknown_cancels_, queue, recorded_at);
     if (status == command_status::accepted || status == command_status::duplicate)
         response.status = job_response_status::ok;
     else if (status == command_status::rejected)
--- a/src/controld/jobservice.h
+++ b/src/controld/jobservice.h
@@ -226,7 +226,7 @@
     // Requests of callers.
     boost::asio::awaitable<wire::job_response> submit(wire::job_request request,
                                                       wire::queue_settings queue);
-    boost::asio::awaitable<wire::job_response> cancel(wire::job_request request);
+    boost::asio::awaitable<wire::job_response> cancel(wire::job_request request, std::string queue);
     /** Refuses a submission that was cancelled before it arrived: nothing of it ever runs. */
     wire::job_response refuse_cancelled(std::string reason);
     /** Refuses to cancel a job that is not known while too many such are recorded. */
@@ -282,6 +282,7 @@
     std::map<wire::job_response_status, counter*> response_counters_;
     counter& submissions_cancelled_before_;
     counter& unknown_cancels_refused_;
+    ledger::unknown_cancels unknown_cancels_;
     latency_summary& accept_latency_;
     latency_summary& record_latency_;
     latency_summary& pass_latency_;
--- a/tests/control/jobservicetest.cpp
+++ b/tests/control/jobservicetest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(a_submission_that_waits_for_the_disk_does_not_outlive_its_cancelling);
     CPPUNIT_TEST(a_submission_after_the_cancelling_of_its_job_does_not_run);
     CPPUNIT_TEST(a_cancelling_is_answered_only_once_it_is_recorded);
+    CPPUNIT_TEST(cancelling_of_unknown_jobs_of_one_queue_leaves_room_for_others);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t jobs = 20;
@@ -129,6 +130,33 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leader.refused("cancel_limit"));
     }
 
+    /** One queue could use up the limit, and cancellations of all others were refused. */
+    void cancelling_of_unknown_jobs_of_one_queue_leaves_room_for_others()
+    {
+        constexpr std::size_t left = 8;
+        test_leader leader{1};
+        leader.publish(1);
+        leader.run_for(std::chrono::milliseconds{50});
+        const auto recorded = ledger::state_limits{}.max_cancelled_submissions - left;
+        for (std::size_t job = 0; job < recorded; ++job)
+            leader.cancel("elsewhere" + std::to_string(job));
+        std::vector<wire::job_response_status> statuses;
+        for (std::size_t job = 0; job < left; ++job) {
+            const auto cancelled = leader.request(wire::job_verb::cancel, std::to_string(job));
+            CPPUNIT_ASSERT(leader.run_until([&] { return cancelled->has_value(); }));
+            statuses.push_back((*cancelled)->status);
+        }
+        const auto refused = static_cast<std::size_t>(
+            std::count(statuses.begin(), statuses.end(), wire::job_response_status::unavailable));
+        CPPUNIT_ASSERT_EQUAL(left / 2, refused);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{refused}, leader.refused("cancel_limit"));
+        CPPUNIT_ASSERT(statuses.front() == wire::job_response_status::unknown_job);
+        // One that is recorded needs no room.
+        const auto repeated = leader.request(wire::job_verb::cancel, "0");
+        CPPUNIT_ASSERT(leader.run_until([&] { return repeated->has_value(); }));
+        CPPUNIT_ASSERT((*repeated)->status == wire::job_response_status::unknown_job);
+    }
+
     /** The version held by a process that does not lead counted as a regression at entries. */
     void an_answer_names_the_version_that_decided_only_while_the_lease_is_valid()
     {
