--- a/tests/suspension/suspendabledeployment.cpp
+++ b/tests/suspension/suspendabledeployment.cpp
@@ -46,6 +46,15 @@
     processes_.signal(process, SIGCONT);
 }
 
+void suspendable_deployment::restart(soak::soak_process& control, bool loses_disk)
+{
+    if (loses_disk)
+        processes_.lose_disk(control);
+    else
+        processes_.signal(control, SIGKILL);
+    processes_.start_member(control);
+}
+
 bool suspendable_deployment::publish()
 {
     return soak::publish_next(callers_, monotonic_now() + publish_limit);
--- a/tests/suspension/suspendabledeployment.h
+++ b/tests/suspension/suspendabledeployment.h
@@ -21,6 +21,8 @@
     bool start(std::uint64_t seed);
     void suspend(soak::soak_process& process);
     void resume(soak::soak_process& process, clocks_left_behind clocks);
+    /** Kills a control process and starts it again, on an empty disk if `loses_disk` is set. */
+    void restart(soak::soak_process& control, bool loses_disk);
     void set_time_of_day(const soak::soak_process& process, duration ahead)
     {
         suspensions_.set_time_of_day(process, ahead);
@@ -30,6 +32,10 @@
     /** Waits for a leader; returns null if there is none for long. */
     [[nodiscard]] soak::soak_process* await_leader();
     [[nodiscard]] int acknowledged_version() const;
+    [[nodiscard]] std::vector<soak::soak_process*> controls()
+    {
+        return processes_.all_of(soak::process_kind::control);
+    }
     [[nodiscard]] std::vector<soak::soak_process*> entries()
     {
         return processes_.all_of(soak::process_kind::entry);
