--- a/tests/schedule/jobschedulertest.cpp
+++ b/tests/schedule/jobschedulertest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(late_success_of_a_gang_keeps_the_capacity_of_its_next_run);
     CPPUNIT_TEST(placement_respects_spread_and_labels);
     CPPUNIT_TEST(occurrence_never_starts_early);
+    CPPUNIT_TEST(cancelled_job_starts_no_further_occurrence);
     CPPUNIT_TEST(interfering_best_effort_tasks_avoid_latency_critical_tasks);
     CPPUNIT_TEST(jobs_that_can_still_be_in_time_come_first);
     CPPUNIT_TEST(partly_done_job_comes_before_an_untouched_one);
@@ -420,6 +421,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan().size());
     }
 
+    /** Guards against an occurrence that begins while the tasks of a cancelled job are stopped. */
+    void cancelled_job_starts_no_further_occurrence()
+    {
+        add_worker("w1", 8);
+        auto record = job({step(1, 1)});
+        record.spec.schedule = {3, wall_, std::chrono::seconds{1}};
+        record.tasks.resize(3);
+        add_job(state_, record, now_);
+        const auto first = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+        on_start_sent(state_, first.front(), now_);
+        on_start_result(state_, first.front(), command_result::accepted, now_);
+        record.phase = wire::job_phase::cancelled;
+        on_job_record(state_, record, now_);
+        for (int occurrence = 0; occurrence < 2; ++occurrence) {
+            wall_ += std::chrono::seconds{1};
+            now_ += std::chrono::seconds{1};
+            CPPUNIT_ASSERT(plan().empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_stops(state_, now_).size());
+    }
+
     void interfering_best_effort_tasks_avoid_latency_critical_tasks()
     {
         add_worker("w1", 8);
