--- a/src/libledger/recordclock.h
+++ b/src/libledger/recordclock.h
@@ -11,6 +11,7 @@
     time_point shown_since;
 };
 
+/** To be called after each change of the state. */
 void observe_clock(record_clock& clock, const ledger_state& state, time_point now);
 
 /**
--- a/src/libledger/unknowncancels.h
+++ b/src/libledger/unknowncancels.h
@@ -20,6 +20,7 @@
  */
 bool may_cancel_unknown_job(unknown_cancels& cancels, const ledger_state& state,
                             const std::string& queue);
+/** Notes a cancelling that the ledger has recorded `at` that time of its clock. */
 void note_unknown_cancel(unknown_cancels& cancels, const std::string& queue, wall_time at);
 
 } // namespace galenaturn::ledger
