--- a/tests/suspension/latesubmissiontest.cpp
+++ b/tests/suspension/latesubmissiontest.cpp
@@ -215,7 +215,7 @@
         std::this_thread::sleep_for(milliseconds{300});
         auto repeated = entry.submit(repeated_job);
         entry.resume();
-        CPPUNIT_ASSERT(entry.jobs_run() == std::set<std::string>{});
+        CPPUNIT_ASSERT(entry.jobs_run().empty());
         CPPUNIT_ASSERT_EQUAL(410, entry.status_of("GET", unknown_job));
         // Nobody can tell when it was sent, so it is refused at once.
         const auto answer = repeated.read(monotonic_now() + answer_limit);
